Add the owner role: queue, learned limit and scheduler of one backend server

Only the owner sends to a backend server, so slots, cold limit and isolation are enforced in one place. A new or restarted server starts at its cold limit; slow answers, overdue requests and long silence bring it back there, since servers turn cold again without warning. Ruled out: trusting the health and load endpoints, which lag.

--- a/src/core/Interfaces.h
+++ b/src/core/Interfaces.h
@@ -158,14 +158,18 @@
                              ClaimHandler handler) = 0;
 };
 
-/** Told by the owner role when a backend server was lost with parts in flight. */
-class ServerLossListener
+/** What the owner role needs to know and to report of request signatures that may crash servers. */
+class SignatureGate
 {
 public:
-    virtual ~ServerLossListener() = default;
+    virtual ~SignatureGate() = default;
+
+    /** Whether a part of this signature may be sent now; a suspect one only if it is isolated. */
+    virtual bool mayRun(Signature signature, bool isolated) const = 0;
+    /** A backend server closed or reset its connections with these parts in flight. */
     virtual void serverLost(StepContext &context, const ServerId &server,
                             const std::vector<Signature> &inFlight) = 0;
-    /** An isolated or canary part of this signature was answered. */
+    /** A canary or isolated part of this signature was answered. */
     virtual void signatureAnswered(StepContext &context, Signature signature) = 0;
 };
 
--- /dev/null
+++ b/tests/core/BackendSchedulerTest.cpp
@@ -0,0 +1,349 @@
+#include "core/BackendScheduler.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+#include <boost/json.hpp>
+
+using namespace greengagestair;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** One service with one backend server. */
+class FixedDocuments : public trompeloeil::mock_interface<DocumentView>
+{
+public:
+    FixedDocuments()
+    {
+        m_service.name = { "counter-lookup" };
+        m_service.slots = 2;
+        m_service.warmPartTime = 6ms;
+        m_service.maxPartTime = 500ms;
+        m_service.groups = { { { "g0" },
+                               { { { "lookup-0" }, { "127.1.0.1", 7000 }, {}, true } } } };
+    }
+
+    std::optional<ServerPlace> findServer(const ServerId &server) const override
+    {
+        const BackendServer &only = m_service.groups[0].servers[0];
+        if (server != only.name)
+            return std::nullopt;
+        return ServerPlace { &m_service, &m_service.groups[0], &only };
+    }
+    bool acceptsNewWork(const ServerId &) const override { return m_inService; }
+
+    IMPLEMENT_CONST_MOCK0(configuration);
+    IMPLEMENT_CONST_MOCK0(configurationVersion);
+    IMPLEMENT_CONST_MOCK1(snapshots);
+    IMPLEMENT_CONST_MOCK1(members);
+    IMPLEMENT_CONST_MOCK1(memberListVersion);
+    IMPLEMENT_CONST_MOCK0(hostList);
+    IMPLEMENT_CONST_MOCK0(hostListVersion);
+    IMPLEMENT_CONST_MOCK0(quarantine);
+    IMPLEMENT_CONST_MOCK0(versions);
+
+    Service m_service;
+    bool m_inService = true;
+};
+
+class FixedOwnership : public OwnershipView
+{
+public:
+    std::optional<Member> ownerOf(const ServerId &, MonotonicTime) const override { return {}; }
+    bool mayActFor(const ServerId &, MonotonicTime) const override { return m_owner; }
+    std::optional<Tenure> tenure(const ServerId &, MonotonicTime) const override
+    {
+        return m_tenure;
+    }
+    MonotonicTime grantsUntil(MonotonicTime now) const override { return now + 1500ms; }
+
+    bool m_owner = true;
+    Tenure m_tenure { MonotonicTime {}, true };
+};
+
+class RecordingRouter : public PartRouter
+{
+public:
+    void sendPart(StepContext &, const Member &, PartRequest) override { }
+    void cancelPart(StepContext &, const Member &, PartId) override { }
+    void answerPart(StepContext &, const HostId &, PartAnswer answer) override
+    {
+        m_answers.push_back(std::move(answer));
+    }
+
+    std::vector<PartAnswer> m_answers;
+};
+
+class RecordingGate : public SignatureGate
+{
+public:
+    bool mayRun(Signature signature, bool isolated) const override
+    {
+        return isolated || !m_suspects.contains(signature);
+    }
+    void serverLost(StepContext &, const ServerId &,
+                    const std::vector<Signature> &inFlight) override
+    {
+        ++m_losses;
+        m_suspects.insert(inFlight.begin(), inFlight.end());
+    }
+    void signatureAnswered(StepContext &, Signature) override { ++m_answered; }
+
+    std::set<Signature> m_suspects;
+    int m_losses = 0;
+    int m_answered = 0;
+};
+
+/** A scheduler with its collaborators, in virtual time. */
+class Fixture
+{
+public:
+    Fixture()
+        : m_scheduler(m_options, m_documents, m_ownership, m_router, m_gate, m_identifiers)
+    {
+    }
+
+    template <typename Action>
+    void step(Action action)
+    {
+        const Instant instant { m_now, {} };
+        StepContext context { instant, m_effects, m_counters, m_random };
+        action(context);
+    }
+
+    PartId submit(Priority priority = Priority::Routine, bool canary = false, bool isolated = false)
+    {
+        PartRequest request;
+        request.part = { ++m_parts };
+        request.server = { "lookup-0" };
+        request.service = { "counter-lookup" };
+        request.signature = { canary || isolated ? 7u : 100 + m_parts };
+        request.priority = priority;
+        request.deadline = m_deadline;
+        request.repeatable = m_repeatable;
+        request.canary = canary;
+        request.isolated = isolated;
+        step([&](StepContext &context) { m_scheduler.submit(context, { "bulaq-1" }, request); });
+        return request.part;
+    }
+
+    std::vector<SendId> sends() const
+    {
+        std::vector<SendId> ids;
+        for (const Effect &effect : m_effects) {
+            if (const auto *send = std::get_if<SendToBackend>(&effect))
+                ids.push_back(send->send);
+        }
+        return ids;
+    }
+
+    void finish(SendId send, BackendStatus status = BackendStatus::Answered, Duration after = 6ms)
+    {
+        m_now += after;
+        BackendFinished finished;
+        finished.send = send;
+        finished.echoed = send;
+        finished.status = status;
+        step([&](StepContext &context) { m_scheduler.onBackendFinished(context, finished); });
+    }
+
+    /** Answers parts one by one until the server is warm. */
+    void warmUp()
+    {
+        for (int answer = 0; answer < 2 * ServerLimiter::kRampSuccesses; ++answer) {
+            submit();
+            finish(sends().back());
+        }
+    }
+
+    PartReason lastReason() const { return m_router.m_answers.back().reason; }
+    PartOutcome lastOutcome() const { return m_router.m_answers.back().outcome; }
+
+    ReducerOptions m_options;
+    trompeloeil::sequence m_unused;
+    FixedDocuments m_documents;
+    FixedOwnership m_ownership;
+    RecordingRouter m_router;
+    RecordingGate m_gate;
+    IdentifierSource m_identifiers;
+    CounterSet m_counters;
+    std::mt19937_64 m_random { 1 };
+    Effects m_effects;
+    MonotonicTime m_now { 100s };
+    Duration m_deadline = 300ms;
+    bool m_repeatable = true;
+    std::uint64_t m_parts = 0;
+    BackendScheduler m_scheduler;
+};
+
+} // namespace
+
+TEST_CASE("a cold server gets one request and a warm one its slots", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.submit();
+    fixture.submit();
+    fixture.submit();
+    REQUIRE(fixture.sends().size() == 1);
+    fixture.finish(fixture.sends().back());
+    REQUIRE(fixture.sends().size() == 2);
+    fixture.finish(fixture.sends().back());
+    fixture.finish(fixture.sends().back());
+    fixture.warmUp();
+    const std::size_t before = fixture.sends().size();
+    fixture.submit();
+    fixture.submit();
+    fixture.submit();
+    REQUIRE(fixture.sends().size() == before + 2);
+}
+
+TEST_CASE("a part that cannot make its deadline is refused at once, unsent", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.m_deadline = 20ms;
+    for (int part = 0; part < 5; ++part)
+        fixture.submit();
+    REQUIRE(fixture.sends().size() == 1);
+    REQUIRE(fixture.lastOutcome() == PartOutcome::NotSent);
+    REQUIRE(fixture.lastReason() == PartReason::Overloaded);
+}
+
+TEST_CASE("a host that does not own a server sends nothing to it", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.m_ownership.m_owner = false;
+    fixture.submit();
+    REQUIRE(fixture.sends().empty());
+    REQUIRE(fixture.lastReason() == PartReason::NotOwner);
+}
+
+TEST_CASE("after a takeover nothing is sent until the former owner's parts have ended",
+          "[scheduler]")
+{
+    Fixture fixture;
+    fixture.m_ownership.m_tenure = { fixture.m_now, false };
+    fixture.submit();
+    REQUIRE(fixture.sends().empty());
+    fixture.m_now += 500ms;
+    fixture.submit();
+    REQUIRE(fixture.sends().size() == 1);
+}
+
+TEST_CASE("queued parts of a server that leaves service are refused as not sent", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.submit();
+    fixture.submit();
+    fixture.m_documents.m_inService = false;
+    fixture.m_now += 10ms;
+    fixture.step([&](StepContext &context) { fixture.m_scheduler.onTick(context); });
+    REQUIRE(fixture.sends().size() == 1);
+    REQUIRE(fixture.lastReason() == PartReason::OutOfService);
+    REQUIRE(fixture.lastOutcome() == PartOutcome::NotSent);
+}
+
+TEST_CASE("a draining server gets nothing more", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.submit();
+    fixture.finish(fixture.sends().back(), BackendStatus::Draining);
+    fixture.submit();
+    REQUIRE(fixture.sends().size() == 1);
+    REQUIRE(fixture.lastReason() == PartReason::Draining);
+}
+
+TEST_CASE("an error status proves nothing about a request that may not be repeated", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.m_repeatable = false;
+    fixture.submit();
+    fixture.finish(fixture.sends().back(), BackendStatus::Shed);
+    REQUIRE(fixture.lastOutcome() == PartOutcome::MayHaveRun);
+    fixture.submit();
+    fixture.finish(fixture.sends().back(), BackendStatus::NotConnected);
+    REQUIRE(fixture.lastOutcome() == PartOutcome::NotSent);
+}
+
+TEST_CASE("an answer that echoes another request is not passed on", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.submit();
+    BackendFinished crossed;
+    crossed.send = fixture.sends().back();
+    crossed.echoed = { crossed.send.value + 1 };
+    crossed.status = BackendStatus::Answered;
+    fixture.step(
+            [&](StepContext &context) { fixture.m_scheduler.onBackendFinished(context, crossed); });
+    REQUIRE(fixture.lastOutcome() == PartOutcome::MayHaveRun);
+    REQUIRE(fixture.lastReason() == PartReason::Mismatch);
+}
+
+TEST_CASE("a lost server is reported once with everything in flight", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.warmUp();
+    fixture.submit();
+    fixture.submit();
+    const std::vector<SendId> sends = fixture.sends();
+    fixture.finish(sends[sends.size() - 2], BackendStatus::ConnectionLost, 0ms);
+    fixture.finish(sends[sends.size() - 1], BackendStatus::ConnectionLost, 0ms);
+    REQUIRE(fixture.m_gate.m_losses == 1);
+    REQUIRE(fixture.m_gate.m_suspects.size() == 2);
+}
+
+TEST_CASE("one attempt at a time of an unknown signature; a loss refuses the others", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.warmUp();
+    const std::size_t before = fixture.sends().size();
+    fixture.submit(Priority::Routine, true);
+    fixture.submit(Priority::Routine, true);
+    REQUIRE(fixture.sends().size() == before + 1);
+    fixture.finish(fixture.sends().back(), BackendStatus::ConnectionLost);
+    REQUIRE(fixture.sends().size() == before + 1);
+    REQUIRE(fixture.lastReason() == PartReason::Quarantined);
+}
+
+TEST_CASE("the others run once the first attempt was answered", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.warmUp();
+    const std::size_t before = fixture.sends().size();
+    fixture.submit(Priority::Routine, true);
+    fixture.submit(Priority::Routine, true);
+    fixture.submit(Priority::Routine, true);
+    fixture.finish(fixture.sends().back());
+    REQUIRE(fixture.sends().size() == before + 3);
+    REQUIRE(fixture.m_gate.m_answered == 1);
+}
+
+TEST_CASE("an isolated part runs alone on its server", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.warmUp();
+    fixture.submit();
+    const std::size_t before = fixture.sends().size();
+    fixture.submit(Priority::Urgent, false, true);
+    fixture.submit();
+    REQUIRE(fixture.sends().size() == before);
+    fixture.finish(fixture.sends().back());
+    REQUIRE(fixture.sends().size() == before + 1);
+    fixture.finish(fixture.sends().back());
+    REQUIRE(fixture.sends().size() == before + 2);
+}
+
+TEST_CASE("a planned stop refuses new parts and lets queued ones run", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.submit();
+    fixture.submit();
+    fixture.m_scheduler.requestStop();
+    fixture.submit();
+    REQUIRE(fixture.lastReason() == PartReason::NotOwner);
+    fixture.finish(fixture.sends().back());
+    REQUIRE(fixture.sends().size() == 2);
+    REQUIRE_FALSE(fixture.m_scheduler.idle());
+    fixture.finish(fixture.sends().back());
+    REQUIRE(fixture.m_scheduler.idle());
+}
--- /dev/null
+++ b/tests/core/ServerLimiterTest.cpp
@@ -0,0 +1,59 @@
+#include "core/ServerLimiter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace greengagestair;
+using namespace std::chrono_literals;
+
+static const ServerLimits kLimits { 3, 1, 6ms };
+
+static MonotonicTime answerFast(ServerLimiter &limiter, MonotonicTime now, int count)
+{
+    for (int answer = 0; answer < count; ++answer) {
+        now += 6ms;
+        limiter.onAnswer(6ms, now);
+    }
+    return now;
+}
+
+TEST_CASE("a new server starts at its cold limit and rises to its slots by evidence", "[limiter]")
+{
+    ServerLimiter limiter(kLimits, MonotonicTime {});
+    REQUIRE(limiter.limit(MonotonicTime {}, 0ms) == 1);
+    MonotonicTime now = answerFast(limiter, MonotonicTime {}, ServerLimiter::kRampSuccesses);
+    REQUIRE(limiter.limit(now, 0ms) == 2);
+    now = answerFast(limiter, now, 10 * ServerLimiter::kRampSuccesses);
+    REQUIRE(limiter.limit(now, 0ms) == 3);
+    REQUIRE(limiter.isWarm());
+}
+
+TEST_CASE("a server that turned cold without warning is noticed from its answers", "[limiter]")
+{
+    ServerLimiter limiter(kLimits, MonotonicTime {});
+    MonotonicTime now = answerFast(limiter, MonotonicTime {}, 3 * ServerLimiter::kRampSuccesses);
+    now += 40ms;
+    limiter.onAnswer(40ms, now);
+    REQUIRE(limiter.limit(now, 0ms) == 1);
+    limiter.onAnswer(6ms, now + 6ms); // a single straggler is forgiven
+    REQUIRE(limiter.limit(now + 6ms, 0ms) == 3);
+    limiter.onAnswer(40ms, now + 50ms);
+    limiter.onAnswer(40ms, now + 90ms);
+    limiter.onAnswer(6ms, now + 96ms);
+    REQUIRE(limiter.limit(now + 96ms, 0ms) == 1);
+}
+
+TEST_CASE("an overdue request or a long silence limits a warm server", "[limiter]")
+{
+    ServerLimiter limiter(kLimits, MonotonicTime {});
+    const MonotonicTime now =
+            answerFast(limiter, MonotonicTime {}, 3 * ServerLimiter::kRampSuccesses);
+    REQUIRE(limiter.limit(now, 10ms) == 3);
+    REQUIRE(limiter.limit(now, 60ms) == 1);
+    REQUIRE(limiter.limit(now + ServerLimiter::kIdleReset + 1ms, 0ms) == 1);
+}
+
+TEST_CASE("without the ramp a cold server would get all its slots at once", "[limiter]")
+{
+    const ServerLimiter limiter(kLimits, MonotonicTime {}, false);
+    REQUIRE(limiter.limit(MonotonicTime {}, 0ms) == 3);
+}
