--- /dev/null
+++ b/src/core/PartDispatcher.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "core/Interfaces.h"
+#include "core/PartTimeEstimator.h"
+#include "core/QueryTable.h"
+#include "core/ReplicaSelector.h"
+#include "core/RetryBudget.h"
+#include "core/SnapshotSelector.h"
+
+#include <boost/json/fwd.hpp>
+
+#include <unordered_map>
+#include <vector>
+
+namespace greengagestair {
+
+/** Chooses replicas and sends, cancels and closes the attempts of parts. */
+class PartDispatcher
+{
+public:
+    enum class Result { Sent, NoReplica, TooLate };
+    /** What an attempt is for; hedges and retries may need budget. */
+    enum class Purpose { First, FreeRetry, Retry, Hedge };
+
+    PartDispatcher(const ReducerOptions &options, DocumentView &documents, OwnershipView &ownership,
+                   PartRouter &router, IdentifierSource &identifiers, QueryTable &table);
+
+    /** Whether the server accepts work and has an owner. */
+    bool isUsable(const ServerId &server, MonotonicTime now) const;
+    /** The group of a part in the configuration in force; null if it is not declared. */
+    const Group *findGroup(const Query &query, std::size_t part) const;
+    /** Whether some replica of the part could still be tried. */
+    bool hasReplica(const Query &query, std::size_t part, MonotonicTime now) const;
+    /** Sends the part to the best replica that had no attempt yet. */
+    Result send(StepContext &context, Query &query, std::size_t part, Purpose purpose);
+    /** Sends the part to the given server. */
+    Result sendTo(StepContext &context, Query &query, std::size_t part, const BackendServer &server,
+                  Purpose purpose, bool isolated);
+    /** Cancels and closes the open attempts of a part. */
+    void cancelOpen(StepContext &context, Query &query, std::size_t part);
+    /** Closes the open attempts of a part and leaves their requests to run. */
+    void abandonOpen(Query &query, std::size_t part);
+    /** Closes an attempt that ended, and learns from its end. */
+    Attempt closeEnded(StepContext &context, Query &query, std::size_t part,
+                       const PartAnswer &answer);
+    /** Closes an attempt whose owner was lost. */
+    Attempt closeLost(StepContext &context, Query &query, std::size_t part, PartId id);
+    /** Marks the servers of open attempts as slow and returns the time of the next look. */
+    void noteSlow(const Query &query, std::size_t part, MonotonicTime now);
+
+    Duration hedgeDelay(const ServiceId &service) const;
+    RetryBudget &budget(const ServiceId &service) { return m_services[service].budget; }
+    SnapshotSelector &snapshots() { return m_snapshots; }
+    /** Forgets idle servers from time to time. */
+    void removeIdle(MonotonicTime now);
+    boost::json::object dump(MonotonicTime now) const;
+
+private:
+    struct ServiceState
+    {
+        RetryBudget budget;
+        PartTimeEstimator partTimes;
+    };
+
+    std::vector<const BackendServer *> candidates(const Query &query, std::size_t part,
+                                                  MonotonicTime now) const;
+    const Service *findService(const ServiceId &service) const;
+    void learn(StepContext &context, const Query &query, const Attempt &attempt,
+               const PartAnswer &answer);
+
+    const ReducerOptions &m_options;
+    DocumentView &m_documents;
+    OwnershipView &m_ownership;
+    PartRouter &m_router;
+    IdentifierSource &m_identifiers;
+    QueryTable &m_table;
+    ReplicaSelector m_replicas;
+    SnapshotSelector m_snapshots;
+    std::unordered_map<ServiceId, ServiceState> m_services;
+    MonotonicTime m_removeIdleAt;
+};
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/core/PartTimeEstimator.cpp
@@ -0,0 +1,83 @@
+#include "core/PartTimeEstimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace greengagestair {
+
+/** Above the share of stragglers (1 in 100), and below what the retry budget pays for (5 %). */
+static constexpr double kHedgeQuantile = 0.97;
+static constexpr std::uint64_t kMinSamples = 50;
+static constexpr std::uint32_t kUpdateInterval = 16;
+static constexpr std::uint32_t kDecayTotal = 2048;
+static constexpr Duration kSmallestBucket = std::chrono::microseconds(50);
+/** 96 buckets of 12 % width reach from 50 us to about 2.6 s. */
+static constexpr double kBucketRatio = 1.12;
+/** Without samples, a part counts as slow after this multiple of the declared time. */
+static constexpr int kInitialHedgeFactor = 3;
+
+static std::size_t bucketOf(Duration partTime, std::size_t buckets)
+{
+    if (partTime <= kSmallestBucket)
+        return 0;
+    static const double kLogRatio = std::log(kBucketRatio);
+    const double ratio = static_cast<double>(partTime.count()) / kSmallestBucket.count();
+    const auto bucket = static_cast<std::size_t>(std::ceil(std::log(ratio) / kLogRatio));
+    return std::min(bucket, buckets - 1);
+}
+
+static Duration upperBound(std::size_t bucket)
+{
+    const double micros = kSmallestBucket.count() * std::pow(kBucketRatio, bucket);
+    return Duration(static_cast<Duration::rep>(micros));
+}
+
+void PartTimeEstimator::add(Duration partTime)
+{
+    ++m_counts[bucketOf(partTime, kBuckets)];
+    ++m_total;
+    ++m_added;
+    ++m_sinceUpdate;
+    if (m_total >= kDecayTotal) {
+        m_total = 0;
+        for (std::uint32_t &count : m_counts) {
+            count /= 2;
+            m_total += count;
+        }
+    }
+    if (m_sinceUpdate >= kUpdateInterval || m_added == kMinSamples)
+        updateQuantiles();
+}
+
+Duration PartTimeEstimator::hedgeDelay(Duration warmPartTime) const
+{
+    if (m_added < kMinSamples)
+        return warmPartTime * kInitialHedgeFactor;
+    return std::max(m_hedgeQuantile, warmPartTime);
+}
+
+Duration PartTimeEstimator::typicalPartTime(Duration warmPartTime) const
+{
+    return m_added < kMinSamples ? warmPartTime : m_median;
+}
+
+Duration PartTimeEstimator::quantile(double share) const
+{
+    const auto wanted = static_cast<std::uint32_t>(std::ceil(share * m_total));
+    std::uint32_t seen = 0;
+    for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+        seen += m_counts[bucket];
+        if (seen >= wanted)
+            return upperBound(bucket);
+    }
+    return upperBound(kBuckets - 1);
+}
+
+void PartTimeEstimator::updateQuantiles()
+{
+    m_sinceUpdate = 0;
+    m_median = quantile(0.5);
+    m_hedgeQuantile = quantile(kHedgeQuantile);
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/core/QueryEngine.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "core/AdmissionControl.h"
+#include "core/Interfaces.h"
+#include "core/PartDispatcher.h"
+#include "core/Quarantine.h"
+#include "core/QueryTable.h"
+#include "greengagestair/Event.h"
+
+#include <boost/json/fwd.hpp>
+
+#include <deque>
+#include <functional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace greengagestair {
+
+/** The entry role: takes callers' requests, collects the answers of their parts and answers. */
+class QueryEngine
+{
+public:
+    QueryEngine(const ReducerOptions &options, DocumentView &documents, OwnershipView &ownership,
+                PartRouter &router, RequestClaims &claims, AdmissionControl &admission,
+                Quarantine &quarantine, IdentifierSource &identifiers);
+
+    void onCallerRequest(StepContext &context, const CallerRequest &request);
+    void onOutcomeQuery(StepContext &context, const OutcomeQuery &outcomeQuery);
+    void onCallerGone(StepContext &context, const CallerGone &gone);
+    void onPartAnswer(StepContext &context, const HostId &owner, const PartAnswer &answer);
+    void onPeerLost(StepContext &context, const HostId &host);
+    void onTick(StepContext &context);
+
+    MonotonicTime nextWakeUp() const;
+    /** Refuses new requests from now on; accepted ones end normally. */
+    void requestStop();
+    /** Whether every accepted request has ended. */
+    bool idle() const;
+    boost::json::object dump(MonotonicTime now) const;
+
+private:
+    using Work = std::function<void(StepContext &context)>;
+
+    /** Runs one step. Steps that arrive while one runs are put off to its end. */
+    void step(StepContext &context, Work work);
+    void settleDue(StepContext &context);
+    bool applyNextDecision(StepContext &context);
+
+    void takeRequest(StepContext &context, const CallerRequest &request);
+    QueryReason checkRequest(const CallerRequest &request) const;
+    void refuseRequest(StepContext &context, const CallerRequest &request, QueryReason reason);
+    void begin(StepContext &context, Query &query);
+    void takeClaim(StepContext &context, QueryId id, const ServiceId &service,
+                   const IdempotencyKey &key, const ClaimResult &result);
+    void takeOutcome(StepContext &context, CallerId caller, const ServiceId &service,
+                     const ClaimResult &result);
+
+    void start(StepContext &context, Query &query);
+    std::shared_ptr<const PinnedSnapshot> selectSnapshot(const ServiceId &service,
+                                                         MonotonicTime now);
+    bool makeParts(Query &query, std::shared_ptr<const PinnedSnapshot> snapshot) const;
+    void passGate(StepContext &context, Query &query);
+    bool sendProbe(StepContext &context, Query &query, const Quarantine::Plan &plan);
+    void sendUnsent(StepContext &context, Query &query);
+    void sendPart(StepContext &context, Query &query, std::size_t part,
+                  PartDispatcher::Purpose purpose);
+    void restartOrMiss(StepContext &context, Query &query, std::size_t part, PartReason reason);
+    void hold(Query &query, std::size_t part);
+    void replanHeld(StepContext &context);
+    void replanPart(StepContext &context, Query &query, std::size_t part);
+    void hedge(StepContext &context, Query &query, std::size_t part);
+    void hedgeDueParts(StepContext &context, Query &query);
+
+    void takePartAnswer(StepContext &context, const HostId &owner, const PartAnswer &answer);
+    void takeUnmatched(StepContext &context, const PartAnswer &answer);
+    void acceptAnswer(StepContext &context, Query &query, std::size_t part,
+                      const PartAnswer &answer);
+    void failAttempt(StepContext &context, Query &query, std::size_t part, const ServerId &server,
+                     PartOutcome outcome, PartReason reason);
+    void failSingleAttempt(StepContext &context, Query &query, PartOutcome outcome,
+                           PartReason reason);
+    void retry(StepContext &context, Query &query, std::size_t part, PartOutcome outcome,
+               PartReason reason);
+    void miss(Query &query, std::size_t part, PartReason reason);
+    void missUnsettled(StepContext &context, Query &query, PartReason reason);
+    void loseAttempt(StepContext &context, PartId id);
+
+    void endAtDeadline(StepContext &context, Query &query);
+    void endPartsAtDeadline(StepContext &context, Query &query);
+    void awaitLateResult(StepContext &context, Query &query);
+    void finishIfSettled(StepContext &context, Query &query, bool deadlinePassed = false);
+    void finishSingle(StepContext &context, Query &query, bool deadlinePassed);
+    void answer(StepContext &context, Query &query, CallerAnswer answer);
+    void end(StepContext &context, Query &query, QueryOutcome outcome, QueryReason reason);
+    void remove(StepContext &context, Query &query);
+
+    const ReducerOptions &m_options;
+    DocumentView &m_documents;
+    RequestClaims &m_claims;
+    AdmissionControl &m_admission;
+    Quarantine &m_quarantine;
+    QueryTable m_table;
+    PartDispatcher m_dispatcher;
+    std::deque<Work> m_putOff;
+    std::vector<QueryId> m_held; ///< queries with held parts
+    std::unordered_set<CallerId> m_outcomeCallers;
+    std::unordered_map<PartId, GroupId> m_closedForTests; ///< only with answerMatching off
+    std::uint64_t m_lastQuery = 0;
+    std::uint64_t m_plannedGeneration = 0;
+    bool m_busy = false;
+    bool m_stopping = false;
+};
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/core/RetryBudget.cpp
@@ -0,0 +1,25 @@
+#include "core/RetryBudget.h"
+
+#include <algorithm>
+
+namespace greengagestair {
+
+/** Extra load on backend servers that hedges and retries may cause. */
+static constexpr double kTokensPerFirstAttempt = 0.05;
+/** Bounds the burst of hedges after a long time without any. */
+static constexpr double kMaxTokens = 50.0;
+
+void RetryBudget::addFirstAttempt()
+{
+    m_tokens = std::min(m_tokens + kTokensPerFirstAttempt, kMaxTokens);
+}
+
+bool RetryBudget::take()
+{
+    if (m_tokens < 1.0)
+        return false;
+    m_tokens -= 1.0;
+    return true;
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/core/SnapshotSelector.cpp
@@ -0,0 +1,140 @@
+#include "core/SnapshotSelector.h"
+
+#include <algorithm>
+
+namespace greengagestair {
+
+/** A server that lacked a version may have loaded it since. */
+static constexpr Duration kLackingRetention = std::chrono::seconds(1);
+/** Snapshots of one service that queries may still be pinned to. */
+static constexpr std::size_t kMaxPinnedPerService = 8;
+
+static std::shared_ptr<const PinnedSnapshot> makePinned(const Snapshot &snapshot)
+{
+    auto result = std::make_shared<PinnedSnapshot>();
+    result->version = snapshot.version;
+    result->ranges = snapshot.ranges;
+    std::unordered_map<GroupId, std::size_t> indexes;
+    for (const KeyRange &range : snapshot.ranges) {
+        const auto [position, inserted] = indexes.emplace(range.group, result->groups.size());
+        if (inserted)
+            result->groups.push_back(range.group);
+        result->groupOfRange.push_back(position->second);
+    }
+    return result;
+}
+
+void SnapshotSelector::noteHeld(const ServerId &server, IndexVersion version)
+{
+    if (m_lacking.empty())
+        return;
+    const auto found = m_lacking.find(server);
+    if (found == m_lacking.end())
+        return;
+    std::erase_if(found->second, [&](const Lacking &entry) { return entry.version == version; });
+    if (found->second.empty())
+        m_lacking.erase(found);
+}
+
+void SnapshotSelector::noteLacking(const ServerId &server, IndexVersion version,
+                                   const std::vector<IndexVersion> &held, MonotonicTime now)
+{
+    for (const IndexVersion &heldVersion : held)
+        noteHeld(server, heldVersion);
+    std::vector<Lacking> &entries = m_lacking[server];
+    std::erase_if(entries, [&](const Lacking &entry) {
+        return entry.version == version || entry.until <= now;
+    });
+    entries.push_back({ version, now + kLackingRetention });
+}
+
+bool SnapshotSelector::lacks(const ServerId &server, IndexVersion version, MonotonicTime now) const
+{
+    if (m_lacking.empty())
+        return false;
+    const auto found = m_lacking.find(server);
+    if (found == m_lacking.end())
+        return false;
+    return std::any_of(found->second.begin(), found->second.end(), [&](const Lacking &entry) {
+        return entry.version == version && entry.until > now;
+    });
+}
+
+std::shared_ptr<const PinnedSnapshot> SnapshotSelector::select(const Service &service,
+                                                               const ServiceSnapshots &snapshots,
+                                                               const UsableCheck &isUsable,
+                                                               MonotonicTime now)
+{
+    if (snapshots.snapshots.empty())
+        return nullptr;
+    removeExpired(now);
+    if (m_lacking.empty())
+        return pinned(service.name, snapshots.snapshots.front());
+    std::shared_ptr<const PinnedSnapshot> best;
+    std::size_t bestServed = 0;
+    for (const Snapshot &snapshot : snapshots.snapshots) {
+        auto candidate = pinned(service.name, snapshot);
+        const std::size_t served = servedGroups(service, *candidate, isUsable, now);
+        if (served == candidate->groups.size())
+            return candidate;
+        if (best == nullptr || served > bestServed) {
+            best = std::move(candidate);
+            bestServed = served;
+        }
+    }
+    return best;
+}
+
+void SnapshotSelector::removeExpired(MonotonicTime now)
+{
+    for (auto server = m_lacking.begin(); server != m_lacking.end();) {
+        std::erase_if(server->second, [&](const Lacking &entry) { return entry.until <= now; });
+        server = server->second.empty() ? m_lacking.erase(server) : std::next(server);
+    }
+}
+
+std::shared_ptr<const PinnedSnapshot> SnapshotSelector::pinned(const ServiceId &service,
+                                                               const Snapshot &snapshot)
+{
+    auto &cached = m_pinned[service];
+    for (const auto &candidate : cached) {
+        if (candidate->version == snapshot.version && candidate->ranges == snapshot.ranges)
+            return candidate;
+    }
+    if (cached.size() >= kMaxPinnedPerService)
+        cached.erase(cached.begin());
+    cached.push_back(makePinned(snapshot));
+    return cached.back();
+}
+
+std::size_t SnapshotSelector::servedGroups(const Service &service, const PinnedSnapshot &snapshot,
+                                           const UsableCheck &isUsable, MonotonicTime now) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(snapshot.groups.begin(), snapshot.groups.end(), [&](const GroupId &name) {
+                const auto group = std::find_if(
+                        service.groups.begin(), service.groups.end(),
+                        [&](const Group &candidate) { return candidate.name == name; });
+                return group != service.groups.end()
+                        && isServed(*group, snapshot.version, isUsable, now);
+            }));
+}
+
+bool SnapshotSelector::isServed(const Group &group, IndexVersion version,
+                                const UsableCheck &isUsable, MonotonicTime now) const
+{
+    bool anyUsable = false;
+    bool anyHolding = false;
+    for (const BackendServer &server : group.servers) {
+        const bool usable = isUsable(server.name);
+        const bool holding = !lacks(server.name, version, now);
+        if (usable && holding)
+            return true;
+        anyUsable = anyUsable || usable;
+        anyHolding = anyHolding || holding;
+    }
+    // A group without any usable replica is missing in every version, so it does not decide.
+    return !anyUsable && anyHolding;
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/tests/core/QueryEngineTest.cpp
@@ -0,0 +1,142 @@
+#include "EntryRoleFixture.h"
+#include "core/Signature.h"
+
+using namespace greengagestair;
+using namespace greengagestair::test;
+
+// Guards against answers that leave out or repeat key ranges, or mix up bodies.
+TEST_CASE("an answer covers each key range of the snapshot once", "[query]")
+{
+    EntryRoleFixture fixture;
+    fixture.warmUp();
+    const CallerId caller = fixture.ask();
+    const auto parts = fixture.takeSent();
+    REQUIRE(parts.size() == 2);
+    for (const PartRequest &part : parts) {
+        REQUIRE(part.version == IndexVersion { 8 });
+        REQUIRE(part.server.value.ends_with("shubra"));
+        REQUIRE(part.deadline == 98ms);
+    }
+    fixture.succeed(parts[1], "one");
+    REQUIRE_FALSE(fixture.answerTo(caller).has_value());
+    fixture.succeed(parts[0], "zero");
+
+    const auto answer = fixture.answerTo(caller);
+    REQUIRE(answer.has_value());
+    REQUIRE(answer->outcome == QueryOutcome::Complete);
+    REQUIRE(answer->missing.empty());
+    REQUIRE(answer->parts.size() == 3);
+    REQUIRE(answer->parts[0].body == "zero");
+    REQUIRE(answer->parts[1].body == "one");
+    REQUIRE(answer->parts[1].from == "g");
+    REQUIRE(answer->parts[2].body == "zero");
+    REQUIRE(fixture.engine.idle());
+}
+
+// R2: without coverage accounting a partial answer would be labelled complete.
+TEST_CASE("at the deadline the missing ranges are listed", "[query]")
+{
+    const bool accounting = GENERATE(true, false);
+    MechanismSwitches mechanisms;
+    mechanisms.coverageAccounting = accounting;
+    EntryRoleFixture fixture(mechanisms);
+    fixture.warmUp();
+    const CallerId caller = fixture.ask();
+    const auto parts = fixture.takeSent();
+    fixture.succeed(parts[0]);
+    fixture.advance(98ms);
+    REQUIRE_FALSE(fixture.answerTo(caller).has_value());
+    fixture.advance(1ms);
+    const auto answer = fixture.answerTo(caller);
+    REQUIRE(answer.has_value());
+    REQUIRE((answer->outcome == QueryOutcome::Partial) == accounting);
+    REQUIRE(answer->missing.size() == (accounting ? 1 : 0));
+    fixture.succeed(parts[1]);
+    REQUIRE(fixture.counters.value("late_answers_total") == 1);
+}
+
+// R1: without pinning, an answer from another version would be mixed in.
+TEST_CASE("an answer of another version does not count", "[query]")
+{
+    const bool pinning = GENERATE(true, false);
+    MechanismSwitches mechanisms;
+    mechanisms.snapshotPinning = pinning;
+    EntryRoleFixture fixture(mechanisms);
+    fixture.warmUp();
+    const CallerId caller = fixture.ask();
+    const auto parts = fixture.takeSent();
+    fixture.succeed(parts[0]);
+    PartAnswer other;
+    other.outcome = PartOutcome::Answered;
+    other.version = { 7 };
+    fixture.answerPart(parts[1], other);
+    REQUIRE(fixture.answerTo(caller).has_value() == !pinning);
+}
+
+// Guards against late answers of an earlier process of this host: part identifiers must differ.
+TEST_CASE("part identifiers of two incarnations differ", "[query]")
+{
+    EntryRoleFixture first;
+    EntryRoleFixture second({}, { 2000000 });
+    first.ask();
+    second.ask();
+    REQUIRE(first.takeSent().front().part != second.takeSent().front().part);
+}
+
+TEST_CASE("requests that cannot be taken are refused as not run", "[query]")
+{
+    EntryRoleFixture fixture;
+    const auto reasonOf = [&](CallerId caller) {
+        const auto answer = fixture.answerTo(caller);
+        REQUIRE(answer.has_value());
+        REQUIRE(answer->outcome == QueryOutcome::NotRun);
+        return answer->reason;
+    };
+    REQUIRE(reasonOf(fixture.ask("find", "nothing")) == QueryReason::UnknownService);
+    REQUIRE(reasonOf(fixture.ask("nothing")) == QueryReason::UnknownOperation);
+    fixture.documents.snapshotsOf.erase({ "lookup" });
+    REQUIRE(reasonOf(fixture.ask()) == QueryReason::NoSnapshot);
+    fixture.documents.hasConfiguration = false;
+    REQUIRE(reasonOf(fixture.ask()) == QueryReason::NotReady);
+}
+
+// R9: without draining, a stop would drop accepted queries.
+TEST_CASE("a stop refuses new requests and ends accepted ones", "[query]")
+{
+    const bool draining = GENERATE(true, false);
+    MechanismSwitches mechanisms;
+    mechanisms.stopDraining = draining;
+    EntryRoleFixture fixture(mechanisms);
+    fixture.warmUp();
+    const CallerId accepted = fixture.ask();
+    fixture.engine.requestStop();
+    const CallerId refused = fixture.ask();
+    REQUIRE(fixture.answerTo(refused)->reason == QueryReason::Stopping);
+    REQUIRE(fixture.engine.idle() == !draining);
+    for (const PartRequest &part : fixture.takeSent())
+        fixture.succeed(part);
+    REQUIRE(fixture.answerTo(accepted).has_value() == draining);
+    REQUIRE(fixture.engine.idle());
+}
+
+// R4: without the check of failure domains, a server out of service would get new parts.
+TEST_CASE("servers that accept no work get no parts", "[query]")
+{
+    const bool checked = GENERATE(true, false);
+    MechanismSwitches mechanisms;
+    mechanisms.failureDomainState = checked;
+    EntryRoleFixture fixture(mechanisms);
+    fixture.warmUp();
+    fixture.documents.refusing = { { "lookup-g0-shubra" }, { "lookup-g1-shubra" } };
+    fixture.ask();
+    for (const PartRequest &part : fixture.takeSent())
+        REQUIRE(part.server.value.ends_with("shubra") == !checked);
+}
+
+TEST_CASE("signatures depend on service, operation and body", "[query]")
+{
+    const Signature one = computeSignature({ "a" }, { "b" }, "c");
+    REQUIRE(one == computeSignature({ "a" }, { "b" }, "c"));
+    REQUIRE(one != computeSignature({ "ab" }, { "" }, "c"));
+    REQUIRE(one != computeSignature({ "a" }, { "" }, "bc"));
+}
