Add the document store

Documents come from platform watches, slow reads and peers; versions in force only rise. DocumentView gains memberListConfirmed, which restarted members need before they grant.

--- /dev/null
+++ b/src/core/DocumentStore.cpp
@@ -0,0 +1,511 @@
+#include "core/DocumentStore.h"
+
+#include "core/Assert.h"
+#include "core/Backoff.h"
+#include "core/Hashing.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace greengagestair {
+
+using namespace std::chrono_literals;
+
+/** Members of a cell that watch one document: two, so that one lost watcher delays nothing. */
+static constexpr std::size_t kWatchers = 2;
+static constexpr std::size_t kCrossCellFanout = 3;
+/**
+ * A waiting watch counts as one platform call. At 445 cells with 2 watchers and 15 documents, 20 s
+ * is about 670 calls/s of the 2,000 that the platform takes.
+ */
+static constexpr Duration kWatchTimeout = 20s;
+/** Added to the watch's own time before the call counts as failed. */
+static constexpr Duration kWatchGrace = 2s;
+static constexpr Duration kReadTimeout = 2s;
+static constexpr Duration kHostsInterval = 2s;
+static constexpr Duration kSlowReadInterval = 10s;
+/** Up to this many entry hosts each reads every document each kSlowReadInterval; larger fleets read
+ * less often, which keeps the load on the platform constant. */
+static constexpr std::size_t kSlowReadHosts = 100;
+/** A member that was not heard for so long is not counted on as a watcher: 12 heartbeats. */
+static constexpr Duration kPeerSilence = 3s;
+static constexpr Duration kForgetPeers = 10s;
+static constexpr Duration kFirstRetry = 200ms;
+static constexpr Duration kLongestRetry = 5s;
+/** A peer that lags asks for the document itself; it is offered one only if it does not. */
+static constexpr Duration kOfferDelay = 500ms;
+static constexpr Duration kOfferInterval = 1s;
+/** Before the same document is requested from another peer. */
+static constexpr Duration kRequestInterval = 500ms;
+static constexpr Duration kReadyAfterFirstAnswer = 1s;
+
+DocumentStore::DocumentStore(const ReducerOptions &options, PlatformCaller &platform)
+    : m_options(options)
+    , m_platform(platform)
+    , m_documents(options.mechanisms)
+    , m_changes(platform,
+                [this](StepContext &context, const PlatformKey &key, Revision version,
+                       const std::string &content) {
+                    if (documentKind(key) != DocumentKind::Other)
+                        take(context, key, version, content, nullptr);
+                })
+    , m_unheardSeeds(options.seeds.begin(), options.seeds.end())
+{
+    m_unheardSeeds.erase(options.peerEndpoint);
+}
+
+const Configuration *DocumentStore::configuration() const
+{
+    return m_documents.configuration();
+}
+
+Revision DocumentStore::configurationVersion() const
+{
+    return m_documents.version({ kConfigurationKey });
+}
+
+const ServiceSnapshots *DocumentStore::snapshots(const ServiceId &service) const
+{
+    return m_documents.snapshots(service);
+}
+
+const MemberList *DocumentStore::members(const FailureDomainId &domain) const
+{
+    return m_documents.members(domain);
+}
+
+Revision DocumentStore::memberListVersion(const FailureDomainId &domain) const
+{
+    return m_documents.version(membersKey(domain));
+}
+
+bool DocumentStore::memberListConfirmed(const FailureDomainId &domain) const
+{
+    const auto found = m_followers.find(membersKey(domain));
+    return found != m_followers.end() && found->second.answered;
+}
+
+const HostList *DocumentStore::hostList() const
+{
+    return m_documents.hostList();
+}
+
+Revision DocumentStore::hostListVersion() const
+{
+    return m_documents.version({ kHostsKey });
+}
+
+const QuarantineList &DocumentStore::quarantine() const
+{
+    return m_documents.quarantine();
+}
+
+std::optional<ServerPlace> DocumentStore::findServer(const ServerId &server) const
+{
+    return m_documents.findServer(server);
+}
+
+bool DocumentStore::acceptsNewWork(const ServerId &server) const
+{
+    return m_documents.acceptsNewWork(server);
+}
+
+std::vector<DocumentVersion> DocumentStore::versions() const
+{
+    return m_documents.versions();
+}
+
+void DocumentStore::change(StepContext &context, const PlatformKey &key, DocumentChange change,
+                           Duration timeout, DocumentChangeDone done)
+{
+    m_changes.start(context, key, std::move(change), timeout, std::move(done));
+}
+
+void DocumentStore::onTick(StepContext &context)
+{
+    m_changes.onTick(context);
+    addFollowers(context);
+    if (!m_stopping) {
+        for (auto &[key, follower] : m_followers)
+            follow(context, key, follower);
+    }
+    forgetSilentPeers(context.now());
+    updateReadiness(context);
+}
+
+MonotonicTime DocumentStore::nextWakeUp() const
+{
+    MonotonicTime next = m_changes.nextWakeUp();
+    if (!m_ready && m_firstAnswer)
+        next = std::min(next, *m_firstAnswer + kReadyAfterFirstAnswer);
+    if (m_stopping)
+        return next;
+    for (const auto &[key, follower] : m_followers) {
+        if (!follower.reading)
+            next = std::min(next, follower.nextRead);
+        if (!follower.watching)
+            next = std::min(next, follower.nextWatch);
+    }
+    return next;
+}
+
+void DocumentStore::onPush(StepContext &context, const PeerEnvelope &envelope,
+                           const DocumentPush &push)
+{
+    m_peers[envelope.sender].versions[push.key] = push.version;
+    m_nextRequest.erase(push.key);
+    take(context, push.key, push.version, push.content, &envelope.sender);
+}
+
+void DocumentStore::onRequest(StepContext &context, const PeerEnvelope &envelope,
+                              const DocumentRequest &request)
+{
+    pushTo(context, envelope.sender, envelope.endpoint, request.key);
+}
+
+void DocumentStore::onPeerVersions(StepContext &context, const PeerEnvelope &envelope,
+                                   const std::vector<DocumentVersion> &versions)
+{
+    PeerState &peer = m_peers[envelope.sender];
+    peer.heard = context.now();
+    peer.versions.clear();
+    m_unheardSeeds.erase(envelope.endpoint);
+    if (!m_firstAnswer)
+        m_firstAnswer = context.now();
+    for (const DocumentVersion &theirs : versions) {
+        peer.versions[theirs.key] = theirs.version;
+        if (theirs.key.value == kConfigurationKey)
+            m_newestReported = std::max(m_newestReported, theirs.version);
+        if (theirs.version > m_documents.seenVersion(theirs.key))
+            request(context, envelope, theirs.key);
+    }
+    for (const DocumentVersion &ours : m_documents.versions())
+        offer(context, envelope, peer, ours);
+}
+
+bool DocumentStore::isReady() const
+{
+    return m_ready;
+}
+
+void DocumentStore::requestStop()
+{
+    m_stopping = true;
+}
+
+boost::json::object DocumentStore::dump(MonotonicTime now) const
+{
+    boost::json::array documents;
+    for (const DocumentVersion &held : m_documents.versions()) {
+        boost::json::object entry;
+        entry["key"] = held.key.value;
+        entry["version"] = held.version.value;
+        const auto follower = m_followers.find(held.key);
+        entry["watching"] = follower != m_followers.end() && follower->second.watching;
+        entry["watcher"] = isWatcher(held.key, now);
+        documents.emplace_back(std::move(entry));
+    }
+    boost::json::object state;
+    state["ready"] = m_ready;
+    state["documents"] = std::move(documents);
+    state["changesUnderWay"] = m_changes.size();
+    state["peersHeard"] = m_peers.size();
+    if (m_documents.lastError()) {
+        state["lastErrorPath"] = m_documents.lastError()->path;
+        state["lastErrorExpected"] = m_documents.lastError()->expected;
+    }
+    return state;
+}
+
+void DocumentStore::addFollowers(StepContext &context)
+{
+    const Revision version = configurationVersion();
+    if (!m_followers.empty() && version == m_followedConfiguration)
+        return;
+    m_followedConfiguration = version;
+    const Follower due { .nextWatch = context.now(), .nextRead = context.now() };
+    for (const char *key : { kConfigurationKey, kHostsKey, kQuarantineKey })
+        m_followers.try_emplace({ key }, due);
+    m_followers.try_emplace(membersKey(m_options.failureDomain), due);
+    if (!configuration())
+        return;
+    for (const Service &service : configuration()->services)
+        m_followers.try_emplace(snapshotsKey(service.name), due);
+    for (const FailureDomain &domain : configuration()->failureDomains)
+        m_followers.try_emplace(membersKey(domain.name), due);
+}
+
+void DocumentStore::follow(StepContext &context, const PlatformKey &key, Follower &follower)
+{
+    if (!follower.reading && context.now() >= follower.nextRead)
+        startRead(context, key, follower);
+    if (follower.watching || context.now() < follower.nextWatch)
+        return;
+    // The first read comes first: it also tells whether the key exists.
+    if (follower.answered && isWatcher(key, context.now()))
+        startWatch(context, key, follower);
+    else
+        follower.nextWatch = context.now() + kHostsInterval;
+}
+
+void DocumentStore::startWatch(StepContext &context, const PlatformKey &key, Follower &follower)
+{
+    follower.watching = true;
+    const PlatformHandler handler = [this, key](StepContext &step,
+                                                const PlatformFinished &finished) {
+        onWatched(step, key, finished);
+    };
+    if (documentKind(key) == DocumentKind::Hosts) {
+        m_platform.call(context, ListHosts {}, kReadTimeout, handler);
+        return;
+    }
+    const WatchKey watch { key, m_documents.seenVersion(key), kWatchTimeout };
+    m_platform.call(context, watch, kWatchTimeout + kWatchGrace, handler);
+}
+
+void DocumentStore::startRead(StepContext &context, const PlatformKey &key, Follower &follower)
+{
+    follower.reading = true;
+    const PlatformHandler handler = [this, key](StepContext &step,
+                                                const PlatformFinished &finished) {
+        onRead(step, key, finished);
+    };
+    if (documentKind(key) == DocumentKind::Hosts)
+        m_platform.call(context, ListHosts {}, kReadTimeout, handler);
+    else
+        m_platform.call(context, ReadKey { key }, kReadTimeout, handler);
+}
+
+void DocumentStore::onWatched(StepContext &context, const PlatformKey &key,
+                              const PlatformFinished &finished)
+{
+    Follower &follower = m_followers[key];
+    follower.watching = false;
+    const Revision before = m_documents.seenVersion(key);
+    const bool answered = takeAnswer(context, key, follower, finished);
+    if (answered && documentKind(key) == DocumentKind::Hosts) {
+        follower.nextWatch = context.now() + jittered(kHostsInterval, context.random);
+        return;
+    }
+    const bool progress = m_documents.seenVersion(key) > before
+            || std::holds_alternative<WatchExpired>(finished.result);
+    if (answered && progress) {
+        follower.nextWatch = context.now();
+        return;
+    }
+    // Also after an answer without news, such as an absent key: it must not be asked in a loop.
+    const int failures = answered ? 4 : follower.failures;
+    follower.nextWatch =
+            context.now() + backoffDelay(failures, kFirstRetry, kLongestRetry, context.random);
+}
+
+void DocumentStore::onRead(StepContext &context, const PlatformKey &key,
+                           const PlatformFinished &finished)
+{
+    Follower &follower = m_followers[key];
+    follower.reading = false;
+    const bool answered = takeAnswer(context, key, follower, finished);
+    if (answered || follower.answered || m_documents.content(key)) {
+        follower.nextRead = context.now() + jittered(slowReadInterval(), context.random);
+        if (answered)
+            follower.nextWatch = std::min(follower.nextWatch, context.now());
+        return;
+    }
+    follower.nextRead = context.now()
+            + backoffDelay(follower.failures, kFirstRetry, kLongestRetry, context.random);
+}
+
+bool DocumentStore::takeAnswer(StepContext &context, const PlatformKey &key, Follower &follower,
+                               const PlatformFinished &finished)
+{
+    if (std::holds_alternative<PlatformFailure>(finished.result)) {
+        ++follower.failures;
+        return false;
+    }
+    follower.failures = 0;
+    follower.answered = true;
+    if (!m_firstAnswer)
+        m_firstAnswer = context.now();
+    if (const auto *found = std::get_if<KeyValue>(&finished.result))
+        take(context, key, found->revision, found->value, nullptr);
+    else if (const auto *hosts = std::get_if<HostListAnswer>(&finished.result))
+        take(context, key, hosts->revision, hosts->value, nullptr);
+    return true;
+}
+
+Duration DocumentStore::slowReadInterval() const
+{
+    std::size_t hosts = 0;
+    for (const auto &[domain, list] : m_documents.allMembers())
+        hosts += list.members.size();
+    const std::size_t factor = std::max<std::size_t>(1, hosts / kSlowReadHosts);
+    return kSlowReadInterval * static_cast<Duration::rep>(factor);
+}
+
+std::size_t DocumentStore::watcherRank(const PlatformKey &key, MonotonicTime now) const
+{
+    const MemberList *list = members(m_options.failureDomain);
+    if (!list)
+        return 0;
+    const std::uint64_t own = rendezvousScore(key.value, m_options.host.value);
+    std::size_t rank = 0;
+    bool listed = false;
+    for (const Member &member : list->members) {
+        if (member.host == m_options.host) {
+            listed = true;
+            continue;
+        }
+        const auto peer = m_peers.find(member.host);
+        const bool heard = peer != m_peers.end() && now - peer->second.heard < kPeerSilence;
+        if (heard && rendezvousScore(key.value, member.host.value) > own)
+            ++rank;
+    }
+    return listed ? rank : kWatchers;
+}
+
+bool DocumentStore::isWatcher(const PlatformKey &key, MonotonicTime now) const
+{
+    switch (documentKind(key)) {
+    case DocumentKind::Hosts:
+        return watcherRank(key, now) == 0;
+    case DocumentKind::Members:
+        return key == membersKey(m_options.failureDomain) && watcherRank(key, now) < kWatchers;
+    default:
+        return watcherRank(key, now) < kWatchers;
+    }
+}
+
+void DocumentStore::updateReadiness(StepContext &context)
+{
+    if (m_ready || !configuration() || !m_firstAnswer)
+        return;
+    const bool waited = context.now() >= *m_firstAnswer + kReadyAfterFirstAnswer;
+    const bool platformAsked = m_followers[{ kConfigurationKey }].answered;
+    const bool newest = m_documents.seenVersion({ kConfigurationKey }) >= m_newestReported;
+    if (!waited && !(platformAsked && m_unheardSeeds.empty() && newest))
+        return;
+    m_ready = true;
+    context.emit(LogStateChange { StateChangeKind::Ready, m_options.host.value,
+                                  configurationVersion().value });
+}
+
+void DocumentStore::take(StepContext &context, const PlatformKey &key, Revision version,
+                         const std::string &content, const HostId *from)
+{
+    const Revision seen = m_documents.seenVersion(key);
+    switch (m_documents.adopt(key, version, content)) {
+    case DocumentSet::Adoption::NotNewer:
+        return;
+    case DocumentSet::Adoption::Malformed:
+        context.counters.add("documents_rejected_total");
+        if (version > seen)
+            context.emit(
+                    LogStateChange { StateChangeKind::DocumentRejected, key.value, version.value });
+        return;
+    case DocumentSet::Adoption::Adopted:
+        context.counters.add("documents_adopted_total");
+        context.emit(LogStateChange { StateChangeKind::DocumentAdopted, key.value, version.value });
+        spread(context, key, from);
+        return;
+    }
+}
+
+void DocumentStore::spread(StepContext &context, const PlatformKey &key, const HostId *from)
+{
+    const Revision version = m_documents.version(key);
+    std::vector<const Member *> targets = otherCellTargets(key);
+    if (const MemberList *list = members(m_options.failureDomain)) {
+        for (const Member &member : list->members)
+            targets.push_back(&member);
+    }
+    for (const Member *member : targets) {
+        const bool skipped = member->host == m_options.host || (from && member->host == *from)
+                || holdsAtLeast(member->host, key, version);
+        if (!skipped)
+            pushTo(context, member->host, member->endpoint, key);
+    }
+}
+
+void DocumentStore::pushTo(StepContext &context, const HostId &host, const Endpoint &endpoint,
+                           const PlatformKey &key)
+{
+    const std::string *content = m_documents.content(key);
+    if (!content)
+        return;
+    context.counters.add("document_pushes_total");
+    context.emit(SendToPeer { host, endpoint,
+                              DocumentPush { key, m_documents.version(key), *content } });
+}
+
+void DocumentStore::offer(StepContext &context, const PeerEnvelope &envelope, PeerState &peer,
+                          const DocumentVersion &ours)
+{
+    const auto theirs = peer.versions.find(ours.key);
+    if (theirs != peer.versions.end() && theirs->second >= ours.version) {
+        peer.nextOffer.erase(ours.key);
+        return;
+    }
+    const auto [due, first] = peer.nextOffer.try_emplace(ours.key, context.now() + kOfferDelay);
+    if (first || context.now() < due->second)
+        return;
+    due->second = context.now() + kOfferInterval;
+    pushTo(context, envelope.sender, envelope.endpoint, ours.key);
+}
+
+void DocumentStore::request(StepContext &context, const PeerEnvelope &envelope,
+                            const PlatformKey &key)
+{
+    if (documentKind(key) == DocumentKind::Other)
+        return;
+    MonotonicTime &next = m_nextRequest[key];
+    if (context.now() < next)
+        return;
+    next = context.now() + kRequestInterval;
+    context.counters.add("document_requests_total");
+    context.emit(SendToPeer { envelope.sender, envelope.endpoint, DocumentRequest { key } });
+}
+
+std::vector<const Member *> DocumentStore::otherCellTargets(const PlatformKey &key) const
+{
+    // The own name is part of the hash key so that each host picks others.
+    const std::string seed = key.value + "/" + std::to_string(m_documents.version(key).value) + "/"
+            + m_options.host.value;
+    std::vector<std::pair<std::uint64_t, const Member *>> ranked;
+    for (const auto &[domain, list] : m_documents.allMembers()) {
+        if (domain == m_options.failureDomain)
+            continue;
+        for (const Member &member : list.members)
+            ranked.emplace_back(rendezvousScore(seed, member.host.value), &member);
+    }
+    const std::size_t count = std::min(kCrossCellFanout, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranked.end(),
+                      [](const auto &left, const auto &right) { return left.first > right.first; });
+    std::vector<const Member *> targets;
+    for (std::size_t index = 0; index < count; ++index)
+        targets.push_back(ranked[index].second);
+    return targets;
+}
+
+bool DocumentStore::holdsAtLeast(const HostId &host, const PlatformKey &key, Revision version) const
+{
+    const auto peer = m_peers.find(host);
+    if (peer == m_peers.end())
+        return false;
+    const auto theirs = peer->second.versions.find(key);
+    return theirs != peer->second.versions.end() && theirs->second >= version;
+}
+
+void DocumentStore::forgetSilentPeers(MonotonicTime now)
+{
+    if (now < m_nextForget)
+        return;
+    m_nextForget = now + kForgetPeers;
+    std::erase_if(m_peers,
+                  [now](const auto &entry) { return now - entry.second.heard >= kForgetPeers; });
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/core/DocumentStore.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "core/DocumentChanges.h"
+#include "core/DocumentSet.h"
+#include "core/Interfaces.h"
+
+#include <boost/json/fwd.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace greengagestair {
+
+/**
+ * Takes documents from the platform and from peers and offers newer ones to peers. The versions in
+ * force only rise.
+ *
+ * Each document is watched by the two members of the cell that rank first for its key among those
+ * heard recently; every host also reads each document slowly, so that watchers that are heard but
+ * cut off from the platform do not hold back their cell.
+ */
+class DocumentStore : public DocumentView, public DocumentWriter
+{
+public:
+    DocumentStore(const ReducerOptions &options, PlatformCaller &platform);
+
+    const Configuration *configuration() const override;
+    Revision configurationVersion() const override;
+    const ServiceSnapshots *snapshots(const ServiceId &service) const override;
+    const MemberList *members(const FailureDomainId &domain) const override;
+    Revision memberListVersion(const FailureDomainId &domain) const override;
+    const HostList *hostList() const override;
+    Revision hostListVersion() const override;
+    const QuarantineList &quarantine() const override;
+    std::optional<ServerPlace> findServer(const ServerId &server) const override;
+    bool acceptsNewWork(const ServerId &server) const override;
+    std::vector<DocumentVersion> versions() const override;
+    bool memberListConfirmed(const FailureDomainId &domain) const override;
+
+    void change(StepContext &context, const PlatformKey &key, DocumentChange change,
+                Duration timeout, DocumentChangeDone done) override;
+
+    /** Starts the platform calls that are due and ends changes whose time is over. */
+    void onTick(StepContext &context);
+    MonotonicTime nextWakeUp() const;
+
+    void onPush(StepContext &context, const PeerEnvelope &envelope, const DocumentPush &push);
+    void onRequest(StepContext &context, const PeerEnvelope &envelope,
+                   const DocumentRequest &request);
+    /** Compares the versions of a heartbeat or ack with those held. */
+    void onPeerVersions(StepContext &context, const PeerEnvelope &envelope,
+                        const std::vector<DocumentVersion> &versions);
+
+    /**
+     * Whether a configuration is held and the platform and all seeds were heard, or 1 s has passed
+     * since the first answer of any of them. Once true it stays true.
+     */
+    bool isReady() const;
+
+    /** Starts no more watches and reads; changes under way continue. */
+    void requestStop();
+
+    boost::json::object dump(MonotonicTime now) const;
+
+private:
+    /** Platform calls for one document. */
+    struct Follower
+    {
+        bool watching = false;
+        bool reading = false;
+        bool answered = false;   ///< the platform has told its state since the start
+        MonotonicTime nextWatch; ///< of a watch or, for the host list, a poll
+        MonotonicTime nextRead;
+        int failures = 0; ///< in a row
+    };
+    struct PeerState
+    {
+        MonotonicTime heard;
+        std::unordered_map<PlatformKey, Revision> versions;
+        /** When to offer a document that the peer holds in an older version. */
+        std::unordered_map<PlatformKey, MonotonicTime> nextOffer;
+    };
+
+    void addFollowers(StepContext &context);
+    void follow(StepContext &context, const PlatformKey &key, Follower &follower);
+    void startWatch(StepContext &context, const PlatformKey &key, Follower &follower);
+    void startRead(StepContext &context, const PlatformKey &key, Follower &follower);
+    void onWatched(StepContext &context, const PlatformKey &key, const PlatformFinished &finished);
+    void onRead(StepContext &context, const PlatformKey &key, const PlatformFinished &finished);
+    /** Takes what the platform told; false if the call failed. */
+    bool takeAnswer(StepContext &context, const PlatformKey &key, Follower &follower,
+                    const PlatformFinished &finished);
+    Duration slowReadInterval() const;
+    /** Number of cell members heard recently that rank before this host for the key. */
+    std::size_t watcherRank(const PlatformKey &key, MonotonicTime now) const;
+    bool isWatcher(const PlatformKey &key, MonotonicTime now) const;
+
+    void updateReadiness(StepContext &context);
+
+    /** Adopts a newer version and spreads it; `from` is the peer that sent it, if any. */
+    void take(StepContext &context, const PlatformKey &key, Revision version,
+              const std::string &content, const HostId *from);
+    void spread(StepContext &context, const PlatformKey &key, const HostId *from);
+    void pushTo(StepContext &context, const HostId &host, const Endpoint &endpoint,
+                const PlatformKey &key);
+    void offer(StepContext &context, const PeerEnvelope &envelope, PeerState &peer,
+               const DocumentVersion &ours);
+    void request(StepContext &context, const PeerEnvelope &envelope, const PlatformKey &key);
+    std::vector<const Member *> otherCellTargets(const PlatformKey &key) const;
+    bool holdsAtLeast(const HostId &host, const PlatformKey &key, Revision version) const;
+    void forgetSilentPeers(MonotonicTime now);
+
+    const ReducerOptions m_options;
+    PlatformCaller &m_platform;
+    DocumentSet m_documents;
+    DocumentChanges m_changes;
+    std::map<PlatformKey, Follower> m_followers;
+    Revision m_followedConfiguration;
+    std::unordered_map<HostId, PeerState> m_peers;
+    std::unordered_map<PlatformKey, MonotonicTime> m_nextRequest;
+    std::set<Endpoint> m_unheardSeeds;
+    std::optional<MonotonicTime> m_firstAnswer; ///< of the platform or a peer
+    Revision m_newestReported;                  ///< version of the configuration at any peer
+    MonotonicTime m_nextForget;
+    bool m_ready = false;
+    bool m_stopping = false;
+};
+
+} // namespace greengagestair
--- a/src/core/Interfaces.h
+++ b/src/core/Interfaces.h
@@ -36,6 +36,8 @@
     /** Members of a cell; null if not known. */
     virtual const MemberList *members(const FailureDomainId &domain) const = 0;
     virtual Revision memberListVersion(const FailureDomainId &domain) const = 0;
+    /** Whether this process itself has read the member list from the platform since its start. */
+    virtual bool memberListConfirmed(const FailureDomainId &) const { return true; }
     /** The platform's host list; null if not known. */
     virtual const HostList *hostList() const = 0;
     virtual Revision hostListVersion() const = 0;
