--- /dev/null
+++ b/src/core/CellView.cpp
@@ -0,0 +1,137 @@
+#include "core/CellView.h"
+
+#include "core/Assert.h"
+#include "core/StepContext.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace greengagestair {
+
+CellView::CellView(const HostId &self)
+    : m_self(self)
+    , m_waits(self)
+{
+}
+
+CellView CellView::next(Revision version, const MemberList &list,
+                        const std::set<HostId> &gone) const
+{
+    CellView view(m_self);
+    view.m_version = version;
+    view.m_waits = m_waits;
+    view.m_waits.onNewList(m_version, members(), version, list.members, gone);
+    view.m_ranking.setMembers(list.members);
+    view.m_failedUntil.assign(list.members.size(), MonotonicTime::min());
+    return view;
+}
+
+void CellView::update(const GrantTable &own, const GrantCollector &others,
+                      const std::set<HostId> &gone, bool selfGrants, MonotonicTime now)
+{
+    const auto live = static_cast<std::size_t>(
+            std::count_if(members().begin(), members().end(),
+                          [&gone](const Member &member) { return !gone.contains(member.host); }));
+    m_majority = live / 2 + 1;
+    m_grantsUntil = countGrants(others, gone, selfGrants);
+    for (std::size_t index = 0; index < members().size(); ++index)
+        m_failedUntil[index] = countReports(members()[index].host, own, others, gone);
+    if (now < m_grantsUntil)
+        m_waits.onMajority(now);
+}
+
+const Member *CellView::find(const HostId &host) const
+{
+    const auto found = std::find_if(members().begin(), members().end(),
+                                    [&host](const Member &member) { return member.host == host; });
+    return found == members().end() ? nullptr : &*found;
+}
+
+bool CellView::holds(const ServerId &server, MonotonicTime now) const
+{
+    if (now >= m_grantsUntil)
+        return false;
+    for (const std::uint16_t index : m_ranking.order(server)) {
+        if (members()[index].host == m_self)
+            return now >= m_waits.waitEnd(server);
+        if (now >= m_failedUntil[index])
+            return false;
+    }
+    return false;
+}
+
+const Member *CellView::owner(const ServerId &server, MonotonicTime now) const
+{
+    for (const std::uint16_t index : m_ranking.order(server)) {
+        if (now >= m_failedUntil[index])
+            return &members()[index];
+    }
+    return nullptr;
+}
+
+bool CellView::isFailed(const HostId &host, MonotonicTime now) const
+{
+    for (std::size_t index = 0; index < members().size(); ++index) {
+        if (members()[index].host == host)
+            return now < m_failedUntil[index];
+    }
+    return false;
+}
+
+std::vector<const Member *> CellView::higherRanked(const ServerId &server) const
+{
+    std::vector<const Member *> higher;
+    for (const std::uint16_t index : m_ranking.order(server)) {
+        if (members()[index].host == m_self)
+            break;
+        higher.push_back(&members()[index]);
+    }
+    return higher;
+}
+
+MonotonicTime CellView::countGrants(const GrantCollector &others, const std::set<HostId> &gone,
+                                    bool selfGrants) const
+{
+    if (!selfGrants || !listsSelf() || gone.contains(m_self))
+        return MonotonicTime::min();
+    std::vector<MonotonicTime> ends;
+    for (const Member &member : members()) {
+        if (member.host == m_self)
+            ends.push_back(kNever);
+        else if (!gone.contains(member.host))
+            ends.push_back(others.grantedUntil(member.host, m_version));
+    }
+    return reachedByMajority(std::move(ends));
+}
+
+MonotonicTime CellView::countReports(const HostId &subject, const GrantTable &own,
+                                     const GrantCollector &others,
+                                     const std::set<HostId> &gone) const
+{
+    if (subject == m_self)
+        return MonotonicTime::min();
+    if (gone.contains(subject))
+        return kNever;
+    std::vector<MonotonicTime> ends;
+    for (const Member &member : members()) {
+        const bool speaks = member.host != subject && !gone.contains(member.host);
+        if (speaks && member.host == m_self) {
+            const bool failed = own.state(subject) == GrantState::Failed;
+            ends.push_back(failed ? kNever : MonotonicTime::min());
+        } else if (speaks) {
+            ends.push_back(others.reportedUntil(member.host, subject));
+        }
+    }
+    return reachedByMajority(std::move(ends));
+}
+
+MonotonicTime CellView::reachedByMajority(std::vector<MonotonicTime> ends) const
+{
+    if (m_majority == 0 || ends.size() < m_majority)
+        return MonotonicTime::min();
+    const auto last = ends.begin() + static_cast<std::ptrdiff_t>(m_majority) - 1;
+    std::nth_element(ends.begin(), last, ends.end(), std::greater<>());
+    return *last;
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/core/CellView.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/GrantCollector.h"
+#include "core/GrantTable.h"
+#include "core/HandoverWaits.h"
+#include "core/RendezvousRanking.h"
+
+#include <set>
+#include <vector>
+
+namespace greengagestair {
+
+/**
+ * One version of the cell's member list with what majorities of its members say.
+ *
+ * This host may act for a server only while a majority grants it and a majority reports each member
+ * that ranks higher as failed. Two members of one list cannot both act for a server: the one that
+ * ranks lower needs a failure report on the other from a member that grants the other, and
+ * GrantTable excludes that.
+ */
+class CellView
+{
+public:
+    explicit CellView(const HostId &self);
+
+    /** The view of the list that follows this one. */
+    CellView next(Revision version, const MemberList &list, const std::set<HostId> &gone) const;
+
+    /** Counts again what the members say; `selfGrants` tells whether this host may grant. */
+    void update(const GrantTable &own, const GrantCollector &others, const std::set<HostId> &gone,
+                bool selfGrants, MonotonicTime now);
+
+    Revision version() const { return m_version; }
+    const std::vector<Member> &members() const { return m_ranking.members(); }
+    const Member *find(const HostId &host) const;
+    bool listsSelf() const { return find(m_self) != nullptr; }
+    /** Of the members that are not gone. */
+    std::size_t majority() const { return m_majority; }
+
+    /** Until when a majority grants; a time in the past if none does. */
+    MonotonicTime grantsUntil() const { return m_grantsUntil; }
+    /** Whether this host may act for the server. */
+    bool holds(const ServerId &server, MonotonicTime now) const;
+    /** The first-ranked member that no majority reports as failed; null if there is none. */
+    const Member *owner(const ServerId &server, MonotonicTime now) const;
+    bool isFailed(const HostId &host, MonotonicTime now) const;
+    /** Members that rank higher than this host for the server. */
+    std::vector<const Member *> higherRanked(const ServerId &server) const;
+    /** End of the wait that changes of the list cause. */
+    MonotonicTime waitEnd(const ServerId &server) const { return m_waits.waitEnd(server); }
+
+private:
+    MonotonicTime countGrants(const GrantCollector &others, const std::set<HostId> &gone,
+                              bool selfGrants) const;
+    MonotonicTime countReports(const HostId &subject, const GrantTable &own,
+                               const GrantCollector &others, const std::set<HostId> &gone) const;
+    MonotonicTime reachedByMajority(std::vector<MonotonicTime> ends) const;
+
+    HostId m_self;
+    Revision m_version;
+    RendezvousRanking m_ranking;
+    HandoverWaits m_waits;
+    std::size_t m_majority = 0;
+    MonotonicTime m_grantsUntil = MonotonicTime::min();
+    std::vector<MonotonicTime> m_failedUntil; ///< by index of the member
+};
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/core/Membership.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "core/CellView.h"
+#include "core/GrantCollector.h"
+#include "core/GrantTable.h"
+#include "core/HostPresence.h"
+#include "core/Interfaces.h"
+#include "core/MemberListEditor.h"
+#include "core/PeerContacts.h"
+
+#include <boost/json/fwd.hpp>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace greengagestair {
+
+/**
+ * Says which entry host owns a backend server, and whether this one may send to it now.
+ *
+ * Exclusion rests on three classes: GrantTable (what this member says about others), CellView (what
+ * majorities of one list say) and HandoverWaits (between two lists).
+ */
+class Membership : public OwnershipView
+{
+public:
+    Membership(const ReducerOptions &options, DocumentView &documents, DocumentWriter &writer);
+
+    std::optional<Member> ownerOf(const ServerId &server, MonotonicTime now) const override;
+    bool mayActFor(const ServerId &server, MonotonicTime now) const override;
+    std::optional<Tenure> tenure(const ServerId &server, MonotonicTime now) const override;
+    MonotonicTime grantsUntil(MonotonicTime now) const override;
+
+    void onHeartbeat(StepContext &context, const PeerEnvelope &envelope,
+                     const Heartbeat &heartbeat);
+    void onHeartbeatAck(StepContext &context, const PeerEnvelope &envelope,
+                        const HeartbeatAck &ack);
+    void onJoinRequest(StepContext &context, const PeerEnvelope &envelope,
+                       const JoinRequest &request);
+    void onPeerLost(StepContext &context, const HostId &host);
+
+    /** Follows document changes and sends the heartbeats that are due. */
+    void onTick(StepContext &context);
+    MonotonicTime nextWakeUp() const;
+
+    /** Starts to leave: the servers are given up once the owner role is released. */
+    void requestStop(StepContext &context);
+    /** Told by the owner role whether it has nothing queued and nothing in flight. */
+    void setReleased(bool released);
+
+    boost::json::object dump(MonotonicTime now) const;
+
+private:
+    bool isOwnCell(const FailureDomainId &domain) const;
+    /** Whether this incarnation has promised not to act, or is about to. */
+    bool hasGivenUp() const;
+    bool ranksFirstAmongHeard(const ServerId &server) const;
+
+    void refresh(StepContext &context);
+    void update(StepContext &context);
+    void followDocuments(StepContext &context);
+    void adoptList(StepContext &context, const MemberList &list);
+    void trackFailures(MonotonicTime now);
+    void noteMajority(StepContext &context);
+    void updateTrust(StepContext &context);
+    bool heardEnoughMembers() const;
+    void noteListVersion(const HostId &host, Revision version);
+
+    void sendToCell(StepContext &context);
+    void sendToOtherCells(StepContext &context);
+    void sendToSeeds(StepContext &context);
+    void sendHeartbeat(StepContext &context, const HostId &host, const Endpoint &endpoint);
+    Heartbeat makeHeartbeat() const;
+    void noteHeard(const PeerEnvelope &envelope, bool released, MonotonicTime now);
+
+    void editList(StepContext &context);
+    void askToJoin(StepContext &context);
+    bool mayEditList(MonotonicTime now) const;
+
+    const ReducerOptions m_options;
+    DocumentView &m_documents;
+    GrantTable m_table;
+    GrantCollector m_collector;
+    CellView m_current;
+    std::optional<CellView> m_previous; ///< its grants stay valid until they lapse
+    HostPresence m_presence;
+    MemberListEditor m_editor;
+    PeerContacts m_contacts;
+    mutable std::map<FailureDomainId, std::pair<Revision, RendezvousRanking>> m_otherCells;
+
+    std::map<HostId, Revision> m_heardVersions; ///< member list versions of the other members
+    bool m_trusted = false; ///< the list is not older than one that this host has granted at
+    std::map<HostId, MonotonicTime> m_failedSince;
+    std::optional<MonotonicTime> m_majoritySince;
+
+    std::uint64_t m_sequence = 0;
+    MonotonicTime m_nextHeartbeat;
+    MonotonicTime m_nextCrossCell;
+    MonotonicTime m_nextSeeds;
+    MonotonicTime m_nextEdit;
+    std::vector<Endpoint> m_unheardSeeds;
+    std::size_t m_joinAttempts = 0;
+    bool m_leaving = false;
+    bool m_ownerIdle = false;
+    bool m_released = false; ///< announced; this incarnation never acts again
+};
+
+} // namespace greengagestair
