--- a/src/core/CellView.cpp
+++ b/src/core/CellView.cpp
@@ -1,7 +1,6 @@
 #include "core/CellView.h"
 
 #include "core/Assert.h"
-#include "core/StepContext.h"
 
 #include <algorithm>
 #include <functional>
@@ -97,7 +96,7 @@
     std::vector<MonotonicTime> ends;
     for (const Member &member : members()) {
         if (member.host == m_self)
-            ends.push_back(kNever);
+            ends.push_back(m_selfGrantEnd);
         else if (!gone.contains(member.host))
             ends.push_back(others.grantedUntil(member.host, m_version));
     }
--- a/src/core/CellView.h
+++ b/src/core/CellView.h
@@ -4,6 +4,7 @@
 #include "core/GrantTable.h"
 #include "core/HandoverWaits.h"
 #include "core/RendezvousRanking.h"
+#include "core/StepContext.h"
 
 #include <set>
 #include <vector>
@@ -26,6 +27,9 @@
     /** The view of the list that follows this one. */
     CellView next(Revision version, const MemberList &list, const std::set<HostId> &gone) const;
 
+    /** Notes that this host has taken a newer list: it grants itself no more at this one. */
+    void retire(MonotonicTime now) { m_selfGrantEnd = now + kGrantDuration; }
+
     /** Counts again what the members say; `selfGrants` tells whether this host may grant. */
     void update(const GrantTable &own, const GrantCollector &others, const std::set<HostId> &gone,
                 bool selfGrants, MonotonicTime now);
@@ -60,6 +64,7 @@
     Revision m_version;
     RendezvousRanking m_ranking;
     HandoverWaits m_waits;
+    MonotonicTime m_selfGrantEnd = kNever;
     std::size_t m_majority = 0;
     MonotonicTime m_grantsUntil = MonotonicTime::min();
     std::vector<MonotonicTime> m_failedUntil; ///< by index of the member
--- a/src/core/Membership.cpp
+++ b/src/core/Membership.cpp
@@ -306,6 +306,7 @@
 {
     const Revision version = m_documents.memberListVersion(m_options.failureDomain);
     CellView next = m_current.next(version, list, m_presence.gone());
+    m_current.retire(context.now());
     m_previous = std::move(m_current);
     m_current = std::move(next);
     m_table.setMembers(list.members, m_options.host, context.now());
