Add the codec of the frames between entry hosts

Entry hosts need a message format that two builds can speak side by side. The schema is FlatBuffers; a decoder cuts the stream into frames, verifies each and copies it out.

--- /dev/null
+++ b/src/codec/FrameDecoder.cpp
@@ -0,0 +1,46 @@
+#include "codec/FrameDecoder.h"
+
+#include <boost/leaf/error.hpp>
+
+namespace leaf = boost::leaf;
+
+namespace greengagestair {
+
+/** A buffer that grew beyond this for a large frame is given back once it is empty. */
+static constexpr std::size_t kKeptBufferBytes = 262'144;
+
+static std::size_t readLength(const std::uint8_t *prefix)
+{
+    std::size_t length = 0;
+    for (std::size_t i = kFramePrefixBytes; i > 0; --i)
+        length = length << 8 | prefix[i - 1];
+    return length;
+}
+
+void FrameDecoder::append(std::span<const std::uint8_t> bytes)
+{
+    m_buffer.erase(m_buffer.begin(), m_buffer.begin() + static_cast<std::ptrdiff_t>(m_begin));
+    m_begin = 0;
+    if (m_buffer.empty() && m_buffer.capacity() > kKeptBufferBytes)
+        m_buffer = FrameBytes();
+    m_buffer.insert(m_buffer.end(), bytes.begin(), bytes.end());
+}
+
+leaf::result<std::optional<PeerEnvelope>> FrameDecoder::next()
+{
+    if (bufferedBytes() < kFramePrefixBytes)
+        return std::optional<PeerEnvelope>();
+    const std::size_t length = readLength(m_buffer.data() + m_begin);
+    if (length > kMaxFrameBytes)
+        return leaf::new_error(FrameTooLarge { length });
+    if (bufferedBytes() < kFramePrefixBytes + length)
+        return std::optional<PeerEnvelope>();
+    const std::span<const std::uint8_t> body(m_buffer.data() + m_begin + kFramePrefixBytes, length);
+    m_begin += kFramePrefixBytes + length;
+    auto envelope = FrameCodec::decodeBody(body);
+    if (!envelope)
+        return envelope.error();
+    return std::optional<PeerEnvelope>(std::move(*envelope));
+}
+
+} // namespace greengagestair
