Give back buffers of the frame decoder sooner

Each incoming connection has a decoder, and an entry host may have thousands of connections; a kept buffer of 256 KB each would take about a gigabyte.

--- a/src/codec/FrameDecoder.cpp
+++ b/src/codec/FrameDecoder.cpp
@@ -6,8 +6,9 @@
 
 namespace greengagestair {
 
-/** A buffer that grew beyond this for a large frame is given back once it is empty. */
-static constexpr std::size_t kKeptBufferBytes = 262'144;
+/** A buffer that grew beyond this is given back once it is empty: thousands of connections have one
+ * each. */
+static constexpr std::size_t kKeptBufferBytes = 16'384;
 
 static std::size_t readLength(const std::uint8_t *prefix)
 {
