Add the backend and platform clients

Both run on one libcurl multi thread each, over kept-open connections. libcurl sends a request again without being asked to when a reused connection is closed before the first byte of the response, which would run a non-repeatable request twice. Failing the rewind of the body does not prevent it when only headers were sent, so the pre-request callback refuses a second sending; the same callback marks the point from which a byte may have left, which separates NotConnected from ConnectionLost.

--- /dev/null
+++ b/src/net/CurlBackendClient.cpp
@@ -0,0 +1,148 @@
+#include "net/CurlBackendClient.h"
+
+#include "net/UrlEscape.h"
+
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+namespace greengagestair {
+
+/** A connection to a backend server takes 1 to 6 ms; longer than this means that it is gone. */
+static constexpr Duration kConnectTimeout = std::chrono::milliseconds(1000);
+
+/** A cancellation that takes longer is of no use. */
+static constexpr Duration kCancelTimeout = std::chrono::milliseconds(1000);
+
+/** Versions that are read from one X-Held-Versions header. */
+static constexpr std::size_t kMaxHeldVersions = 64;
+
+static std::string headerOf(const HttpResponse &response, const std::string &name)
+{
+    const auto found = response.headers.find(name);
+    return found == response.headers.end() ? std::string() : found->second;
+}
+
+static BackendStatus statusOf503(const HttpResponse &response)
+{
+    const std::string reason = headerOf(response, "x-reason");
+    if (reason == "shed")
+        return BackendStatus::Shed;
+    if (reason == "draining")
+        return BackendStatus::Draining;
+    if (reason == "cold")
+        return BackendStatus::Cold;
+    return BackendStatus::Unexpected;
+}
+
+static BackendStatus statusOf(const HttpResponse &response)
+{
+    switch (response.end) {
+    case HttpEnd::NotSent:
+        return BackendStatus::NotConnected;
+    case HttpEnd::ConnectionLost:
+        return BackendStatus::ConnectionLost;
+    case HttpEnd::TimedOut:
+        return BackendStatus::TimedOut;
+    case HttpEnd::Invalid:
+        return BackendStatus::Unexpected;
+    case HttpEnd::Answered:
+        break;
+    }
+    switch (response.status) {
+    case 200:
+        return BackendStatus::Answered;
+    case 409:
+        return BackendStatus::VersionNotHeld;
+    case 503:
+        return statusOf503(response);
+    case 504:
+        return BackendStatus::DeadlinePassed;
+    default:
+        return BackendStatus::Unexpected;
+    }
+}
+
+/** Reads "7,8"; what is not a number is left out. */
+static std::vector<IndexVersion> readVersions(std::string_view text)
+{
+    std::vector<IndexVersion> versions;
+    while (!text.empty() && versions.size() < kMaxHeldVersions) {
+        const std::size_t begin = text.find_first_of("0123456789");
+        if (begin == std::string_view::npos)
+            break;
+        text.remove_prefix(begin);
+        IndexVersion version;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), version.value);
+        if (parsed.ec == std::errc())
+            versions.push_back(version);
+        text.remove_prefix(static_cast<std::size_t>(parsed.ptr - text.data()));
+    }
+    return versions;
+}
+
+static BackendFinished finishedOf(SendId send, HttpResponse response)
+{
+    BackendFinished finished;
+    finished.send = send;
+    finished.status = statusOf(response);
+    if (response.end != HttpEnd::Answered)
+        return finished;
+    finished.echoed = { response.number("x-request-id").value_or(0) };
+    finished.version = { response.number("x-index-version").value_or(0) };
+    if (finished.status == BackendStatus::VersionNotHeld)
+        finished.heldVersions = readVersions(headerOf(response, "x-held-versions"));
+    if (finished.status == BackendStatus::Answered)
+        finished.body = std::move(response.body);
+    return finished;
+}
+
+CurlBackendClient::CurlBackendClient(EventQueue &queue)
+    : m_queue(queue)
+{
+}
+
+CurlBackendClient::~CurlBackendClient()
+{
+    m_loop.stop();
+}
+
+void CurlBackendClient::send(const SendToBackend &request)
+{
+    HttpRequest http;
+    http.method = "POST";
+    http.endpoint = request.endpoint;
+    http.target = "/parts/" + escapeUrl(request.service.value);
+    http.headers = { "X-Request-Id: " + std::to_string(request.send.value),
+                     "X-Index-Version: " + std::to_string(request.version.value),
+                     "X-Group: " + request.group.value };
+    http.deadlineHeader = "X-Deadline-Ms";
+    http.body = request.body;
+    http.deadline = steadyNow() + request.deadline;
+    http.notAfter = request.notAfter;
+    http.connectTimeout = kConnectTimeout;
+    http.maxResponseBytes = kMaxBackendAnswerBytes;
+    m_loop.start(std::move(http), [this, send = request.send](HttpResponse response) {
+        m_queue.post(finishedOf(send, std::move(response)));
+    });
+}
+
+void CurlBackendClient::cancel(const CancelBackend &request)
+{
+    HttpRequest http;
+    http.method = "POST";
+    http.endpoint = request.endpoint;
+    http.target = "/cancel/" + std::to_string(request.send.value);
+    http.deadline = steadyNow() + kCancelTimeout;
+    http.notAfter = http.deadline;
+    http.connectTimeout = kConnectTimeout;
+    http.maxResponseBytes = kMaxBackendAnswerBytes;
+    m_loop.start(std::move(http), [](const HttpResponse &) {});
+}
+
+void CurlBackendClient::stop()
+{
+    m_loop.stop();
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/net/UrlEscape.cpp
@@ -0,0 +1,26 @@
+#include "net/UrlEscape.h"
+
+namespace greengagestair {
+
+static bool isPlain(char c)
+{
+    const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    const bool digit = c >= '0' && c <= '9';
+    return letter || digit || c == '-' || c == '.' || c == '_' || c == '~' || c == '/';
+}
+
+std::string escapeUrl(std::string_view text)
+{
+    constexpr std::string_view kDigits = "0123456789ABCDEF";
+    std::string escaped;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (isPlain(c))
+            escaped += c;
+        else
+            escaped.append({ '%', kDigits[byte >> 4], kDigits[byte & 15] });
+    }
+    return escaped;
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/net/UrlEscape.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace greengagestair {
+
+/** Escapes a path of a URL: all but unreserved characters and '/' become %XX. */
+std::string escapeUrl(std::string_view text);
+
+} // namespace greengagestair
--- /dev/null
+++ b/tests/net/CurlBackendClientTest.cpp
@@ -0,0 +1,226 @@
+#include "net/CurlBackendClient.h"
+#include "net/RecordingQueue.h"
+#include "net/ScriptedHttpServer.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <set>
+
+using namespace greengagestair;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static SendToBackend requestTo(const Endpoint &endpoint, std::uint64_t send)
+{
+    SendToBackend request;
+    request.send = { send };
+    request.endpoint = endpoint;
+    request.service = { "counter-lookup" };
+    request.group = { "g0" };
+    request.version = { 8 };
+    request.deadline = seconds(10);
+    request.notAfter = steadyNow() + seconds(10);
+    request.body = "body-" + std::to_string(send);
+    return request;
+}
+
+/** An endpoint where nothing listens. */
+static Endpoint deadEndpoint()
+{
+    const ScriptedHttpServer server([](const ScriptedRequest &) { return ScriptedReply(); });
+    return server.endpoint();
+}
+
+static ScriptedReply answer(const ScriptedRequest &request)
+{
+    const std::size_t at = request.head.find("X-Request-Id: ") + 14;
+    const std::string id = request.head.substr(at, request.head.find("\r\n", at) - at);
+    return { httpResponse("200 OK", "x-request-id: " + id + "\r\nX-Index-Version: 8\r\n",
+                          "re:" + request.body) };
+}
+
+static std::optional<BackendFinished> finish(CurlBackendClient &client, RecordingQueue &queue,
+                                             const SendToBackend &request)
+{
+    client.send(request);
+    return queue.take<BackendFinished>();
+}
+
+/** The status that a response of the server leads to. */
+static BackendStatus statusFor(const ScriptedReply &reply, milliseconds deadline = seconds(10))
+{
+    ScriptedHttpServer server([&](const ScriptedRequest &) { return reply; });
+    RecordingQueue queue;
+    CurlBackendClient client(queue);
+    SendToBackend request = requestTo(server.endpoint(), 1);
+    request.deadline = deadline;
+    return finish(client, queue, request).value().status;
+}
+
+// Guards against a field that is lost on the way and against a connection per request, which costs
+// 1 to 6 ms each.
+TEST_CASE("requests and answers are carried over one kept-open connection", "[backend]")
+{
+    std::string head;
+    ScriptedHttpServer server([&](const ScriptedRequest &request) {
+        head = request.head;
+        return answer(request);
+    });
+    RecordingQueue queue;
+    CurlBackendClient client(queue);
+    for (std::uint64_t send = 1; send <= 5; ++send) {
+        const auto finished = finish(client, queue, requestTo(server.endpoint(), send)).value();
+        REQUIRE(finished.send.value == send);
+        REQUIRE(finished.status == BackendStatus::Answered);
+        REQUIRE(finished.echoed.value == send);
+        REQUIRE(finished.version.value == 8);
+        REQUIRE(finished.body == "re:body-" + std::to_string(send));
+    }
+    REQUIRE(server.connections() == 1);
+    REQUIRE(head.starts_with("POST /parts/counter-lookup HTTP/1.1\r\n"));
+    REQUIRE(head.find("X-Index-Version: 8\r\n") != std::string::npos);
+    REQUIRE(head.find("X-Group: g0\r\n") != std::string::npos);
+    REQUIRE(head.find("X-Deadline-Ms: 9") != std::string::npos);
+}
+
+// Guards against a refusal that is taken for an answer, or for a fault.
+TEST_CASE("each response has its status", "[backend]")
+{
+    using enum BackendStatus;
+    REQUIRE(statusFor({ httpResponse("503 X", "X-Reason: shed\r\n") }) == Shed);
+    REQUIRE(statusFor({ httpResponse("503 X", "X-Reason: draining\r\n") }) == Draining);
+    REQUIRE(statusFor({ httpResponse("503 X", "X-Reason: cold\r\n") }) == Cold);
+    REQUIRE(statusFor({ httpResponse("503 X") }) == Unexpected);
+    REQUIRE(statusFor({ httpResponse("504 X") }) == DeadlinePassed);
+    REQUIRE(statusFor({ httpResponse("500 X") }) == Unexpected);
+    REQUIRE(statusFor({ "SMTP ready\r\n", true }) == Unexpected);
+    REQUIRE(statusFor({ httpResponse("200 OK", "", std::string(2'000'000, 'x')) }) == Unexpected);
+    REQUIRE(statusFor({ "", true }) == ConnectionLost);
+    REQUIRE(statusFor({ "", false, true }) == ConnectionLost);
+    REQUIRE(statusFor({ "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true })
+            == ConnectionLost);
+    REQUIRE(statusFor({ "" }, milliseconds(100)) == TimedOut);
+}
+
+TEST_CASE("held versions are read", "[backend]")
+{
+    ScriptedHttpServer server([](const ScriptedRequest &) {
+        return ScriptedReply { httpResponse("409 X", "X-Held-Versions: 7, 8,x\r\n") };
+    });
+    RecordingQueue queue;
+    CurlBackendClient client(queue);
+    const auto finished = finish(client, queue, requestTo(server.endpoint(), 1)).value();
+    REQUIRE(finished.status == BackendStatus::VersionNotHeld);
+    REQUIRE(finished.heldVersions == std::vector<IndexVersion> { { 7 }, { 8 } });
+}
+
+// Guards against "not run" for a request that may run, and against parts sent on an old grant.
+TEST_CASE("only what was certainly not sent is NotConnected", "[backend]")
+{
+    ScriptedHttpServer server(answer);
+    RecordingQueue queue;
+    CurlBackendClient client(queue);
+    SendToBackend late = requestTo(server.endpoint(), 1);
+    late.notAfter = steadyNow() - milliseconds(1);
+    REQUIRE(finish(client, queue, late).value().status == BackendStatus::NotConnected);
+    SendToBackend expired = requestTo(server.endpoint(), 2);
+    expired.deadline = milliseconds(0);
+    REQUIRE(finish(client, queue, expired).value().status == BackendStatus::NotConnected);
+    const SendToBackend unreachable = requestTo(deadEndpoint(), 3);
+    REQUIRE(finish(client, queue, unreachable).value().status == BackendStatus::NotConnected);
+    REQUIRE(server.requests() == 0);
+}
+
+// Guards against libcurl's own repetition of a request when a kept-open connection is closed
+// before the first byte of the response: a non-repeatable request would run twice.
+TEST_CASE("a request is not sent again when a reused connection is closed", "[backend]")
+{
+    const bool reset = GENERATE(false, true);
+    const std::string body =
+            GENERATE(std::string(), std::string("small"), std::string(200'000, 'x'));
+    std::mutex mutex;
+    std::multiset<std::string> seen;
+    ScriptedHttpServer server([&](const ScriptedRequest &request) {
+        const std::lock_guard lock(mutex);
+        seen.insert(request.head.substr(request.head.find("X-Request-Id")));
+        const bool firstOfConnection = request.indexOnConnection == 0;
+        return firstOfConnection ? answer(request) : ScriptedReply { "", !reset, reset };
+    });
+    RecordingQueue queue;
+    CurlBackendClient client(queue);
+    constexpr int kRounds = 20;
+    for (std::uint64_t round = 0; round < kRounds; ++round) {
+        // Two at a time, so that another idle connection is there to be reused.
+        client.send(requestTo(server.endpoint(), 10 * round + 1));
+        client.send(requestTo(server.endpoint(), 10 * round + 2));
+        const auto first = queue.take<BackendFinished>().value();
+        const auto second = queue.take<BackendFinished>().value();
+        SendToBackend request = requestTo(server.endpoint(), 10 * round + 3);
+        request.body = body;
+        const auto lost = finish(client, queue, request).value();
+        REQUIRE(first.send != second.send);
+        REQUIRE(lost.status == BackendStatus::ConnectionLost);
+    }
+    const std::lock_guard lock(mutex);
+    for (const std::string &request : seen)
+        REQUIRE(seen.count(request) == 1);
+    REQUIRE(seen.size() == 3 * kRounds);
+}
+
+// Guards against a cancellation that waits behind the request that it cancels.
+TEST_CASE("a cancellation overtakes the request", "[backend]")
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool cancelled = false;
+    ScriptedHttpServer server([&](const ScriptedRequest &request) -> ScriptedReply {
+        std::unique_lock lock(mutex);
+        if (request.head.starts_with("POST /cancel/7 ")) {
+            cancelled = true;
+            changed.notify_all();
+            return { "HTTP/1.1 204 No Content\r\n\r\n" };
+        }
+        changed.wait_for(lock, kTestTimeout, [&] { return cancelled; });
+        return { httpResponse(cancelled ? "504 Cancelled" : "200 OK") };
+    });
+    RecordingQueue queue;
+    CurlBackendClient client(queue);
+    client.send(requestTo(server.endpoint(), 7));
+    client.cancel({ { 7 }, { "server" }, server.endpoint() });
+    REQUIRE(queue.take<BackendFinished>().value().status == BackendStatus::DeadlinePassed);
+}
+
+// Guards against a send whose end is never reported when the process stops.
+TEST_CASE("stopping ends each request once", "[backend]")
+{
+    ScriptedHttpServer server([](const ScriptedRequest &) { return ScriptedReply(); });
+    RecordingQueue queue;
+    CurlBackendClient client(queue);
+    for (std::uint64_t send = 1; send <= 3; ++send)
+        client.send(requestTo(server.endpoint(), send));
+    client.stop();
+    client.send(requestTo(server.endpoint(), 4));
+    std::set<SendId> ended;
+    for (int i = 0; i < 4; ++i)
+        ended.insert(queue.take<BackendFinished>().value().send);
+    REQUIRE(ended.size() == 4);
+    REQUIRE(queue.size() == 0);
+}
+
+// Prints what the adapter costs; run with [.latency].
+TEST_CASE("round trip over loopback", "[.latency]")
+{
+    ScriptedHttpServer server(answer);
+    RecordingQueue queue;
+    CurlBackendClient client(queue);
+    std::vector<std::int64_t> times;
+    for (std::uint64_t send = 1; send <= 5000; ++send) {
+        const MonotonicTime start = steadyNow();
+        finish(client, queue, requestTo(server.endpoint(), send));
+        times.push_back((steadyNow() - start).count());
+    }
+    std::sort(times.begin(), times.end());
+    std::cout << "p50 " << times[2500] << " us, p99 " << times[4950] << " us\n";
+}
--- /dev/null
+++ b/tests/net/CurlPlatformClientTest.cpp
@@ -0,0 +1,140 @@
+#include "net/CurlPlatformClient.h"
+#include "net/RecordingQueue.h"
+#include "net/ScriptedHttpServer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace greengagestair;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+using Request = decltype(CallPlatform::request);
+
+/** The result of one call to the given servers. */
+template <typename Result>
+static Result resultOf(CurlPlatformClient &client, RecordingQueue &queue, Request request,
+                       Duration timeout = seconds(10))
+{
+    client.call({ { 3 }, timeout, std::move(request) });
+    const auto finished = queue.take<PlatformFinished>().value();
+    REQUIRE(finished.call == CallId { 3 });
+    REQUIRE(std::holds_alternative<Result>(finished.result));
+    return std::get<Result>(finished.result);
+}
+
+/** The result of one call to a server that gives this reply; the request goes to `seen`. */
+template <typename Result>
+static Result resultFor(const ScriptedReply &reply, Request request,
+                        ScriptedRequest *seen = nullptr)
+{
+    ScriptedHttpServer server([&](const ScriptedRequest &received) {
+        if (seen)
+            *seen = received;
+        return reply;
+    });
+    RecordingQueue queue;
+    CurlPlatformClient client({ server.endpoint() }, queue);
+    return resultOf<Result>(client, queue, std::move(request));
+}
+
+static Endpoint deadEndpoint()
+{
+    const ScriptedHttpServer server([](const ScriptedRequest &) { return ScriptedReply(); });
+    return server.endpoint();
+}
+
+// Guards against an answer of the platform that is read as another one.
+TEST_CASE("each call follows the platform protocol", "[platform]")
+{
+    const PlatformKey key { "ledger/order ledger/7" };
+    ScriptedRequest seen;
+    const auto value = resultFor<KeyValue>({ httpResponse("200 OK", "X-Revision: 9\r\n", "{}") },
+                                           ReadKey { key }, &seen);
+    REQUIRE(seen.head.starts_with("GET /kv/ledger/order%20ledger/7 HTTP/1.1\r\n"));
+    REQUIRE(value.revision.value == 9);
+    REQUIRE(value.value == "{}");
+    REQUIRE(resultFor<KeyAbsent>({ httpResponse("404 X") }, ReadKey { key }).key == key);
+
+    const WriteKey write { key, { 4 }, "content" };
+    const auto accepted =
+            resultFor<WriteAccepted>({ httpResponse("200 OK", "X-Revision: 5\r\n") }, write, &seen);
+    REQUIRE(seen.head.starts_with("PUT /kv/ledger/order%20ledger/7 HTTP/1.1\r\n"));
+    REQUIRE(seen.head.find("If-Revision: 4\r\n") != std::string::npos);
+    REQUIRE(seen.body == "content");
+    REQUIRE(accepted.revision.value == 5);
+    const ScriptedReply conflict { httpResponse("409 X", "X-Revision: 6\r\n") };
+    REQUIRE(resultFor<RevisionConflict>(conflict, write).current.value == 6);
+
+    const WatchKey watch { key, { 9 }, milliseconds(1500) };
+    const ScriptedReply unchanged { "HTTP/1.1 304 Not Modified\r\n\r\n" };
+    REQUIRE(resultFor<WatchExpired>(unchanged, watch, &seen).key == key);
+    REQUIRE(seen.head.starts_with("GET /watch/ledger/order%20ledger/7?after=9&timeout-ms=1500 "));
+
+    const ScriptedReply hosts { httpResponse("200 OK", "X-Revision: 2\r\n", "{\"hosts\":[]}") };
+    REQUIRE(resultFor<HostListAnswer>(hosts, ListHosts {}).value == "{\"hosts\":[]}");
+}
+
+// Guards against a write that took effect and is reported as never sent.
+TEST_CASE("a failure tells whether the call may have been received", "[platform]")
+{
+    const WriteKey write { { "configuration" }, { 4 }, "content" };
+    REQUIRE(resultFor<PlatformFailure>({ "", true }, write).sent);
+    REQUIRE(resultFor<PlatformFailure>({ "", false, true }, write).sent);
+    REQUIRE(resultFor<PlatformFailure>({ httpResponse("500 X") }, write).sent);
+    REQUIRE(resultFor<PlatformFailure>({ httpResponse("200 OK") }, write).sent);
+    RecordingQueue queue;
+    CurlPlatformClient client({ deadEndpoint() }, queue);
+    const auto failure = resultOf<PlatformFailure>(client, queue, write);
+    REQUIRE_FALSE(failure.sent);
+    REQUIRE(failure.key == write.key);
+}
+
+// Guards against a tier that stops at the first platform server that is down, and against asking
+// it first for ever.
+TEST_CASE("a server that cannot be reached is passed over", "[platform]")
+{
+    ScriptedHttpServer server([](const ScriptedRequest &) {
+        return ScriptedReply { httpResponse("200 OK", "X-Revision: 5\r\n") };
+    });
+    RecordingQueue queue;
+    CurlPlatformClient client({ deadEndpoint(), deadEndpoint(), server.endpoint() }, queue);
+    for (int i = 0; i < 3; ++i)
+        resultOf<WriteAccepted>(client, queue, WriteKey { { "k" }, { 4 }, "v" });
+    REQUIRE(server.requests() == 3);
+}
+
+// Guards against the repetition of a write whose answer was lost.
+TEST_CASE("a call that may have been received is not repeated", "[platform]")
+{
+    const auto close = [](const ScriptedRequest &request) {
+        return request.indexOnConnection == 0
+                ? ScriptedReply { httpResponse("200 OK", "X-Revision: 5\r\n") }
+                : ScriptedReply { "", true };
+    };
+    ScriptedHttpServer first(close);
+    ScriptedHttpServer second(close);
+    RecordingQueue queue;
+    CurlPlatformClient client({ first.endpoint(), second.endpoint() }, queue);
+    const WriteKey write { { "k" }, { 4 }, "v" };
+    resultOf<WriteAccepted>(client, queue, write);
+    REQUIRE(resultOf<PlatformFailure>(client, queue, write).sent);
+    REQUIRE(first.requests() == 2);
+    REQUIRE(second.requests() == 0);
+    resultOf<WriteAccepted>(client, queue, write);
+    REQUIRE(second.requests() == 1);
+}
+
+// Guards against a call that never ends.
+TEST_CASE("a call ends at its timeout and at the stop", "[platform]")
+{
+    ScriptedHttpServer server([](const ScriptedRequest &) { return ScriptedReply(); });
+    RecordingQueue queue;
+    CurlPlatformClient client({ server.endpoint() }, queue);
+    REQUIRE(resultOf<PlatformFailure>(client, queue, ListHosts {}, milliseconds(100)).sent);
+    client.call({ { 4 }, seconds(100), ReadKey { { "k" } } });
+    client.stop();
+    client.call({ { 5 }, seconds(100), ReadKey { { "k" } } });
+    REQUIRE(queue.take<PlatformFinished>());
+    REQUIRE(queue.take<PlatformFinished>());
+    REQUIRE(queue.size() == 0);
+}
