Add the TCP transport between entry hosts

Each host sends over the connection it made itself, so the order per sender is kept without agreeing on one connection per pair. Frames queued while a write is under way leave in one write. A frame sent during the pause before a reconnect waits for the attempt, so that each dropped frame is followed by a PeerLost.

--- /dev/null
+++ b/tests/net/TcpPeerTransportTest.cpp
@@ -0,0 +1,184 @@
+#include "net/TcpPeerTransport.h"
+#include "codec/FrameCodec.h"
+#include "net/RecordingQueue.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+using namespace greengagestair;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** One entry host; all hosts of a test share an io_context. */
+struct TestHost
+{
+    TestHost(asio::io_context &context, const std::string &name, Endpoint listen)
+        : transport(context, { name }, { 1 }, std::move(listen), queue)
+    {
+    }
+
+    RecordingQueue queue;
+    TcpPeerTransport transport;
+};
+
+/** Runs the io_context until the condition holds; false if it does not in time. */
+static bool runUntil(asio::io_context &context, const std::function<bool()> &condition)
+{
+    const auto limit = std::chrono::steady_clock::now() + kTestTimeout;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > limit)
+            return false;
+        context.restart();
+        context.run_one_for(milliseconds(10));
+    }
+    return true;
+}
+
+static tcp::endpoint target(const TestHost &host)
+{
+    const Endpoint &endpoint = host.transport.listenEndpoint();
+    return { asio::ip::make_address(endpoint.address), endpoint.port };
+}
+
+static PartCancel cancelOf(std::uint64_t part)
+{
+    return { { part } };
+}
+
+static std::uint64_t partOf(const PeerReceived &received)
+{
+    return std::get<PartCancel>(received.envelope.message).part.value;
+}
+
+// Guards against lost, doubled or reordered frames, and against one system call per frame.
+TEST_CASE("frames arrive in order in both directions and are sent together", "[peer]")
+{
+    asio::io_context context;
+    TestHost a(context, "a", { "127.0.0.1", 0 });
+    TestHost b(context, "b", { "127.0.0.2", 0 });
+    constexpr std::uint64_t kFrames = 2000;
+    const std::string large(1'000'000, 'x');
+    for (std::uint64_t i = 0; i < kFrames; ++i) {
+        a.transport.send({ "b" }, b.transport.listenEndpoint(), cancelOf(i));
+        b.transport.send({ "a" }, a.transport.listenEndpoint(), cancelOf(i));
+    }
+    a.transport.send({ "b" }, b.transport.listenEndpoint(), DocumentPush { { "k" }, { 1 }, large });
+    REQUIRE(runUntil(context,
+                     [&] { return b.queue.size() == kFrames + 1 && a.queue.size() == kFrames; }));
+    for (std::uint64_t i = 0; i < kFrames; ++i) {
+        const auto received = b.queue.take<PeerReceived>().value();
+        REQUIRE(received.envelope.sender == HostId { "a" });
+        REQUIRE(received.envelope.endpoint == a.transport.listenEndpoint());
+        REQUIRE(partOf(received) == i);
+        REQUIRE(partOf(a.queue.take<PeerReceived>().value()) == i);
+    }
+    const auto pushed = b.queue.take<PeerReceived>().value();
+    REQUIRE(std::get<DocumentPush>(pushed.envelope.message).content == large);
+    REQUIRE(a.transport.counters().writes < kFrames / 10);
+    REQUIRE(a.transport.counters().droppedFrames == 0);
+}
+
+// Guards against a damaged stream that is read on, and one that disturbs other peers.
+TEST_CASE("a malformed frame closes its connection", "[peer]")
+{
+    asio::io_context context;
+    TestHost a(context, "a", { "127.0.0.1", 0 });
+    asio::io_context other;
+    tcp::socket socket(other);
+    socket.connect(target(a));
+    FrameBytes bytes;
+    REQUIRE(FrameCodec::append({ "x" }, { 1 }, {}, cancelOf(1), bytes));
+    bytes.insert(bytes.end(), { 4, 0, 0, 0, 255, 255, 255, 255 });
+    REQUIRE(FrameCodec::append({ "x" }, { 1 }, {}, cancelOf(2), bytes));
+    asio::write(socket, asio::buffer(bytes));
+    REQUIRE(runUntil(context, [&] { return a.transport.counters().malformedFrames == 1; }));
+    boost::system::error_code error;
+    char byte = 0;
+    asio::read(socket, asio::buffer(&byte, 1), error);
+    REQUIRE(error);
+    REQUIRE(partOf(a.queue.take<PeerReceived>().value()) == 1);
+    REQUIRE(a.queue.size() == 0);
+}
+
+// Guards against frames that vanish without a PeerLost, and against a PeerLost for each of them.
+TEST_CASE("an unreachable peer is reported once per attempt", "[peer]")
+{
+    asio::io_context context;
+    TestHost a(context, "a", { "127.0.0.1", 0 });
+    Endpoint dead;
+    {
+        const TestHost gone(context, "b", { "127.0.0.2", 0 });
+        dead = gone.transport.listenEndpoint();
+    }
+    for (std::uint64_t attempt = 1; attempt <= 3; ++attempt) {
+        for (std::uint64_t i = 0; i < 5; ++i)
+            a.transport.send({ "b" }, dead, cancelOf(i));
+        REQUIRE(runUntil(context, [&] { return a.queue.size() == 1; }));
+        REQUIRE(a.queue.take<PeerLost>().value().host == HostId { "b" });
+        REQUIRE(a.transport.counters().droppedFrames == 5 * attempt);
+    }
+    a.transport.send({ "c" }, { "not an address", 1 }, cancelOf(1));
+    REQUIRE(a.queue.size() == 0);
+    REQUIRE(runUntil(context, [&] { return a.queue.size() == 1; }));
+}
+
+// Guards against a peer that stays lost after its restart.
+TEST_CASE("a restarted peer is noticed and reached again", "[peer]")
+{
+    asio::io_context context;
+    TestHost a(context, "a", { "127.0.0.1", 0 });
+    auto b = std::make_unique<TestHost>(context, "b", Endpoint { "127.0.0.2", 0 });
+    const Endpoint endpoint = b->transport.listenEndpoint();
+    a.transport.send({ "b" }, endpoint, cancelOf(1));
+    REQUIRE(runUntil(context, [&] { return b->queue.size() == 1; }));
+    b.reset();
+    REQUIRE(runUntil(context, [&] { return a.queue.size() == 1; }));
+    REQUIRE(a.queue.take<PeerLost>());
+    TestHost restarted(context, "b", endpoint);
+    a.transport.send({ "b" }, endpoint, cancelOf(2));
+    REQUIRE(runUntil(context, [&] { return restarted.queue.size() == 1; }));
+    REQUIRE(partOf(restarted.queue.take<PeerReceived>().value()) == 2);
+    REQUIRE(a.transport.counters().reconnects == 1);
+}
+
+// Guards against a peer that does not read and fills this host's memory.
+TEST_CASE("the queue of a peer is bounded", "[peer]")
+{
+    asio::io_context context;
+    TestHost a(context, "a", { "127.0.0.1", 0 });
+    asio::io_context other;
+    tcp::acceptor silent(other, { asio::ip::make_address("127.0.0.2"), 0 });
+    const Endpoint endpoint { "127.0.0.2", silent.local_endpoint().port() };
+    const DocumentPush push { { "k" }, { 1 }, std::string(1'000'000, 'x') };
+    for (int i = 0; i < 30; ++i)
+        a.transport.send({ "b" }, endpoint, push);
+    REQUIRE(a.transport.counters().droppedFrames == 21);
+}
+
+// Guards against last messages (such as "released") that are lost in a planned stop, and against
+// a stop that never ends.
+TEST_CASE("stopping sends what is queued and ends", "[peer]")
+{
+    asio::io_context context;
+    TestHost b(context, "b", { "127.0.0.2", 0 });
+    asio::io_context stopping;
+    TestHost a(stopping, "a", { "127.0.0.1", 0 });
+    for (std::uint64_t i = 0; i < 100; ++i)
+        a.transport.send({ "b" }, b.transport.listenEndpoint(), cancelOf(i));
+    a.transport.send({ "c" }, { "127.0.0.3", 1 }, cancelOf(1));
+    a.transport.stop();
+    a.transport.send({ "b" }, b.transport.listenEndpoint(), cancelOf(100));
+    stopping.run_for(kTestTimeout);
+    REQUIRE(stopping.stopped());
+    REQUIRE(runUntil(context, [&] { return b.queue.size() == 100; }));
+    REQUIRE(a.transport.counters().framesSent == 100);
+    REQUIRE(a.transport.counters().droppedFrames == 2);
+}
