Add a first serve: event loop, HTTP front end, settings and metrics

The process takes callers' requests over HTTP, hands them to the reducer in one thread and answers them from its effects. Requests are delimited before Pistache parses them, because Pistache answers oversized and malformed requests itself, without an outcome, and drops bytes that follow a request.

--- /dev/null
+++ b/src/app/OutboundAdapters.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "app/Settings.h"
+#include "net/Adapters.h"
+
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace greengagestair {
+
+/** The adapters through which the process reaches other hosts. */
+struct OutboundAdapters
+{
+    std::unique_ptr<PeerTransport> peers;
+    std::unique_ptr<BackendClient> backends;
+    std::unique_ptr<PlatformClient> platform;
+};
+
+/** Makes the adapters; the arguments must outlive them. */
+OutboundAdapters makeOutboundAdapters(boost::asio::io_context &context, const Settings &settings,
+                                      Incarnation incarnation, EventQueue &events);
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/net/HttpFrontEnd.cpp
@@ -0,0 +1,606 @@
+#include "net/HttpFrontEnd.h"
+
+#include "net/CallerAnswerJson.h"
+
+#include <boost/leaf/error.hpp>
+#include <pistache/endpoint.h>
+#include <pistache/peer.h>
+
+#include <sys/socket.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+namespace greengagestair {
+
+using PeerPointer = std::shared_ptr<Pistache::Tcp::Peer>;
+using SteadyClock = std::chrono::steady_clock;
+
+static constexpr std::chrono::milliseconds kSweepInterval(250);
+/** Time for the last answers to leave the process at a stop. */
+static constexpr std::chrono::milliseconds kFlushTimeout(1000);
+static constexpr std::chrono::milliseconds kFlushPollInterval(5);
+/** A caller that is still sending gets this long to read its refusal before it sees a reset. */
+static constexpr std::chrono::seconds kLingerTimeout(2);
+/** Pistache's own timeouts would cut off requests that wait for their answer. */
+static constexpr std::chrono::hours kLibraryTimeout(24);
+static constexpr int kBacklog = 1024;
+
+/** One connection of a caller. Guarded by the mutex of the server. */
+struct Connection
+{
+    std::weak_ptr<Pistache::Tcp::Peer> peer;
+    Pistache::Tcp::Transport *transport = nullptr;
+    Pistache::Http::Handler *handler = nullptr;
+    std::string received;               ///< bytes of the request that is being received
+    SteadyClock::time_point lastChange; ///< start of the state that the timeouts apply to
+    CallerId caller;                    ///< of the request in progress
+    bool isBusy = false;                ///< a request waits for its answer
+    bool sentContinue = false;
+    bool closesAfterAnswer = false;
+    bool isClosing = false; ///< the last answer was sent; nothing more is read
+
+    Pistache::Http::ResponseWriter makeWriter() const
+    {
+        return { Pistache::Http::Version::Http11, transport, handler, peer };
+    }
+};
+
+using ConnectionPointer = std::shared_ptr<Connection>;
+
+/** A request that waits for its answer. */
+struct PendingRequest
+{
+    ConnectionPointer connection;
+    Pistache::Http::ResponseWriter writer;
+    SteadyClock::time_point receivedAt;
+};
+
+/** What is sent back for one request. */
+struct HttpAnswer
+{
+    int status = 200;
+    std::string contentType = "application/json";
+    std::string body;
+};
+
+static HttpAnswer toAnswer(CallerResponse response)
+{
+    return { response.status, "application/json", std::move(response.body) };
+}
+
+static HttpAnswer toAnswer(const HttpRefusal &refusal)
+{
+    return toAnswer(renderRefusal(refusal.status, refusal.reason, refusal.detail));
+}
+
+static HttpRefusal refusalFor(FramingStatus status)
+{
+    switch (status) {
+    case FramingStatus::HeaderTooLarge:
+        return { 431, QueryReason::BadRequest, "request line and headers are too large" };
+    case FramingStatus::BodyTooLarge:
+        return { 413, QueryReason::BadRequest, "body is too large" };
+    default:
+        return { 400, QueryReason::BadRequest, "malformed request" };
+    }
+}
+
+static void shutDown(const Connection &connection, int how)
+{
+    if (const auto peer = connection.peer.lock())
+        ::shutdown(peer->fd(), how);
+}
+
+/** State shared by Pistache's threads, the event loop and the sweeping thread. */
+class HttpFrontEnd::Server : public std::enable_shared_from_this<Server>
+{
+public:
+    Server(const HttpFrontEndOptions &options, EventQueue &events, OperatorPages &pages,
+           AnswerObserver &observer);
+
+    boost::leaf::result<void> start();
+    void stop();
+    void answer(const AnswerCaller &answer);
+    std::uint16_t port() const;
+    std::vector<Counter> counters() const;
+
+    void onConnected(const PeerPointer &peer, Pistache::Tcp::Transport *transport,
+                     Pistache::Http::Handler *handler);
+    void onDisconnected(const PeerPointer &peer);
+    void onReceived(std::string_view bytes, const PeerPointer &peer);
+
+private:
+    using Lock = std::unique_lock<std::mutex>;
+
+    /** Takes the next whole request out of the connection's buffer; empty if there is none. */
+    std::string takeRequest(const ConnectionPointer &connection, const PeerPointer &peer,
+                            std::string_view bytes);
+    void parseRequest(const ConnectionPointer &connection, const PeerPointer &peer,
+                      const std::string &bytes);
+    void acceptRequest(const ConnectionPointer &connection, const Pistache::Http::Request &request);
+    CallerId addRequest(const ConnectionPointer &connection);
+    void finishRequest(CallerId caller, const HttpAnswer &answer, bool closes);
+    void refuse(const ConnectionPointer &connection, const HttpRefusal &refusal, bool closes);
+    void send(const ConnectionPointer &connection, Pistache::Http::ResponseWriter &writer,
+              const HttpAnswer &answer);
+    void sweepUntilStopped();
+    void closeOverdue(SteadyClock::time_point now);
+    void flushWrites();
+    void closeConnections();
+    std::string requestId(CallerId caller) const;
+
+    const HttpFrontEndOptions m_options;
+    EventQueue &m_events;
+    OperatorPages &m_pages;
+    AnswerObserver &m_observer;
+
+    /**
+     * Also held while an answer is handed to Pistache, which addresses its writes by descriptor:
+     * a connection that ends waits for the mutex, so its descriptor cannot be given to another
+     * caller before the answer is in Pistache's queue, where it is dropped.
+     */
+    mutable std::mutex m_mutex;
+    std::condition_variable m_stopRequested;
+    std::unordered_map<std::size_t, ConnectionPointer> m_connections;
+    std::unordered_map<CallerId, PendingRequest> m_requests;
+    std::uint64_t m_lastCaller = 0;
+    std::uint64_t m_refusals = 0;
+    bool m_isStopping = false;
+
+    std::atomic<int> m_writesInProgress = 0;
+    std::unique_ptr<Pistache::Http::Endpoint> m_endpoint;
+    std::thread m_sweeper;
+};
+
+/** Pistache's handler; each of its threads has a copy. */
+class RequestHandler : public Pistache::Http::Handler
+{
+public:
+    HTTP_PROTOTYPE(RequestHandler)
+
+    explicit RequestHandler(std::function<void(const PeerPointer &, Pistache::Tcp::Transport *,
+                                               Pistache::Http::Handler *)>
+                                    connected,
+                            std::function<void(std::string_view, const PeerPointer &)> received,
+                            std::function<void(const PeerPointer &)> disconnected)
+        : m_connected(std::move(connected))
+        , m_received(std::move(received))
+        , m_disconnected(std::move(disconnected))
+    {
+    }
+
+    void onRequest(const Pistache::Http::Request & /*request*/,
+                   Pistache::Http::ResponseWriter /*response*/) override
+    {
+        // Requests are delimited in onInput, so that every refusal is typed.
+    }
+
+    void onDisconnection(const PeerPointer &peer) override { m_disconnected(peer); }
+
+private:
+    void onConnection(const PeerPointer &peer) override
+    {
+        peer->putData(ParserData,
+                      std::make_shared<Pistache::Http::RequestParser>(getMaxRequestSize()));
+        m_connected(peer, transport(), this);
+    }
+
+    void onInput(const char *buffer, std::size_t length, const PeerPointer &peer) override
+    {
+        m_received({ buffer, length }, peer);
+    }
+
+    std::function<void(const PeerPointer &, Pistache::Tcp::Transport *, Pistache::Http::Handler *)>
+            m_connected;
+    std::function<void(std::string_view, const PeerPointer &)> m_received;
+    std::function<void(const PeerPointer &)> m_disconnected;
+};
+
+HttpFrontEnd::Server::Server(const HttpFrontEndOptions &options, EventQueue &events,
+                             OperatorPages &pages, AnswerObserver &observer)
+    : m_options(options)
+    , m_events(events)
+    , m_pages(pages)
+    , m_observer(observer)
+{
+}
+
+boost::leaf::result<void> HttpFrontEnd::Server::start()
+{
+    using Pistache::Tcp::Options;
+    const auto self = shared_from_this();
+    auto handler = std::make_shared<RequestHandler>(
+            [self](const PeerPointer &peer, Pistache::Tcp::Transport *transport,
+                   Pistache::Http::Handler *handler) {
+                self->onConnected(peer, transport, handler);
+            },
+            [self](std::string_view bytes, const PeerPointer &peer) {
+                self->onReceived(bytes, peer);
+            },
+            [self](const PeerPointer &peer) { self->onDisconnected(peer); });
+    const std::size_t maxRequestSize =
+            m_options.limits.maxHeaderBytes + m_options.limits.maxBodyBytes;
+    const auto options =
+            Pistache::Http::Endpoint::options()
+                    .threads(m_options.threads)
+                    .threadsName("http")
+                    .flags(Options::ReuseAddr | Options::NoDelay | Options::CloseOnExec)
+                    .backlog(kBacklog)
+                    .maxRequestSize(maxRequestSize)
+                    .headerTimeout(kLibraryTimeout)
+                    .bodyTimeout(kLibraryTimeout)
+                    .keepaliveTimeout(kLibraryTimeout);
+    try {
+        m_endpoint = std::make_unique<Pistache::Http::Endpoint>(
+                Pistache::Address(m_options.listen.address, Pistache::Port(m_options.listen.port)));
+        m_endpoint->init(options);
+        m_endpoint->setHandler(handler);
+        m_endpoint->serveThreaded();
+    } catch (const std::exception &error) {
+        m_endpoint.reset();
+        return boost::leaf::new_error(ListenFailed { m_options.listen, error.what() });
+    }
+    m_sweeper = std::thread([this] { sweepUntilStopped(); });
+    return {};
+}
+
+std::uint16_t HttpFrontEnd::Server::port() const
+{
+    return m_endpoint ? static_cast<std::uint16_t>(m_endpoint->getPort()) : 0;
+}
+
+std::vector<Counter> HttpFrontEnd::Server::counters() const
+{
+    const Lock lock(m_mutex);
+    return { { "http_connections", m_connections.size() },
+             { "http_requests_in_progress", m_requests.size() },
+             { "http_requests_total", m_lastCaller },
+             { "http_refusals_total", m_refusals } };
+}
+
+void HttpFrontEnd::Server::onConnected(const PeerPointer &peer, Pistache::Tcp::Transport *transport,
+                                       Pistache::Http::Handler *handler)
+{
+    const Lock lock(m_mutex);
+    auto connection = std::make_shared<Connection>();
+    connection->peer = peer;
+    connection->transport = transport;
+    connection->handler = handler;
+    connection->lastChange = SteadyClock::now();
+    m_connections.emplace(peer->getID(), connection);
+    if (m_isStopping)
+        refuse(connection, { 503, QueryReason::Stopping, "the host is stopping" }, true);
+    else if (m_connections.size() > m_options.maxConnections)
+        refuse(connection, { 429, QueryReason::Overloaded, "too many connections" }, true);
+}
+
+void HttpFrontEnd::Server::onDisconnected(const PeerPointer &peer)
+{
+    CallerId gone;
+    {
+        const Lock lock(m_mutex);
+        const auto found = m_connections.find(peer->getID());
+        if (found == m_connections.end())
+            return;
+        if (found->second->isBusy && m_requests.erase(found->second->caller) > 0)
+            gone = found->second->caller;
+        m_connections.erase(found);
+    }
+    if (gone.value != 0)
+        m_events.post(CallerGone { gone });
+}
+
+void HttpFrontEnd::Server::onReceived(std::string_view bytes, const PeerPointer &peer)
+{
+    ConnectionPointer connection;
+    std::string request;
+    {
+        const Lock lock(m_mutex);
+        const auto found = m_connections.find(peer->getID());
+        if (found == m_connections.end() || found->second->isClosing)
+            return;
+        connection = found->second;
+        if (connection->isBusy) {
+            // Requests are not pipelined: the caller learns from the closed connection that this
+            // one was not read.
+            connection->closesAfterAnswer = true;
+            return;
+        }
+        request = takeRequest(connection, peer, bytes);
+    }
+    if (!request.empty())
+        parseRequest(connection, peer, request);
+}
+
+std::string HttpFrontEnd::Server::takeRequest(const ConnectionPointer &connection,
+                                              const PeerPointer &peer, std::string_view bytes)
+{
+    if (connection->received.empty())
+        connection->lastChange = SteadyClock::now();
+    connection->received.append(bytes);
+    const Framing framing = frameRequest(connection->received, m_options.limits);
+    if (framing.status == FramingStatus::Incomplete) {
+        if (framing.wantsContinue && !connection->sentContinue) {
+            connection->sentContinue = true;
+            peer->send(Pistache::RawBuffer("HTTP/1.1 100 Continue\r\n\r\n", 25));
+        }
+        return {};
+    }
+    std::string request = std::exchange(connection->received, {});
+    connection->sentContinue = false;
+    if (framing.status != FramingStatus::Complete) {
+        refuse(connection, refusalFor(framing.status), true);
+        return {};
+    }
+    if (request.size() > framing.length) {
+        connection->closesAfterAnswer = true;
+        request.resize(framing.length);
+    }
+    connection->isBusy = true;
+    return request;
+}
+
+void HttpFrontEnd::Server::parseRequest(const ConnectionPointer &connection,
+                                        const PeerPointer &peer, const std::string &bytes)
+{
+    const auto parser = Pistache::Http::Handler::getParser(peer);
+    bool isParsed = false;
+    try {
+        isParsed = parser->feed(bytes.data(), bytes.size())
+                && parser->parse() == Pistache::Http::Private::State::Done;
+        if (isParsed)
+            acceptRequest(connection, parser->request);
+    } catch (const std::exception &) {
+        // Pistache reports malformed requests by several exception types.
+        isParsed = false;
+    }
+    parser->reset();
+    if (!isParsed) {
+        const Lock lock(m_mutex);
+        refuse(connection, { 400, QueryReason::BadRequest, "malformed request" }, true);
+    }
+}
+
+static bool wantsClose(const Pistache::Http::Request &request)
+{
+    const auto header = request.headers().tryGet<Pistache::Http::Header::Connection>();
+    if (header)
+        return header->control() == Pistache::Http::ConnectionControl::Close;
+    return request.version() == Pistache::Http::Version::Http10;
+}
+
+static std::optional<std::string> findHeader(const Pistache::Http::Request &request,
+                                             const std::string &name)
+{
+    const auto header = request.headers().tryGetRaw(name);
+    return header ? std::optional(header->value()) : std::nullopt;
+}
+
+void HttpFrontEnd::Server::acceptRequest(const ConnectionPointer &connection,
+                                         const Pistache::Http::Request &request)
+{
+    ParsedRequest parsed = parseCallerRequest(
+            { Pistache::Http::methodString(request.method()), request.resource(), request.body(),
+              [&request](const std::string &name) { return findHeader(request, name); } });
+    CallerId caller;
+    {
+        const Lock lock(m_mutex);
+        connection->closesAfterAnswer |= wantsClose(request);
+        if (m_isStopping)
+            parsed = HttpRefusal { 503, QueryReason::Stopping, "the host is stopping" };
+        else if (m_requests.size() >= m_options.maxRequests
+                 && !std::holds_alternative<OperatorPage>(parsed))
+            parsed = HttpRefusal { 429, QueryReason::Overloaded, "too many requests in progress" };
+        if (const auto *refusal = std::get_if<HttpRefusal>(&parsed)) {
+            refuse(connection, *refusal, false);
+            return;
+        }
+        caller = addRequest(connection);
+    }
+    if (const auto *page = std::get_if<OperatorPage>(&parsed)) {
+        m_pages.requestPage(*page, [self = weak_from_this(), caller](const PageText &text) {
+            if (const auto server = self.lock())
+                server->finishRequest(caller, { text.status, text.contentType, text.body }, false);
+        });
+    } else if (auto *query = std::get_if<CallerRequest>(&parsed)) {
+        query->caller = caller;
+        m_events.post(std::move(*query));
+    } else if (auto *outcomeQuery = std::get_if<OutcomeQuery>(&parsed)) {
+        outcomeQuery->caller = caller;
+        m_events.post(std::move(*outcomeQuery));
+    }
+}
+
+CallerId HttpFrontEnd::Server::addRequest(const ConnectionPointer &connection)
+{
+    const CallerId caller { ++m_lastCaller };
+    connection->caller = caller;
+    m_requests.emplace(caller,
+                       PendingRequest { connection, connection->makeWriter(), SteadyClock::now() });
+    return caller;
+}
+
+void HttpFrontEnd::Server::answer(const AnswerCaller &answer)
+{
+    SteadyClock::time_point receivedAt;
+    {
+        const Lock lock(m_mutex);
+        const auto found = m_requests.find(answer.caller);
+        if (found == m_requests.end())
+            return;
+        receivedAt = found->second.receivedAt;
+    }
+    const bool closes = answer.answer.reason == QueryReason::Stopping;
+    finishRequest(answer.caller, toAnswer(renderAnswer(answer.answer, requestId(answer.caller))),
+                  closes);
+    const auto latency = std::chrono::duration_cast<Duration>(SteadyClock::now() - receivedAt);
+    m_observer.onAnswered(answer.answer.outcome, latency);
+}
+
+void HttpFrontEnd::Server::finishRequest(CallerId caller, const HttpAnswer &answer, bool closes)
+{
+    const Lock lock(m_mutex);
+    const auto found = m_requests.find(caller);
+    if (found == m_requests.end())
+        return;
+    PendingRequest pending = std::move(found->second);
+    m_requests.erase(found);
+    pending.connection->closesAfterAnswer |= closes;
+    send(pending.connection, pending.writer, answer);
+}
+
+void HttpFrontEnd::Server::refuse(const ConnectionPointer &connection, const HttpRefusal &refusal,
+                                  bool closes)
+{
+    ++m_refusals;
+    connection->closesAfterAnswer |= closes;
+    auto writer = connection->makeWriter();
+    send(connection, writer, toAnswer(refusal));
+}
+
+void HttpFrontEnd::Server::send(const ConnectionPointer &connection,
+                                Pistache::Http::ResponseWriter &writer, const HttpAnswer &answer)
+{
+    using Pistache::Http::ConnectionControl;
+    const bool closes = connection->closesAfterAnswer;
+    connection->isBusy = false;
+    connection->isClosing = closes;
+    connection->lastChange = SteadyClock::now();
+    writer.headers().add<Pistache::Http::Header::Connection>(closes ? ConnectionControl::Close
+                                                                    : ConnectionControl::KeepAlive);
+    const auto finished = [self = weak_from_this(), peer = connection->peer, closes] {
+        const auto server = self.lock();
+        if (server)
+            --server->m_writesInProgress;
+        const auto openPeer = peer.lock();
+        if (closes && openPeer)
+            ::shutdown(openPeer->fd(), SHUT_WR);
+    };
+    ++m_writesInProgress;
+    try {
+        writer.send(static_cast<Pistache::Http::Code>(answer.status), answer.body,
+                    Pistache::Http::Mime::MediaType::fromString(answer.contentType))
+                .then([finished](ssize_t) { finished(); },
+                      [finished](const std::exception_ptr &) { finished(); });
+    } catch (const std::exception &) {
+        // The caller closed its connection; onDisconnected reports it.
+        --m_writesInProgress;
+    }
+}
+
+std::string HttpFrontEnd::Server::requestId(CallerId caller) const
+{
+    return m_options.requestIdPrefix + "-" + std::to_string(caller.value);
+}
+
+void HttpFrontEnd::Server::sweepUntilStopped()
+{
+    Lock lock(m_mutex);
+    while (!m_stopRequested.wait_for(lock, kSweepInterval, [this] { return m_isStopping; }))
+        closeOverdue(SteadyClock::now());
+}
+
+void HttpFrontEnd::Server::closeOverdue(SteadyClock::time_point now)
+{
+    for (const auto &[id, connection] : m_connections) {
+        const auto age = now - connection->lastChange;
+        if (connection->isBusy)
+            continue;
+        if (connection->isClosing) {
+            if (age > kLingerTimeout)
+                shutDown(*connection, SHUT_RDWR);
+        } else if (!connection->received.empty()) {
+            if (age > m_options.receiveTimeout) {
+                refuse(connection, { 408, QueryReason::BadRequest, "request took too long" }, true);
+                connection->received = {};
+            }
+        } else if (age > m_options.idleTimeout) {
+            connection->isClosing = true;
+            shutDown(*connection, SHUT_RDWR);
+        }
+    }
+}
+
+void HttpFrontEnd::Server::flushWrites()
+{
+    const auto limit = SteadyClock::now() + kFlushTimeout;
+    while (m_writesInProgress > 0 && SteadyClock::now() < limit)
+        std::this_thread::sleep_for(kFlushPollInterval);
+}
+
+void HttpFrontEnd::Server::closeConnections()
+{
+    const auto limit = SteadyClock::now() + kFlushTimeout;
+    {
+        const Lock lock(m_mutex);
+        for (const auto &[id, connection] : m_connections)
+            shutDown(*connection, SHUT_RDWR);
+    }
+    while (SteadyClock::now() < limit) {
+        {
+            const Lock lock(m_mutex);
+            if (m_connections.empty())
+                return;
+        }
+        std::this_thread::sleep_for(kFlushPollInterval);
+    }
+}
+
+void HttpFrontEnd::Server::stop()
+{
+    {
+        const Lock lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_stopRequested.notify_all();
+    if (m_sweeper.joinable())
+        m_sweeper.join();
+    if (!m_endpoint)
+        return;
+    flushWrites();
+    closeConnections();
+    m_endpoint->shutdown();
+    m_endpoint.reset();
+}
+
+HttpFrontEnd::HttpFrontEnd(const HttpFrontEndOptions &options, EventQueue &events,
+                           OperatorPages &pages, AnswerObserver &observer)
+    : m_server(std::make_shared<Server>(options, events, pages, observer))
+{
+}
+
+HttpFrontEnd::~HttpFrontEnd()
+{
+    m_server->stop();
+}
+
+boost::leaf::result<void> HttpFrontEnd::start()
+{
+    return m_server->start();
+}
+
+void HttpFrontEnd::answer(const AnswerCaller &answer)
+{
+    m_server->answer(answer);
+}
+
+void HttpFrontEnd::stop()
+{
+    m_server->stop();
+}
+
+std::uint16_t HttpFrontEnd::port() const
+{
+    return m_server->port();
+}
+
+std::vector<Counter> HttpFrontEnd::counters() const
+{
+    return m_server->counters();
+}
+
+} // namespace greengagestair
