--- a/src/app/Metrics.cpp
+++ b/src/app/Metrics.cpp
@@ -52,9 +52,10 @@
         double below = 0;
         for (int bin = 0; bin < m_histogram.axis().size(); ++bin) {
             below += m_histogram.at(bin);
-            text += name + "_bucket" + label + ",le=\""
-                    + formatNumber(m_histogram.axis().bin(bin).upper()) + "\"} "
-                    + formatNumber(below) + "\n";
+            text += name;
+            text += "_bucket" + label + ",le=\"";
+            text += formatNumber(m_histogram.axis().bin(bin).upper()) + "\"} ";
+            text += formatNumber(below) + "\n";
         }
         text += name + "_bucket" + label + ",le=\"+Inf\"} " + std::to_string(m_count) + "\n";
         text += name + "_sum" + label + "} " + formatNumber(m_sum) + "\n";
--- a/src/app/Settings.cpp
+++ b/src/app/Settings.cpp
@@ -20,7 +20,7 @@
 static constexpr std::size_t kMaxNameLength = 128;
 static constexpr std::int64_t kMaxHttpThreads = 64;
 /** Callers' bodies are at most this long (design section 9). */
-static constexpr std::int64_t kMaxBodyBytesLimit = 64 * 1024;
+static constexpr std::int64_t kMaxBodyBytesLimit = 65'536;
 static constexpr std::chrono::milliseconds kMinStopTimeout(100);
 static constexpr std::chrono::milliseconds kMaxStopTimeout(600'000);
 
@@ -216,7 +216,7 @@
         const auto endpoint = parseEndpoint(std::string_view(value.get_string()));
         if (!endpoint)
             return fail<SettingsWrongType>(path, kEndpointForm);
-        const auto [first, isNew] = m_paths.emplace(*endpoint, path);
+        const auto [first, isNew] = m_paths.emplace(toText(*endpoint), path);
         if (!isNew) {
             return fail<SettingsDuplicateAddress>(path,
                                                   "another address than that of " + first->second);
@@ -226,7 +226,7 @@
 
     const boost::json::object &m_object;
     const std::string m_file;
-    std::map<Endpoint, std::string> m_paths; ///< where each address was given first
+    std::map<std::string, std::string> m_paths; ///< where each address was given first
 };
 
 /** Line and column of an offset, counted from 1. */
--- a/src/app/Settings.h
+++ b/src/app/Settings.h
@@ -21,7 +21,7 @@
     std::vector<Endpoint> platform;
     std::vector<Endpoint> seeds;
     int httpThreads = 2;
-    std::size_t maxBodyBytes = 64 * 1024;
+    std::size_t maxBodyBytes = 65'536;
     Duration stopTimeout = std::chrono::seconds(10);
     LogLevel logLevel = LogLevel::Info;
     std::string traceFile; ///< no trace is written if empty
--- a/src/net/HttpFraming.h
+++ b/src/net/HttpFraming.h
@@ -8,8 +8,8 @@
 /** Bounds on one HTTP request, in bytes. */
 struct HttpLimits
 {
-    std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 64 * 1024;
+    std::size_t maxHeaderBytes = 16'384;
+    std::size_t maxBodyBytes = 65'536;
 };
 
 /** Whether the bytes received so far hold one whole request. */
