--- a/src/core/Quarantine.h
+++ b/src/core/Quarantine.h
@@ -9,7 +9,7 @@
 namespace greengagestair {
 
 /** Keeps a request that crashes backend servers from reaching more than two of them. */
-class Quarantine : public ServerLossListener
+class Quarantine : public SignatureGate
 {
 public:
     /** How the next attempt of a signature may be made. */
@@ -42,6 +42,7 @@
     void serverLost(StepContext &context, const ServerId &server,
                     const std::vector<Signature> &inFlight) override;
     void signatureAnswered(StepContext &context, Signature signature) override;
+    bool mayRun(Signature signature, bool isolated) const override;
 
     void onTick(StepContext &context);
     MonotonicTime nextWakeUp() const;
