--- a/operators/examples/cairo.py
+++ b/operators/examples/cairo.py
@@ -16,7 +16,7 @@
     lookups = [("counter-lookup", 10, True), ("cut-lists", 15, False)]
     ledgers = [("order-ledger", 10, "order"), ("supplier-ledger", 4, "delivery")]
     services = [
-        Service(name, (Operation("lookup", urgent=urgent),),
+        Service(name, (Operation("lookup", urgent=urgent), Operation("report")),
                 replicated_groups(name, index, count, DOMAINS, plan), slots=2,
                 connection_limit=25)
         for index, (name, count, urgent) in enumerate(lookups)
--- a/operators/examples/lagos.py
+++ b/operators/examples/lagos.py
@@ -16,7 +16,7 @@
     searches = [("slot-search", 10, True), ("fitter-roster", 15, False)]
     ledgers = [("customer-profiles", 20, "update"), ("franchise-ledger", 10, "booking")]
     services = [
-        Service(name, (Operation("lookup", urgent=urgent),),
+        Service(name, (Operation("lookup", urgent=urgent), Operation("report")),
                 replicated_groups(name, index, count, DOMAINS, plan), slots=3,
                 connection_limit=30)
         for index, (name, count, urgent) in enumerate(searches)
--- a/standins/BackendServer.cpp
+++ b/standins/BackendServer.cpp
@@ -29,6 +29,7 @@
     asio::steady_timer timer; ///< ends the present state; cancelled when the state changes
     State state = State::Waiting;
     std::string id;
+    std::string echo; ///< field `key` of the body, repeated in the answer
     std::int64_t version = 0;
 };
 
@@ -37,17 +38,15 @@
     return { 503, { { "X-Reason", reason } }, {} };
 }
 
-/** Notes the execution of a body that carries an identifier. */
-static void noteExecution(ExecutionLog &executions, const std::string &body)
+/** Value of a string field of a JSON body, or an empty string. Fields are found by their text,
+ * since parsing every body would slow the stand-in down. */
+static std::string stringField(const std::string &body, std::string_view name)
 {
-    if (body.find("\"once\"") == std::string::npos)
-        return;
-    boost::system::error_code error;
-    const auto value = json::parse(body, error);
-    const auto *object = value.if_object();
-    const auto *once = object ? object->if_contains("once") : nullptr;
-    if (once && once->is_string())
-        ++executions[std::string(once->as_string())];
+    const auto quoted = "\"" + std::string(name) + "\":";
+    const auto start = body.find(quoted);
+    const auto open = start == std::string::npos ? start : body.find('"', start + quoted.size());
+    const auto close = open == std::string::npos ? open : body.find('"', open + 1);
+    return close == std::string::npos ? std::string {} : body.substr(open + 1, close - open - 1);
 }
 
 BackendServer::BackendServer(asio::io_context &context, ServerIdentity identity,
@@ -184,6 +183,7 @@
             Clock::now() + milliseconds(parseNumber(request.header("X-Deadline-Ms"), 60000));
     const auto job = std::make_shared<Job>(m_context);
     job->id = request.header("X-Request-Id");
+    job->echo = stringField(request.body, "key");
     job->version = parseNumber(request.header("X-Index-Version"), m_versions.front());
     if (static_cast<int>(m_running.size()) < m_options.slots) {
         m_running.push_back(job);
@@ -199,7 +199,8 @@
     bool inTime = false;
     if (job->state == Job::State::Running) {
         ++m_counters.executions;
-        noteExecution(*m_executions, request.body);
+        if (const auto once = stringField(request.body, "once"); !once.empty())
+            ++(*m_executions)[once];
         if (request.body.find("\"crash\"") != std::string::npos) {
             ++m_counters.crashes;
             fallOver();
@@ -353,7 +354,8 @@
     const auto ranges = m_ranges->find({ job.version, m_identity.group });
     std::string body = R"({"service":")" + m_identity.service + R"(","group":")" + m_identity.group
             + R"(","server":")" + m_identity.name + R"(","version":)" + std::to_string(job.version)
-            + R"(,"ranges":)" + (ranges == m_ranges->end() ? "[]" : ranges->second) + "}";
+            + R"(,"echo":")" + job.echo + R"(","ranges":)"
+            + (ranges == m_ranges->end() ? "[]" : ranges->second) + "}";
     return { 200,
              { { "X-Request-Id", job.id },
                { "X-Index-Version", std::to_string(job.version) },
