--- a/src/codec/FrameCodec.cpp
+++ b/src/codec/FrameCodec.cpp
@@ -112,7 +112,7 @@
                                    message.version.value, message.signature.value,
                                    sameEnum<wire::Priority>(message.priority), message.age.count(),
                                    message.deadline.count(), message.repeatable, message.isolated,
-                                   body)
+                                   body, message.canary)
             .Union();
 }
 
@@ -320,6 +320,7 @@
     message.deadline = reader.time(wire.deadline());
     message.repeatable = wire.repeatable();
     message.isolated = wire.isolated();
+    message.canary = wire.canary();
     message.body = reader.longText(wire.body());
     return message;
 }
--- a/src/codec/Peer_generated.h
+++ b/src/codec/Peer_generated.h
@@ -888,7 +888,8 @@
     VT_DEADLINE = 22,
     VT_REPEATABLE = 24,
     VT_ISOLATED = 26,
-    VT_BODY = 28
+    VT_BODY = 28,
+    VT_CANARY = 30
   };
   uint64_t part() const {
     return GetField<uint64_t>(VT_PART, 0);
@@ -929,6 +930,9 @@
   const flatbuffers::String *body() const {
     return GetPointer<const flatbuffers::String *>(VT_BODY);
   }
+  bool canary() const {
+    return GetField<uint8_t>(VT_CANARY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_PART, 8) &&
@@ -949,6 +953,7 @@
            VerifyField<uint8_t>(verifier, VT_ISOLATED, 1) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyString(body()) &&
+           VerifyField<uint8_t>(verifier, VT_CANARY, 1) &&
            verifier.EndTable();
   }
 };
@@ -996,6 +1001,9 @@
   void add_body(flatbuffers::Offset<flatbuffers::String> body) {
     fbb_.AddOffset(PartRequest::VT_BODY, body);
   }
+  void add_canary(bool canary) {
+    fbb_.AddElement<uint8_t>(PartRequest::VT_CANARY, static_cast<uint8_t>(canary), 0);
+  }
   explicit PartRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1021,7 +1029,8 @@
     int64_t deadline = 0,
     bool repeatable = false,
     bool isolated = false,
-    flatbuffers::Offset<flatbuffers::String> body = 0) {
+    flatbuffers::Offset<flatbuffers::String> body = 0,
+    bool canary = false) {
   PartRequestBuilder builder_(_fbb);
   builder_.add_deadline(deadline);
   builder_.add_age(age);
@@ -1033,6 +1042,7 @@
   builder_.add_operation(operation);
   builder_.add_service(service);
   builder_.add_server(server);
+  builder_.add_canary(canary);
   builder_.add_isolated(isolated);
   builder_.add_repeatable(repeatable);
   builder_.add_priority(priority);
@@ -1053,7 +1063,8 @@
     int64_t deadline = 0,
     bool repeatable = false,
     bool isolated = false,
-    const char *body = nullptr) {
+    const char *body = nullptr,
+    bool canary = false) {
   auto server__ = server ? _fbb.CreateString(server) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto operation__ = operation ? _fbb.CreateString(operation) : 0;
@@ -1073,7 +1084,8 @@
       deadline,
       repeatable,
       isolated,
-      body__);
+      body__,
+      canary);
 }
 
 struct PartCancel FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/core/Quarantine.cpp
+++ b/src/core/Quarantine.cpp
@@ -20,6 +20,11 @@
 
 void Quarantine::signatureAnswered(StepContext &, Signature) { }
 
+bool Quarantine::mayRun(Signature, bool) const
+{
+    return true;
+}
+
 void Quarantine::onTick(StepContext &) { }
 
 MonotonicTime Quarantine::nextWakeUp() const
--- a/src/core/Reducer.cpp
+++ b/src/core/Reducer.cpp
@@ -154,8 +154,7 @@
     }
     peer.incarnation = envelope.incarnation;
     peer.endpoint = envelope.endpoint;
-    std::visit([&](const auto &message) { receive(context, envelope, message); },
-               envelope.message);
+    std::visit([&](const auto &message) { receive(context, envelope, message); }, envelope.message);
 }
 
 void Reducer::State::dispatch(StepContext &context, const PeerLost &event)
@@ -174,9 +173,7 @@
     m_platform.deliver(context, event);
 }
 
-void Reducer::State::dispatch(StepContext &, const Tick &)
-{
-}
+void Reducer::State::dispatch(StepContext &, const Tick &) { }
 
 void Reducer::State::dispatch(StepContext &context, const StopRequested &)
 {
@@ -288,7 +285,6 @@
     m_documents.onTick(context);
     m_membership.onTick(context);
     m_quarantine.onTick(context);
-    m_admission.onTick(context);
     m_ledger.onTick(context);
     m_queries.onTick(context);
     m_scheduler.onTick(context);
--- a/tests/codec/FrameCodecTest.cpp
+++ b/tests/codec/FrameCodecTest.cpp
@@ -41,6 +41,7 @@
                       milliseconds(297),
                       false,
                       true,
+                      true,
                       "body" },
         PartCancel { { 8 } },
         PartAnswer { { 8 },
