Make the test of reused connections independent of timing

In the slower sanitizer build the two requests of a round could share one connection, so the third one found no reused connection and was answered; the transfer itself was right. The test server now holds the first of the two until the second has arrived, and the test requires that each lost request was on a reused connection. With the refusal in HttpTransfer switched off, all six variants still fail.

--- a/tests/net/CurlBackendClientTest.cpp
+++ b/tests/net/CurlBackendClientTest.cpp
@@ -33,12 +33,17 @@
     return server.endpoint();
 }
 
-static ScriptedReply answer(const ScriptedRequest &request)
+static std::string requestId(const ScriptedRequest &request)
 {
     const std::size_t at = request.head.find("X-Request-Id: ") + 14;
-    const std::string id = request.head.substr(at, request.head.find("\r\n", at) - at);
-    return { httpResponse("200 OK", "x-request-id: " + id + "\r\nX-Index-Version: 8\r\n",
-                          "re:" + request.body) };
+    return request.head.substr(at, request.head.find("\r\n", at) - at);
+}
+
+static ScriptedReply answer(const ScriptedRequest &request)
+{
+    const std::string headers =
+            "x-request-id: " + requestId(request) + "\r\nX-Index-Version: 8\r\n";
+    return { httpResponse("200 OK", headers, "re:" + request.body) };
 }
 
 static std::optional<BackendFinished> finish(CurlBackendClient &client, RecordingQueue &queue,
@@ -140,30 +145,39 @@
     const bool reset = GENERATE(false, true);
     const std::string body =
             GENERATE(std::string(), std::string("small"), std::string(200'000, 'x'));
+    constexpr std::uint64_t kRounds = 20;
     std::mutex mutex;
+    std::condition_variable changed;
     std::multiset<std::string> seen;
+    std::uint64_t opened = 0;
+    bool reused = true;
+    // The first two requests of a round end in 1 and 2 and wait for each other, so that they leave
+    // two idle connections; the third one ends in 3 and loses one of them.
     ScriptedHttpServer server([&](const ScriptedRequest &request) {
-        const std::lock_guard lock(mutex);
-        seen.insert(request.head.substr(request.head.find("X-Request-Id")));
-        const bool firstOfConnection = request.indexOnConnection == 0;
-        return firstOfConnection ? answer(request) : ScriptedReply { "", !reset, reset };
+        std::unique_lock lock(mutex);
+        seen.insert(requestId(request));
+        if (requestId(request).back() == '3') {
+            reused = reused && request.indexOnConnection > 0;
+            return ScriptedReply { "", !reset, reset };
+        }
+        const std::uint64_t both = opened++ / 2 * 2 + 2;
+        changed.notify_all();
+        changed.wait_for(lock, kTestTimeout, [&] { return opened >= both; });
+        return answer(request);
     });
     RecordingQueue queue;
     CurlBackendClient client(queue);
-    constexpr int kRounds = 20;
     for (std::uint64_t round = 0; round < kRounds; ++round) {
-        // Two at a time, so that another idle connection is there to be reused.
         client.send(requestTo(server.endpoint(), 10 * round + 1));
         client.send(requestTo(server.endpoint(), 10 * round + 2));
-        const auto first = queue.take<BackendFinished>().value();
-        const auto second = queue.take<BackendFinished>().value();
+        REQUIRE(queue.take<BackendFinished>().value().status == BackendStatus::Answered);
+        REQUIRE(queue.take<BackendFinished>().value().status == BackendStatus::Answered);
         SendToBackend request = requestTo(server.endpoint(), 10 * round + 3);
         request.body = body;
-        const auto lost = finish(client, queue, request).value();
-        REQUIRE(first.send != second.send);
-        REQUIRE(lost.status == BackendStatus::ConnectionLost);
+        REQUIRE(finish(client, queue, request).value().status == BackendStatus::ConnectionLost);
     }
     const std::lock_guard lock(mutex);
+    REQUIRE(reused);
     for (const std::string &request : seen)
         REQUIRE(seen.count(request) == 1);
     REQUIRE(seen.size() == 3 * kRounds);
