Treat an answer at twice the usual part time as a sign of a cold server

Cause: randomised runs showed servers that had turned cold without warning getting all their slots: their answers took 3 to 5 times the usual part time, below the threshold of 4 times. Ruled out: lost grants, as each server had one owner throughout. One threshold of twice the usual time now serves as both.

--- a/src/core/ServerLimiter.cpp
+++ b/src/core/ServerLimiter.cpp
@@ -44,10 +44,6 @@
     }
     m_slowAnswers = 0;
     m_recentPartTime += (partTime - m_recentPartTime) / kRecentWeight;
-    if (partTime > kFastFactor * m_limits.warmPartTime) {
-        m_fastAnswers = 0;
-        return;
-    }
     ++m_fastAnswers;
     if (m_fastAnswers >= kRampSuccesses && m_limit < m_limits.slots) {
         ++m_limit;
--- a/src/core/ServerLimiter.h
+++ b/src/core/ServerLimiter.h
@@ -21,10 +21,11 @@
 public:
     /** Fast answers in succession that raise the limit by one. */
     static constexpr int kRampSuccesses = 8;
-    /** An answer within this multiple of the declared warm part time is fast. */
-    static constexpr int kFastFactor = 2;
-    /** An answer slower than this multiple of the recent warm part time is slow. */
-    static constexpr int kSlowFactor = 4;
+    /**
+     * An answer slower than this multiple of the usual part time is slow. With 4, randomised runs
+     * showed servers at five times their usual part time that were not noticed as cold.
+     */
+    static constexpr int kSlowFactor = 2;
     /** Slow answers in succession after which the server is taken for cold. */
     static constexpr int kSlowAnswersWhenCold = 2;
     /** A server without an answer for this long may have turned cold unnoticed. */
