--- a/src/core/PartDispatcher.cpp
+++ b/src/core/PartDispatcher.cpp
@@ -49,6 +49,17 @@
     return found == service->groups.end() ? nullptr : &*found;
 }
 
+void PartDispatcher::addLacking(const Query &query, const Group &group, MonotonicTime now,
+                                std::vector<ServerId> &servers) const
+{
+    if (m_snapshots.serversLacking() == 0)
+        return;
+    for (const BackendServer &server : group.servers) {
+        if (m_snapshots.lacks(server.name, query.snapshot->version, now))
+            servers.push_back(server.name);
+    }
+}
+
 bool PartDispatcher::hasReplica(const Query &query, std::size_t part, MonotonicTime now) const
 {
     return !candidates(query, part, now).empty();
@@ -99,6 +110,9 @@
     else
         context.counters.add(purpose == Purpose::Hedge ? "hedges_total" : "retries_total");
 
+    if (!m_options.mechanisms.answerMatching)
+        m_sent[id] = { query.service, query.groups[part] };
+
     PartRequest request;
     request.part = id;
     request.server = server.name;
@@ -123,7 +137,9 @@
     while (!state.attempts.empty()) {
         const Attempt attempt = m_table.closeAttempt(query, part, state.attempts.front().id);
         m_replicas.attemptDropped(attempt.server);
-        m_services[query.service].partTimes.add(context.now() - attempt.sentAt);
+        // The loser's time so far is a lower bound; without it, stragglers would look rare.
+        if (!attempt.hedge)
+            m_services[query.service].partTimes.add(context.now() - attempt.sentAt);
         context.counters.add("cancels_total");
         m_router.cancelPart(context, attempt.owner, attempt.id);
     }
@@ -172,6 +188,12 @@
     return std::max(partTimes.hedgeDelay(warmPartTime), kTransportAllowance);
 }
 
+const PartDispatcher::SentPart *PartDispatcher::findSent(PartId id) const
+{
+    const auto found = m_sent.find(id);
+    return found == m_sent.end() ? nullptr : &found->second;
+}
+
 void PartDispatcher::removeIdle(MonotonicTime now)
 {
     if (now < m_removeIdleAt)
--- a/src/core/PartDispatcher.h
+++ b/src/core/PartDispatcher.h
@@ -19,8 +19,13 @@
 {
 public:
     enum class Result { Sent, NoReplica, TooLate };
-    /** What an attempt is for; hedges and retries may need budget. */
-    enum class Purpose { First, FreeRetry, Retry, Hedge };
+    enum class Purpose { First, Retry, Hedge };
+    /** Service and group that an attempt was sent for. */
+    struct SentPart
+    {
+        ServiceId service;
+        GroupId group;
+    };
 
     PartDispatcher(const ReducerOptions &options, DocumentView &documents, OwnershipView &ownership,
                    PartRouter &router, IdentifierSource &identifiers, QueryTable &table);
@@ -29,6 +34,9 @@
     bool isUsable(const ServerId &server, MonotonicTime now) const;
     /** The group of a part in the configuration in force; null if it is not declared. */
     const Group *findGroup(const Query &query, std::size_t part) const;
+    /** Adds the servers of the group that are known to lack the query's snapshot. */
+    void addLacking(const Query &query, const Group &group, MonotonicTime now,
+                    std::vector<ServerId> &servers) const;
     /** Whether some replica of the part could still be tried. */
     bool hasReplica(const Query &query, std::size_t part, MonotonicTime now) const;
     /** Sends the part to the best replica that had no attempt yet. */
@@ -51,6 +59,8 @@
     Duration hedgeDelay(const ServiceId &service) const;
     RetryBudget &budget(const ServiceId &service) { return m_services[service].budget; }
     SnapshotSelector &snapshots() { return m_snapshots; }
+    /** Only with answer matching switched off: what a closed attempt was sent for. */
+    const SentPart *findSent(PartId id) const;
     /** Forgets idle servers from time to time. */
     void removeIdle(MonotonicTime now);
     boost::json::object dump(MonotonicTime now) const;
@@ -77,6 +87,7 @@
     ReplicaSelector m_replicas;
     SnapshotSelector m_snapshots;
     std::unordered_map<ServiceId, ServiceState> m_services;
+    std::unordered_map<PartId, SentPart> m_sent; ///< only with answer matching switched off
     MonotonicTime m_removeIdleAt;
 };
 
--- a/src/core/Quarantine.cpp
+++ b/src/core/Quarantine.cpp
@@ -16,6 +16,8 @@
 
 void Quarantine::partLost(StepContext &, Signature, const ServerId &) { }
 
+void Quarantine::partRefused(StepContext &, Signature) { }
+
 void Quarantine::serverLost(StepContext &, const ServerId &, const std::vector<Signature> &) { }
 
 void Quarantine::signatureAnswered(StepContext &, Signature) { }
--- a/src/core/Quarantine.h
+++ b/src/core/Quarantine.h
@@ -36,6 +36,8 @@
     void partAnswered(Signature signature, IndexVersion version);
     /** Entry role: a server was lost with a part of this signature in flight. */
     void partLost(StepContext &context, Signature signature, const ServerId &server);
+    /** Entry role: an owner refused a part because a loss is not yet in the document. */
+    void partRefused(StepContext &context, Signature signature);
     /** Changes whenever plans may have changed. */
     std::uint64_t generation() const { return m_generation; }
 
--- a/src/core/Query.h
+++ b/src/core/Query.h
@@ -37,6 +37,7 @@
     PartReason reason = PartReason::None; ///< why the last attempt failed
     std::vector<Attempt> attempts;        ///< open ones
     std::vector<ServerId> tried;          ///< servers that had an attempt
+    bool versionMissed = false;           ///< some replica lacked the pinned version
     MonotonicTime hedgeAt = kNever;
     IndexVersion answeredFrom;
     std::string body;
@@ -67,6 +68,7 @@
     Phase phase = Phase::Waiting;
     Gate gate = Gate::Open;
     std::size_t probe = 0; ///< part that the gate waits for
+    std::size_t probeRefusals = 0;
     bool admitted = false;
     bool callerGone = false;
     bool restarted = false;
--- a/src/core/QueryEngine.cpp
+++ b/src/core/QueryEngine.cpp
@@ -26,12 +26,25 @@
 /** How long the result of a request is awaited, to record it, after its caller was answered. */
 static constexpr Duration kLateResultTime = std::chrono::seconds(1);
 
+/** Canary servers that may refuse for load before the query is refused. */
+static constexpr std::size_t kMaxProbeRefusals = 3;
+/** Open attempts of one part: the slow one and its hedge. */
+static constexpr std::size_t kMaxOpenAttempts = 2;
+
 static bool isLoadRefusal(PartReason reason)
 {
     return reason == PartReason::Overloaded || reason == PartReason::Shed
             || reason == PartReason::Expired;
 }
 
+/** Whether another attempt costs the backend servers work beyond the first attempt. */
+static bool needsBudget(PartOutcome outcome, PartReason reason)
+{
+    if (outcome == PartOutcome::NotSent || outcome == PartOutcome::VersionNotHeld)
+        return false;
+    return outcome != PartOutcome::Refused || reason != PartReason::Draining;
+}
+
 static std::string queryCounter(QueryOutcome outcome)
 {
     return std::string("queries_total{outcome=\"") + outcomeLabel(outcome) + "\"}";
@@ -119,7 +132,10 @@
 
 void QueryEngine::onTick(StepContext &context)
 {
-    step(context, [this](StepContext &inner) { m_dispatcher.removeIdle(inner.now()); });
+    step(context, [this](StepContext &inner) {
+        m_quarantine.onTick(inner);
+        m_dispatcher.removeIdle(inner.now());
+    });
 }
 
 MonotonicTime QueryEngine::nextWakeUp() const
@@ -184,7 +200,7 @@
         else
             hedgeDueParts(context, *query);
     }
-    if (m_quarantine.generation() != m_plannedGeneration) {
+    while (m_quarantine.generation() != m_plannedGeneration) {
         m_plannedGeneration = m_quarantine.generation();
         replanHeld(context);
     }
@@ -417,16 +433,20 @@
 void QueryEngine::passGate(StepContext &context, Query &query)
 {
     std::vector<const Group *> groups;
-    std::vector<ServerId> tried;
+    std::vector<ServerId> passedOver;
+    bool anyTried = false;
     for (std::size_t part = 0; part < query.parts.size(); ++part) {
-        if (const Group *group = m_dispatcher.findGroup(query, part))
+        if (const Group *group = m_dispatcher.findGroup(query, part)) {
             groups.push_back(group);
+            m_dispatcher.addLacking(query, *group, context.now(), passedOver);
+        }
         const auto &servers = query.parts[part].tried;
-        tried.insert(tried.end(), servers.begin(), servers.end());
+        anyTried = anyTried || !servers.empty();
+        passedOver.insert(passedOver.end(), servers.begin(), servers.end());
     }
     while (true) {
         const Quarantine::Plan plan =
-                m_quarantine.plan(query.signature, query.snapshot->version, groups, tried);
+                m_quarantine.plan(query.signature, query.snapshot->version, groups, passedOver);
         switch (plan.kind) {
         case Quarantine::Plan::Kind::FanOut:
             query.gate = Query::Gate::Open;
@@ -436,7 +456,7 @@
             missUnsettled(context, query, PartReason::Quarantined);
             return;
         case Quarantine::Plan::Kind::Pending:
-            if (tried.empty())
+            if (!anyTried)
                 missUnsettled(context, query, PartReason::Quarantined);
             else
                 hold(query, query.probe);
@@ -444,12 +464,14 @@
         case Quarantine::Plan::Kind::Canary:
         case Quarantine::Plan::Kind::Isolated:
             if (plan.server.empty()) {
+                if (query.isRepeatable() && !query.restarted && restart(context, query))
+                    return;
                 missUnsettled(context, query, PartReason::OutOfService);
                 return;
             }
             if (sendProbe(context, query, plan))
                 return;
-            tried.push_back(plan.server);
+            passedOver.push_back(plan.server);
         }
     }
 }
@@ -467,7 +489,7 @@
     const bool first = query.parts[part].tried.empty();
     const SendResult result =
             m_dispatcher.sendTo(context, query, part, *place->server,
-                                first ? Purpose::First : Purpose::FreeRetry, isolated);
+                                first ? Purpose::First : Purpose::Retry, isolated);
     if (result == SendResult::NoReplica)
         return false;
     if (result == SendResult::TooLate) {
@@ -505,11 +527,33 @@
 }
 
 /** No replica of the part is left: moves the query to another snapshot once, if one would help. */
-void QueryEngine::restartOrMiss(StepContext &, Query &query, std::size_t part, PartReason reason)
+void QueryEngine::restartOrMiss(StepContext &context, Query &query, std::size_t part,
+                                PartReason reason)
 {
+    const bool mayHelp =
+            query.parts[part].versionMissed || m_dispatcher.findGroup(query, part) == nullptr;
+    if (mayHelp && query.isRepeatable() && !query.restarted && restart(context, query))
+        return;
     miss(query, part, reason);
 }
 
+bool QueryEngine::restart(StepContext &context, Query &query)
+{
+    auto snapshot = selectSnapshot(query.service, context.now());
+    if (snapshot == nullptr || snapshot->version == query.snapshot->version)
+        return false;
+    if (query.onlyRange.has_value() && !rangeOf(*snapshot, query.routingKey).has_value())
+        return false;
+    query.restarted = true;
+    context.counters.add("restarts_total");
+    for (std::size_t part = 0; part < query.parts.size(); ++part)
+        m_dispatcher.cancelOpen(context, query, part);
+    if (!makeParts(query, std::move(snapshot)))
+        return false;
+    passGate(context, query);
+    return true;
+}
+
 void QueryEngine::hold(Query &query, std::size_t part)
 {
     query.parts[part].state = State::Held;
@@ -531,18 +575,94 @@
     }
 }
 
+/** Sends a part again whose server was lost, as far as the quarantine allows. */
 void QueryEngine::replanPart(StepContext &context, Query &query, std::size_t part)
 {
-    query.parts[part].state = State::Unsent;
-    passGate(context, query);
+    QueryPart &state = query.parts[part];
+    state.state = State::Unsent;
+    if (query.gate != Query::Gate::Open && part == query.probe) {
+        passGate(context, query);
+        return;
+    }
+    std::vector<const Group *> groups;
+    if (const Group *group = m_dispatcher.findGroup(query, part))
+        groups.push_back(group);
+    const Quarantine::Plan plan =
+            m_quarantine.plan(query.signature, query.snapshot->version, groups, state.tried);
+    switch (plan.kind) {
+    case Quarantine::Plan::Kind::Pending:
+        hold(query, part);
+        return;
+    case Quarantine::Plan::Kind::Refuse:
+        miss(query, part, PartReason::Quarantined);
+        return;
+    case Quarantine::Plan::Kind::Isolated: {
+        const auto place = m_documents.findServer(plan.server);
+        const bool sent = place.has_value()
+                && m_dispatcher.sendTo(context, query, part, *place->server, Purpose::Retry, true)
+                        == SendResult::Sent;
+        if (!sent)
+            miss(query, part, state.reason);
+        return;
+    }
+    case Quarantine::Plan::Kind::Canary:
+    case Quarantine::Plan::Kind::FanOut:
+        sendPart(context, query, part, Purpose::Retry);
+        return;
+    }
 }
 
-void QueryEngine::hedge(StepContext &, Query &, std::size_t) { }
-
 void QueryEngine::hedgeDueParts(StepContext &context, Query &query)
 {
-    m_table.wakeAt(query, query.deadline);
-    (void)context;
+    const MonotonicTime now = context.now();
+    MonotonicTime next = query.deadline;
+    for (std::size_t part = 0; part < query.parts.size(); ++part) {
+        QueryPart &state = query.parts[part];
+        if (state.state != State::Open)
+            continue;
+        if (state.hedgeAt <= now) {
+            m_dispatcher.noteSlow(query, part, now);
+            if (!hedge(context, query, part))
+                state.hedgeAt = now + m_dispatcher.hedgeDelay(query.service);
+        }
+        next = std::min(next, state.hedgeAt);
+    }
+    m_table.wakeAt(query, next);
+}
+
+bool QueryEngine::hedge(StepContext &context, Query &query, std::size_t part)
+{
+    if (query.parts[part].attempts.size() >= kMaxOpenAttempts)
+        return false;
+    if (query.gate != Query::Gate::Open)
+        return hedgeCanary(context, query, part);
+    if (!m_dispatcher.hasReplica(query, part, context.now()))
+        return false;
+    if (!m_dispatcher.budget(query.service).take()) {
+        context.counters.add("hedges_denied_total");
+        return false;
+    }
+    return m_dispatcher.send(context, query, part, Purpose::Hedge) == SendResult::Sent;
+}
+
+/**
+ * A canary that does not answer in time goes to the next server in the signature's order too. All
+ * hosts use the same two servers, so a crashing request still reaches two of them at most.
+ */
+bool QueryEngine::hedgeCanary(StepContext &context, Query &query, std::size_t part)
+{
+    const Group *group = m_dispatcher.findGroup(query, part);
+    if (group == nullptr)
+        return false;
+    const Quarantine::Plan plan = m_quarantine.plan(query.signature, query.snapshot->version,
+                                                    { group }, query.parts[part].tried);
+    if (plan.kind != Quarantine::Plan::Kind::Canary || plan.server.empty())
+        return false;
+    const auto place = m_documents.findServer(plan.server);
+    if (!place.has_value() || !m_dispatcher.budget(query.service).take())
+        return false;
+    return m_dispatcher.sendTo(context, query, part, *place->server, Purpose::Hedge, false)
+            == SendResult::Sent;
 }
 
 void QueryEngine::takePartAnswer(StepContext &context, const HostId &owner,
@@ -558,7 +678,7 @@
     const auto open = std::find_if(attempts.begin(), attempts.end(), [&](const Attempt &attempt) {
         return attempt.id == answer.part;
     });
-    if (open->owner.host != owner) {
+    if (open->owner.host != owner && m_options.mechanisms.answerMatching) {
         context.counters.add("mismatched_answers_total");
         return;
     }
@@ -590,6 +710,20 @@
     if (answer.outcome != PartOutcome::Answered)
         return;
     context.counters.add("late_answers_total");
+    const PartDispatcher::SentPart *sent = m_dispatcher.findSent(answer.part);
+    if (m_options.mechanisms.answerMatching || sent == nullptr)
+        return;
+    for (const auto &[id, query] : m_table.all()) {
+        const auto group = std::find(query->groups.begin(), query->groups.end(), sent->group);
+        const auto part = static_cast<std::size_t>(group - query->groups.begin());
+        if (query->service != sent->service || group == query->groups.end()
+            || query->parts[part].state != State::Open
+            || query->snapshot->version != answer.version)
+            continue;
+        acceptAnswer(context, *query, part, answer);
+        finishIfSettled(context, *query);
+        return;
+    }
 }
 
 void QueryEngine::acceptAnswer(StepContext &context, Query &query, std::size_t part,
@@ -602,9 +736,11 @@
     state.answeredFrom = answer.version;
     state.body = answer.body;
     --query.unsettled;
+    const bool isFirst = query.unsettled + 1 == query.parts.size();
+    if (isFirst)
+        m_quarantine.partAnswered(query.signature, query.snapshot->version);
     if (query.gate == Query::Gate::Open || part != query.probe)
         return;
-    m_quarantine.partAnswered(query.signature, query.snapshot->version);
     query.gate = Query::Gate::Open;
     sendUnsent(context, query);
 }
@@ -617,8 +753,11 @@
     const bool mayHaveRun =
             outcome == PartOutcome::ServerLost || outcome == PartOutcome::MayHaveRun;
     query.mayHaveRun = query.mayHaveRun || mayHaveRun;
+    state.versionMissed = state.versionMissed || outcome == PartOutcome::VersionNotHeld;
     if (outcome == PartOutcome::ServerLost)
         m_quarantine.partLost(context, query.signature, server);
+    else if (reason == PartReason::Quarantined)
+        m_quarantine.partRefused(context, query.signature);
     if (!query.isRepeatable()) {
         failSingleAttempt(context, query, outcome, reason);
         return;
@@ -642,14 +781,34 @@
 void QueryEngine::retry(StepContext &context, Query &query, std::size_t part, PartOutcome outcome,
                         PartReason reason)
 {
-    (void)outcome;
-    if (query.gate != Query::Gate::Open && part == query.probe) {
-        query.parts[part].state = State::Unsent;
-        passGate(context, query);
+    const bool isProbe = query.gate != Query::Gate::Open && part == query.probe;
+    if (needsBudget(outcome, reason) && !m_dispatcher.budget(query.service).take()) {
+        context.counters.add("retries_denied_total");
+        if (isProbe)
+            missUnsettled(context, query, reason);
+        else
+            miss(query, part, reason);
         return;
     }
-    (void)reason;
-    sendPart(context, query, part, Purpose::FreeRetry);
+    if (isProbe) {
+        retryProbe(context, query, reason);
+    } else if (outcome == PartOutcome::ServerLost || reason == PartReason::Quarantined) {
+        replanPart(context, query, part);
+    } else {
+        query.parts[part].state = State::Unsent;
+        sendPart(context, query, part, Purpose::Retry);
+    }
+}
+
+void QueryEngine::retryProbe(StepContext &context, Query &query, PartReason reason)
+{
+    query.parts[query.probe].state = State::Unsent;
+    if (isLoadRefusal(reason))
+        ++query.probeRefusals;
+    if (reason == PartReason::Quarantined || query.probeRefusals >= kMaxProbeRefusals)
+        missUnsettled(context, query, reason);
+    else
+        passGate(context, query);
 }
 
 void QueryEngine::miss(Query &query, std::size_t part, PartReason reason)
@@ -668,7 +827,9 @@
         if (state.isSettled())
             continue;
         m_dispatcher.cancelOpen(context, query, part);
-        miss(query, part, state.reason == PartReason::None ? reason : state.reason);
+        const bool keepReason =
+                state.reason != PartReason::None && reason != PartReason::Quarantined;
+        miss(query, part, keepReason ? state.reason : reason);
     }
 }
 
@@ -750,7 +911,9 @@
 
 void QueryEngine::finishIfSettled(StepContext &context, Query &query, bool deadlinePassed)
 {
-    if (query.phase == Query::Phase::Waiting || query.unsettled > 0)
+    const bool started =
+            query.phase == Query::Phase::Running || query.phase == Query::Phase::Recording;
+    if (!started || query.unsettled > 0)
         return;
     if (!query.isRepeatable()) {
         finishSingle(context, query, deadlinePassed);
--- a/src/core/QueryEngine.h
+++ b/src/core/QueryEngine.h
@@ -11,7 +11,6 @@
 
 #include <deque>
 #include <functional>
-#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -69,7 +68,9 @@
     void hold(Query &query, std::size_t part);
     void replanHeld(StepContext &context);
     void replanPart(StepContext &context, Query &query, std::size_t part);
-    void hedge(StepContext &context, Query &query, std::size_t part);
+    bool restart(StepContext &context, Query &query);
+    bool hedge(StepContext &context, Query &query, std::size_t part);
+    bool hedgeCanary(StepContext &context, Query &query, std::size_t part);
     void hedgeDueParts(StepContext &context, Query &query);
 
     void takePartAnswer(StepContext &context, const HostId &owner, const PartAnswer &answer);
@@ -82,6 +83,7 @@
                            PartReason reason);
     void retry(StepContext &context, Query &query, std::size_t part, PartOutcome outcome,
                PartReason reason);
+    void retryProbe(StepContext &context, Query &query, PartReason reason);
     void miss(Query &query, std::size_t part, PartReason reason);
     void missUnsettled(StepContext &context, Query &query, PartReason reason);
     void loseAttempt(StepContext &context, PartId id);
@@ -105,7 +107,6 @@
     std::deque<Work> m_putOff;
     std::vector<QueryId> m_held; ///< queries with held parts
     std::unordered_set<CallerId> m_outcomeCallers;
-    std::unordered_map<PartId, GroupId> m_closedForTests; ///< only with answerMatching off
     std::uint64_t m_lastQuery = 0;
     std::uint64_t m_plannedGeneration = 0;
     bool m_busy = false;
