--- a/src/app/Commands.cpp
+++ b/src/app/Commands.cpp
@@ -1,15 +1,20 @@
 #include "app/Commands.h"
 
+#include "app/ConfigCommands.h"
+#include "app/HttpExchange.h"
+#include "app/Replay.h"
 #include "app/Serve.h"
 #include "app/Settings.h"
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include <fstream>
 #include <iostream>
 
 namespace greengagestair {
 
 static constexpr const char *kVersion = "0.1.0";
+static constexpr int kHttpOk = 200;
 
 static ExitCode reportSettingsProblem(const SettingsProblem &problem)
 {
@@ -57,13 +62,75 @@
     return ExitCode::Success;
 }
 
-template <typename OtherCommand>
-static ExitCode run(const OtherCommand & /*command*/)
+static ExitCode run(const ConfigShowCommand &command)
 {
-    std::cerr << "not implemented yet\n";
+    return runConfigShow(command);
+}
+
+static ExitCode run(const ConfigDiffCommand &command)
+{
+    return runConfigDiff(command);
+}
+
+static ExitCode run(const ConfigApplyCommand &command)
+{
+    return runConfigApply(command);
+}
+
+static ExitCode run(const DumpCommand &command)
+{
+    HttpExchangeRequest request;
+    request.server = command.host;
+    request.path = "/state";
+    const auto reply = exchange(request);
+    if (!reply || reply->status != kHttpOk) {
+        std::cerr << toText(command.host) << " gave no state\n";
+        return ExitCode::Failed;
+    }
+    std::cout << reply->body << "\n";
+    return ExitCode::Success;
+}
+
+static ExitCode reportReplay(const ReplayReport &report)
+{
+    if (report.endsInPartialLine)
+        std::cerr << "the trace ends in a partial line, which was left out\n";
+    if (!report.difference) {
+        std::cout << report.events << " events, no difference\n";
+        return ExitCode::Success;
+    }
+    std::cout << "line " << report.difference->line
+              << ": effects differ\n  event:    " << report.difference->event
+              << "\n  expected: " << report.difference->expected
+              << "\n  actual:   " << report.difference->actual << "\n";
     return ExitCode::Failed;
 }
 
+static ExitCode run(const ReplayCommand &command)
+{
+    const std::string &expectedFile =
+            command.expectedFile.empty() ? command.traceFile : command.expectedFile;
+    std::ifstream trace(command.traceFile, std::ios::binary);
+    std::ifstream expected(expectedFile, std::ios::binary);
+    if (!trace || !expected) {
+        std::cerr << (trace ? expectedFile : command.traceFile) << ": expected a readable file\n";
+        return ExitCode::Failed;
+    }
+    return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<ExitCode> {
+                BOOST_LEAF_AUTO(report, replay(trace, expected));
+                return reportReplay(report);
+            },
+            [](const ReplayMalformed &problem) {
+                std::cerr << "line " << problem.line << ": expected " << problem.expected << "\n";
+                return ExitCode::Failed;
+            },
+            [] {
+                std::cerr << "the trace could not be read\n";
+                return ExitCode::Failed;
+            });
+}
+
 ExitCode runCommand(const Command &command)
 {
     return std::visit([](const auto &chosen) { return run(chosen); }, command);
--- a/src/app/EventLoop.cpp
+++ b/src/app/EventLoop.cpp
@@ -15,7 +15,7 @@
 /** Beyond the reducer's own limit, for the answers of its last step. */
 static constexpr std::chrono::milliseconds kStopSlack(1000);
 /** Lets the last messages to peers leave the process before the connections close. */
-static constexpr std::chrono::milliseconds kPeerFlushTime(50);
+static constexpr std::chrono::milliseconds kPeerFlushLimit(1000);
 
 class EventLoop::State
 {
@@ -24,7 +24,8 @@
 
     void post(Event event);
     void runInLoop(std::function<void()> function);
-    LoopEnd run(LoopAdapters adapters, StepRecorder *recorder);
+    LoopEnd run(LoopAdapters adapters, StepRecorder *recorder,
+                const std::function<void()> &onFinish);
     const Reducer &reducer() const { return m_reducer; }
 
 private:
@@ -164,24 +165,28 @@
         return;
     m_end = end;
     m_wakeUpTimer.cancel();
-    m_adapters->callers.stop();
-    m_adapters->backends.stop();
-    m_adapters->platform.stop();
-    m_stopTimer.expires_after(kPeerFlushTime);
-    m_stopTimer.async_wait([this](const boost::system::error_code &) {
-        m_adapters->peers.stop();
-        m_context.stop();
-    });
+    m_stopTimer.cancel();
+    m_context.stop();
 }
 
-LoopEnd EventLoop::State::run(LoopAdapters adapters, StepRecorder *recorder)
+LoopEnd EventLoop::State::run(LoopAdapters adapters, StepRecorder *recorder,
+                              const std::function<void()> &onFinish)
 {
     m_adapters = &adapters;
     m_recorder = recorder;
-    const auto work = boost::asio::make_work_guard(m_context);
+    auto work = boost::asio::make_work_guard(m_context);
     // The first tick lets the reducer start its heartbeats and watches.
     post(Tick {});
     m_context.run();
+    // Callers first, so that they hear the answers of the last step before anything else ends.
+    adapters.callers.stop();
+    adapters.backends.stop();
+    adapters.platform.stop();
+    adapters.peers.stop();
+    onFinish();
+    work.reset();
+    m_context.restart();
+    m_context.run_for(kPeerFlushLimit);
     m_adapters = nullptr;
     return m_end;
 }
@@ -203,9 +208,10 @@
     m_state->runInLoop(std::move(function));
 }
 
-LoopEnd EventLoop::run(LoopAdapters adapters, StepRecorder *recorder)
+LoopEnd EventLoop::run(LoopAdapters adapters, StepRecorder *recorder,
+                       const std::function<void()> &onFinish)
 {
-    return m_state->run(adapters, recorder);
+    return m_state->run(adapters, recorder, onFinish);
 }
 
 const Reducer &EventLoop::reducer() const
--- a/src/app/EventLoop.h
+++ b/src/app/EventLoop.h
@@ -51,8 +51,14 @@
     /** Runs a function in the thread of the loop. Thread-safe; dropped after the loop has ended. */
     void runInLoop(std::function<void()> function);
 
-    /** Handles events until the reducer has finished its stop. `recorder` may be null. */
-    LoopEnd run(LoopAdapters adapters, StepRecorder *recorder);
+    /**
+     * Handles events until the reducer has finished its stop, then stops the adapters in order.
+     * @param recorder may be null
+     * @param onFinish ends other work on the io_context, so that the last messages to peers are
+     *        awaited no longer than needed
+     */
+    LoopEnd run(LoopAdapters adapters, StepRecorder *recorder,
+                const std::function<void()> &onFinish);
 
     /** Only for the thread of the loop. */
     const Reducer &reducer() const;
--- a/src/app/OutboundAdapters.cpp
+++ b/src/app/OutboundAdapters.cpp
@@ -10,19 +10,31 @@
 #define GREENGAGESTAIR_HAS_ADAPTERS 0
 #endif
 
+#include "net/HttpFrontEnd.h"
+
 #include <boost/asio/io_context.hpp>
+#include <boost/leaf/error.hpp>
+#include <boost/system/system_error.hpp>
 
 namespace greengagestair {
 
 #if GREENGAGESTAIR_HAS_ADAPTERS
 
-OutboundAdapters makeOutboundAdapters(boost::asio::io_context &context, const Settings &settings,
-                                      Incarnation incarnation, EventQueue &events)
+boost::leaf::result<OutboundAdapters> makeOutboundAdapters(boost::asio::io_context &context,
+                                                           const Settings &settings,
+                                                           Incarnation incarnation,
+                                                           EventQueue &events)
 {
-    return { std::make_unique<TcpPeerTransport>(context, settings.host, incarnation,
-                                                settings.peerEndpoint, events),
-             std::make_unique<CurlBackendClient>(events),
-             std::make_unique<CurlPlatformClient>(settings.platform, events) };
+    OutboundAdapters adapters;
+    try {
+        adapters.peers = std::make_unique<TcpPeerTransport>(context, settings.host, incarnation,
+                                                            settings.peerEndpoint, events);
+    } catch (const boost::system::system_error &error) {
+        return boost::leaf::new_error(ListenFailed { settings.peerEndpoint, error.what() });
+    }
+    adapters.backends = std::make_unique<CurlBackendClient>(events);
+    adapters.platform = std::make_unique<CurlPlatformClient>(settings.platform, events);
+    return adapters;
 }
 
 #else
@@ -91,13 +103,14 @@
 
 } // namespace
 
-OutboundAdapters makeOutboundAdapters(boost::asio::io_context & /*context*/,
-                                      const Settings & /*settings*/, Incarnation /*incarnation*/,
-                                      EventQueue &events)
+boost::leaf::result<OutboundAdapters> makeOutboundAdapters(boost::asio::io_context & /*context*/,
+                                                           const Settings & /*settings*/,
+                                                           Incarnation /*incarnation*/,
+                                                           EventQueue &events)
 {
-    return { std::make_unique<UnreachablePeers>(events),
-             std::make_unique<UnreachableBackends>(events),
-             std::make_unique<UnreachablePlatform>(events) };
+    return OutboundAdapters { std::make_unique<UnreachablePeers>(events),
+                              std::make_unique<UnreachableBackends>(events),
+                              std::make_unique<UnreachablePlatform>(events) };
 }
 
 #endif
--- a/src/app/OutboundAdapters.h
+++ b/src/app/OutboundAdapters.h
@@ -19,8 +19,10 @@
     std::unique_ptr<PlatformClient> platform;
 };
 
-/** Makes the adapters; the arguments must outlive them. */
-OutboundAdapters makeOutboundAdapters(boost::asio::io_context &context, const Settings &settings,
-                                      Incarnation incarnation, EventQueue &events);
+/** Makes the adapters; the arguments must outlive them. Fails with ListenFailed. */
+boost::leaf::result<OutboundAdapters> makeOutboundAdapters(boost::asio::io_context &context,
+                                                           const Settings &settings,
+                                                           Incarnation incarnation,
+                                                           EventQueue &events);
 
 } // namespace greengagestair
--- a/src/app/Serve.cpp
+++ b/src/app/Serve.cpp
@@ -4,6 +4,7 @@
 #include "app/Metrics.h"
 #include "app/OutboundAdapters.h"
 #include "app/StatusPages.h"
+#include "app/TraceWriter.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -53,6 +54,10 @@
 static boost::leaf::result<ExitCode> runServer(const Settings &settings)
 {
     const ReducerOptions options = makeReducerOptions(settings);
+    std::unique_ptr<TraceWriter> trace;
+    if (!settings.traceFile.empty()) {
+        BOOST_LEAF_ASSIGN(trace, TraceWriter::create(settings.traceFile, options));
+    }
     boost::asio::io_context context(1);
     // Blocks the signals' default action before other threads start.
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
@@ -62,8 +67,7 @@
     StatusPages pages(loop, metrics);
     HttpFrontEnd frontEnd(makeFrontEndOptions(settings, options.incarnation), loop, pages, metrics);
     pages.setFrontEnd(frontEnd);
-    const OutboundAdapters adapters =
-            makeOutboundAdapters(context, settings, options.incarnation, loop);
+    BOOST_LEAF_AUTO(adapters, makeOutboundAdapters(context, settings, options.incarnation, loop));
     BOOST_LEAF_CHECK(frontEnd.start());
     logLine(LogLevel::Info, "started",
             { { "host", settings.host.value },
@@ -71,8 +75,9 @@
               { "incarnation", std::to_string(options.incarnation.value) },
               { "callerEndpoint", toText(settings.callerEndpoint) },
               { "peerEndpoint", toText(settings.peerEndpoint) } });
-    const LoopEnd end = loop.run(
-            { frontEnd, *adapters.backends, *adapters.platform, *adapters.peers }, nullptr);
+    const LoopEnd end =
+            loop.run({ frontEnd, *adapters.backends, *adapters.platform, *adapters.peers },
+                     trace.get(), [&] { signals.cancel(); });
     const bool isClean = end == LoopEnd::Stopped;
     logLine(isClean ? LogLevel::Info : LogLevel::Error, "exiting",
             { { "clean", isClean ? "true" : "false" } });
@@ -89,6 +94,10 @@
                         { { "endpoint", toText(error.endpoint) }, { "detail", error.detail } });
                 return ExitCode::Failed;
             },
+            [](const TraceUnwritable &error) {
+                logLine(LogLevel::Error, "traceUnwritable", { { "file", error.file } });
+                return ExitCode::Failed;
+            },
             [] {
                 logLine(LogLevel::Error, "startFailed", {});
                 return ExitCode::Failed;
--- /dev/null
+++ b/src/app/TraceWriter.cpp
@@ -0,0 +1,25 @@
+#include "app/TraceWriter.h"
+
+#include "app/TraceJson.h"
+
+#include <boost/leaf/error.hpp>
+
+namespace greengagestair {
+
+boost::leaf::result<std::unique_ptr<TraceWriter>> TraceWriter::create(const std::string &file,
+                                                                      const ReducerOptions &options)
+{
+    std::unique_ptr<TraceWriter> writer(new TraceWriter);
+    writer->m_stream.open(file, std::ios::binary | std::ios::trunc);
+    writer->m_stream << encodeOptions(options) << '\n' << std::flush;
+    if (!writer->m_stream)
+        return boost::leaf::new_error(TraceUnwritable { file });
+    return writer;
+}
+
+void TraceWriter::record(const Instant &instant, const Event &event, const Effects &effects)
+{
+    m_stream << encodeStep(instant, event, effects) << '\n' << std::flush;
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/app/TraceWriter.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "app/EventLoop.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <fstream>
+#include <memory>
+#include <string>
+
+namespace greengagestair {
+
+/** The trace file cannot be created. */
+struct TraceUnwritable
+{
+    std::string file;
+};
+
+/**
+ * Writes a trace: the reducer's options in the first line, then one JSON line per event. Each line
+ * is flushed, since the events before a violated invariant matter most.
+ */
+class TraceWriter : public StepRecorder
+{
+public:
+    /** Replaces the file if it exists. Fails with TraceUnwritable. */
+    static boost::leaf::result<std::unique_ptr<TraceWriter>> create(const std::string &file,
+                                                                    const ReducerOptions &options);
+
+    void record(const Instant &instant, const Event &event, const Effects &effects) override;
+
+private:
+    TraceWriter() = default;
+
+    std::ofstream m_stream;
+};
+
+} // namespace greengagestair
