--- a/src/app/TraceJson.cpp
+++ b/src/app/TraceJson.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/leaf/error.hpp>
 #include <boost/mp11.hpp>
+#include <boost/pfr/tuple_size.hpp>
 
 namespace greengagestair {
 
@@ -128,6 +129,8 @@
 template <Described Struct>
 static json::value toJson(const Struct &object)
 {
+    static_assert(boost::pfr::tuple_size_v<Struct> == boost::mp11::mp_size<Members<Struct>>::value,
+                  "a member is missing in net/Description.h");
     json::object members;
     boost::mp11::mp_for_each<Members<Struct>>(
             [&](auto member) { members[member.name] = toJson(object.*member.pointer); });
--- /dev/null
+++ b/tests/app/SettingsTest.cpp
@@ -0,0 +1,90 @@
+#include "app/Settings.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+
+using namespace greengagestair;
+
+static const std::string kGood = R"({
+    // An entry host.
+    "host": "shubra-1", "failureDomain": "shubra", "callerEndpoint": "127.0.1.1:8080",
+    "peerEndpoint": "127.0.1.1:7400", "platform": ["127.0.0.1:7500"],
+    "seeds": ["127.0.2.1:7400", "[::1]:7400"], "stopTimeoutMs": 2500, "logLevel": "warning",
+})";
+
+static std::string replaced(const std::string &from, const std::string &to)
+{
+    std::string text = kGood;
+    const auto position = text.find(from);
+    REQUIRE(position != std::string::npos);
+    return text.replace(position, from.size(), to);
+}
+
+/** The JSON path of the problem if it is of the given kind. */
+template <typename Kind>
+static std::string problemPath(const std::string &text)
+{
+    return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::string> {
+                BOOST_LEAF_CHECK(parseSettings(text, "host.json"));
+                return std::string("accepted");
+            },
+            [](const SettingsProblem &problem, const Kind &) {
+                REQUIRE(problem.file == "host.json");
+                REQUIRE_FALSE(problem.expected.empty());
+                return problem.path;
+            },
+            [](const SettingsProblem &problem) { return "other kind at " + problem.path; },
+            [] { return std::string("no details"); });
+}
+
+TEST_CASE("settings are read with comments, units and defaults", "[settings]")
+{
+    const auto settings = parseSettings(kGood, "host.json");
+    REQUIRE(settings);
+    REQUIRE(settings->host.value == "shubra-1");
+    REQUIRE(settings->seeds[1] == Endpoint { "::1", 7400 });
+    REQUIRE(settings->stopTimeout == std::chrono::milliseconds(2500));
+    REQUIRE(settings->logLevel == LogLevel::Warning);
+    REQUIRE(settings->httpThreads == 2);
+    REQUIRE(settings->maxBodyBytes == 65536);
+}
+
+TEST_CASE("each mistake in the settings is refused with its place", "[settings]")
+{
+    using Unknown = SettingsUnknownKey;
+    using Missing = SettingsMissingKey;
+    using Type = SettingsWrongType;
+    using Range = SettingsOutOfRange;
+    using Duplicate = SettingsDuplicateAddress;
+    REQUIRE(problemPath<Unknown>(replaced("stopTimeoutMs", "stopTimeoutSec"))
+            == "$.stopTimeoutSec");
+    REQUIRE(problemPath<Missing>(replaced("\"host\": \"shubra-1\",", "")) == "$.host");
+    REQUIRE(problemPath<Type>(replaced("2500", "\"2.5s\"")) == "$.stopTimeoutMs");
+    REQUIRE(problemPath<Type>(replaced("2500", "2500.0")) == "$.stopTimeoutMs");
+    REQUIRE(problemPath<Range>(replaced("2500", "99")) == "$.stopTimeoutMs");
+    REQUIRE(problemPath<Range>(replaced("2500", "18446744073709551615")) == "$.stopTimeoutMs");
+    REQUIRE(problemPath<Range>(replaced("warning", "loud")) == "$.logLevel");
+    REQUIRE(problemPath<Range>(replaced("\"shubra-1\"", "\"shubra 1\"")) == "$.host");
+    REQUIRE(problemPath<Range>(replaced("[\"127.0.0.1:7500\"]", "[]")) == "$.platform");
+    REQUIRE(problemPath<Type>(replaced("127.0.0.1:7500", "localhost:7500")) == "$.platform[0]");
+    REQUIRE(problemPath<Type>(replaced("127.0.0.1:7500", "127.0.0.1:0")) == "$.platform[0]");
+    REQUIRE(problemPath<Type>(replaced("127.0.0.1:7500", "127.0.0.1:65536")) == "$.platform[0]");
+    REQUIRE(problemPath<Type>(replaced("127.0.0.1:7500", "::1:7500")) == "$.platform[0]");
+    REQUIRE(problemPath<Duplicate>(replaced("127.0.2.1:7400", "127.0.1.1:7400")) == "$.seeds[0]");
+    REQUIRE(problemPath<Type>("[]") == "$");
+    REQUIRE(problemPath<SettingsSyntaxError>("{\n  \"host\": }") == "line 2, column 11");
+    REQUIRE(problemPath<SettingsSyntaxError>(kGood + "x").starts_with("line 6"));
+    REQUIRE(problemPath<SettingsSyntaxError>("{").starts_with("line 1"));
+}
+
+TEST_CASE("a missing settings file is an error of its own", "[settings]")
+{
+    const bool isUnreadable = boost::leaf::try_handle_all(
+            []() -> boost::leaf::result<bool> {
+                BOOST_LEAF_CHECK(readSettings("no-such-file.json"));
+                return false;
+            },
+            [](SettingsUnreadable) { return true; }, [] { return false; });
+    REQUIRE(isUnreadable);
+}
