--- a/bench/Direct.cpp
+++ b/bench/Direct.cpp
@@ -4,7 +4,7 @@
 // part to a random replica directly, with the deadline as its only means against faults. It reads
 // the configuration again when the file changes.
 
-#include "bench/HttpConnection.h"
+#include "standins/HttpConnection.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -29,6 +29,9 @@
 
 namespace asio = boost::asio;
 namespace json = boost::json;
+using standins::HttpConnection;
+using standins::HttpRequest;
+using standins::HttpResponse;
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
--- a/bench/LoadGenerator.cpp
+++ b/bench/LoadGenerator.cpp
@@ -11,7 +11,7 @@
 // that every body differs. Latency counts from the planned time of a request, so that a late
 // generator does not hide slow answers.
 
-#include "bench/HttpConnection.h"
+#include "standins/HttpConnection.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -33,6 +33,9 @@
 
 namespace asio = boost::asio;
 namespace json = boost::json;
+using standins::HttpConnection;
+using standins::HttpRequest;
+using standins::HttpResponse;
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 using Seconds = std::chrono::duration<double>;
--- a/standins/BackendServer.h
+++ b/standins/BackendServer.h
@@ -42,6 +42,8 @@
 
     const ServerIdentity &identity() const { return m_identity; }
     ServerOptions &options() { return m_options; }
+    /** Where it listens, with the port that the system chose if 0 was asked for. */
+    boost::asio::ip::tcp::endpoint endpoint() const { return m_server->endpoint(); }
 
     void open();
     /** Loses all work, resets all connections and refuses new ones until `restart`. */
--- a/bench/HttpConnection.cpp
+++ b/standins/HttpConnection.cpp
@@ -1,10 +1,10 @@
-#include "bench/HttpConnection.h"
+#include "standins/HttpConnection.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
-namespace greengagestair::bench {
+namespace greengagestair::standins {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -66,4 +66,4 @@
     m_socket.close(ignored);
 }
 
-} // namespace greengagestair::bench
+} // namespace greengagestair::standins
--- a/bench/HttpConnection.h
+++ b/standins/HttpConnection.h
@@ -4,11 +4,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 
-namespace greengagestair::bench {
-
-using standins::HttpHeaders;
-using standins::HttpRequest;
-using standins::HttpResponse;
+namespace greengagestair::standins {
 
 /** One kept-open HTTP/1.1 connection that carries one request at a time. */
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
@@ -34,4 +30,4 @@
     bool m_sent = false;
 };
 
-} // namespace greengagestair::bench
+} // namespace greengagestair::standins
