--- a/src/core/Quarantine.cpp
+++ b/src/core/Quarantine.cpp
@@ -16,10 +16,17 @@
 
 void Quarantine::partLost(StepContext &, Signature, const ServerId &) { }
 
+void Quarantine::partRefused(StepContext &, Signature) { }
+
 void Quarantine::serverLost(StepContext &, const ServerId &, const std::vector<Signature> &) { }
 
 void Quarantine::signatureAnswered(StepContext &, Signature) { }
 
+bool Quarantine::mayRun(Signature, bool) const
+{
+    return true;
+}
+
 void Quarantine::onTick(StepContext &) { }
 
 MonotonicTime Quarantine::nextWakeUp() const
