--- a/src/core/JsonReader.cpp
+++ b/src/core/JsonReader.cpp
@@ -98,7 +98,7 @@
 
 std::string JsonReader::address(std::string_view key) const
 {
-    const std::string address = text(key, kMaxNameLength);
+    std::string address = text(key, kMaxNameLength);
     if (has(key) && !isAddress(address))
         fault(DocumentErrorKind::BadText, key, "an IP address in numbers");
     return address;
