--- a/tests/core/CellSimulation.cpp
+++ b/tests/core/CellSimulation.cpp
@@ -54,6 +54,7 @@
     options.incarnation = { static_cast<std::uint64_t>(m_now.time_since_epoch().count()) };
     options.failureDomain = { domain };
     options.peerEndpoint = { "127.0.1." + std::to_string(1 + hashBytes(host) % 250), 7400 };
+    options.seeds = seeds;
     options.randomSeed = m_random();
     options.mechanisms = m_mechanisms;
     m_hostsByAddress[options.peerEndpoint.address] = host;
@@ -179,8 +180,12 @@
             at(m_now + delay, [this, host, incarnation, finished] {
                 if (!m_nodes.contains(host) || node(host).options.incarnation != incarnation)
                     return;
-                step(host, [this, host, finished](StepContext &context) {
-                    node(host).platform.deliver(context, finished);
+                // An answer that was on its way or waited for when the platform went down is lost.
+                const PlatformFinished received = platform.down
+                        ? PlatformFinished { finished.call, PlatformFailure { {}, true } }
+                        : finished;
+                step(host, [this, host, received](StepContext &context) {
+                    node(host).platform.deliver(context, received);
                 });
             });
         };
--- a/tests/core/CellSimulation.h
+++ b/tests/core/CellSimulation.h
@@ -65,6 +65,7 @@
     bool allServed(const std::string &domain = "shubra") const;
 
     FakePlatform platform;
+    std::vector<Endpoint> seeds; ///< of processes started from now on
     Duration slowestMessage = std::chrono::milliseconds(2);
     std::uint64_t violations = 0; ///< instants at which two hosts may act for one server
     std::string firstViolation;   ///< with the state of both hosts
