--- a/src/core/DocumentSet.cpp
+++ b/src/core/DocumentSet.cpp
@@ -65,6 +65,7 @@
     GREENGAGESTAIR_ASSERT(version > entry.version || !m_mechanisms.versionOrder);
     entry.version = version;
     entry.content = content;
+    noteVersion(key, version);
     return Adoption::Adopted;
 }
 
@@ -100,6 +101,12 @@
     return versions;
 }
 
+Revision DocumentSet::memberListVersion(const FailureDomainId &domain) const
+{
+    const auto found = m_memberListVersions.find(domain);
+    return found == m_memberListVersions.end() ? Revision {} : found->second;
+}
+
 const ServiceSnapshots *DocumentSet::snapshots(const ServiceId &service) const
 {
     const auto found = m_snapshots.find(service);
@@ -177,6 +184,23 @@
             [] { return false; });
 }
 
+void DocumentSet::noteVersion(const PlatformKey &key, Revision version)
+{
+    switch (documentKind(key)) {
+    case DocumentKind::Configuration:
+        m_configurationVersion = version;
+        break;
+    case DocumentKind::Hosts:
+        m_hostListVersion = version;
+        break;
+    case DocumentKind::Members:
+        m_memberListVersions[{ withoutPrefix(key, kMembersPrefix) }] = version;
+        break;
+    default:
+        break;
+    }
+}
+
 void DocumentSet::indexConfiguration()
 {
     m_servers.clear();
--- a/src/core/DocumentSet.h
+++ b/src/core/DocumentSet.h
@@ -41,6 +41,10 @@
     std::vector<DocumentVersion> versions() const;
     const std::optional<DocumentError> &lastError() const { return m_lastError; }
 
+    Revision configurationVersion() const { return m_configurationVersion; }
+    Revision hostListVersion() const { return m_hostListVersion; }
+    Revision memberListVersion(const FailureDomainId &domain) const;
+
     const Configuration *configuration() const { return m_configuration.get(); }
     const ServiceSnapshots *snapshots(const ServiceId &service) const;
     const MemberList *members(const FailureDomainId &domain) const;
@@ -60,11 +64,16 @@
 
     /** Parses and puts in force; nothing is changed when the content is malformed. */
     bool parseInto(const PlatformKey &key, const std::string &content);
+    void noteVersion(const PlatformKey &key, Revision version);
     void indexConfiguration();
     void indexHosts();
 
     const MechanismSwitches m_mechanisms;
     std::map<PlatformKey, Held> m_held;
+    /** Copies of versions in m_held: modules compare them after every event. */
+    Revision m_configurationVersion;
+    Revision m_hostListVersion;
+    std::map<FailureDomainId, Revision> m_memberListVersions;
     std::optional<DocumentError> m_lastError;
     std::unique_ptr<const Configuration> m_configuration;
     std::unordered_map<ServiceId, ServiceSnapshots> m_snapshots;
--- a/src/core/DocumentStore.cpp
+++ b/src/core/DocumentStore.cpp
@@ -64,7 +64,7 @@
 
 Revision DocumentStore::configurationVersion() const
 {
-    return m_documents.version({ kConfigurationKey });
+    return m_documents.configurationVersion();
 }
 
 const ServiceSnapshots *DocumentStore::snapshots(const ServiceId &service) const
@@ -79,7 +79,7 @@
 
 Revision DocumentStore::memberListVersion(const FailureDomainId &domain) const
 {
-    return m_documents.version(membersKey(domain));
+    return m_documents.memberListVersion(domain);
 }
 
 bool DocumentStore::memberListConfirmed(const FailureDomainId &domain) const
@@ -95,7 +95,7 @@
 
 Revision DocumentStore::hostListVersion() const
 {
-    return m_documents.version({ kHostsKey });
+    return m_documents.hostListVersion();
 }
 
 const QuarantineList &DocumentStore::quarantine() const
--- a/src/core/HostPresence.cpp
+++ b/src/core/HostPresence.cpp
@@ -9,8 +9,12 @@
 {
 }
 
-bool HostPresence::update(const MemberList *members)
+bool HostPresence::update(const MemberList *members, Revision memberListVersion)
 {
+    const bool newHostList = m_documents.hostListVersion() != m_readVersion;
+    if (!newHostList && memberListVersion == m_comparedVersion)
+        return false;
+    m_comparedVersion = memberListVersion;
     readHostList();
     std::map<HostId, Revision> goneEntries;
     std::set<HostId> gone;
--- a/src/core/HostPresence.h
+++ b/src/core/HostPresence.h
@@ -23,7 +23,7 @@
     explicit HostPresence(const DocumentView &documents);
 
     /** Compares the members with the host list in force; true if the set of gone ones changed. */
-    bool update(const MemberList *members);
+    bool update(const MemberList *members, Revision memberListVersion);
 
     const std::set<HostId> &gone() const { return m_gone; }
     /** Whether the host list in force shows the host. */
@@ -33,7 +33,8 @@
     void readHostList();
 
     const DocumentView &m_documents;
-    Revision m_readVersion;
+    Revision m_readVersion;     ///< of the host list
+    Revision m_comparedVersion; ///< of the member list
     std::unordered_set<std::string> m_shown;
     std::map<HostId, Revision> m_goneEntries; ///< with the revision that admitted them
     std::set<HostId> m_gone;
--- a/src/core/Membership.cpp
+++ b/src/core/Membership.cpp
@@ -75,6 +75,8 @@
 {
     if (!mayActFor(server, now))
         return std::nullopt;
+    if (!m_options.mechanisms.ownershipGrants)
+        return Tenure { MonotonicTime(), true };
     if (!m_majoritySince)
         return Tenure { now, false };
     const CellView &view = m_current.holds(server, now) || !m_previous ? m_current : *m_previous;
@@ -294,8 +296,8 @@
 void Membership::followDocuments(StepContext &context)
 {
     const MemberList *list = m_documents.members(m_options.failureDomain);
-    const bool goneChanged = m_presence.update(list);
     const Revision version = m_documents.memberListVersion(m_options.failureDomain);
+    const bool goneChanged = m_presence.update(list, version);
     if (list && version != m_current.version())
         adoptList(context, *list);
     else if (goneChanged)
--- a/tests/core/MembershipTest.cpp
+++ b/tests/core/MembershipTest.cpp
@@ -45,6 +45,166 @@
     REQUIRE(actors.size() == 3);
 }
 
+/** Servers of which the host is the only actor. */
+static std::vector<ServerId> servedBy(const CellSimulation &cell, const std::string &host)
+{
+    std::vector<ServerId> servers;
+    for (const ServerId &server : cell.servers()) {
+        if (cell.actors(server) == std::vector<std::string> { host })
+            servers.push_back(server);
+    }
+    return servers;
+}
+
+TEST_CASE("the servers of a killed host are taken over after kTakeoverSilence", "[membership]")
+{
+    CellSimulation cell(2);
+    startCell(cell, kThree);
+    const ServerId server = servedBy(cell, "shubra-1").at(0);
+    cell.kill("shubra-1");
+    cell.run(kTakeoverSilence - kHeartbeatInterval);
+    REQUIRE(cell.actors(server).empty());
+    // The failure is noticed at a heartbeat and reported with the ack of the next.
+    cell.run(3 * kHeartbeatInterval);
+    REQUIRE(cell.actors(server).size() == 1);
+    const auto tenure = cell.node(cell.actors(server)[0]).membership.tenure(server, cell.now());
+    REQUIRE(cell.now() - tenure->since <= 2 * kHeartbeatInterval);
+    REQUIRE_FALSE(tenure->released);
+    REQUIRE(cell.violations == 0);
+}
+
+TEST_CASE("a planned leave hands over without the silence and without a wait", "[membership]")
+{
+    CellSimulation cell(3);
+    startCell(cell, kThree);
+    const ServerId server = servedBy(cell, "shubra-1").at(0);
+    cell.leave("shubra-1");
+    REQUIRE(cell.actors(server).empty());
+    cell.run(kHeartbeatInterval + 20ms);
+    REQUIRE(cell.allServed());
+    const auto tenure = cell.node(cell.actors(server)[0]).membership.tenure(server, cell.now());
+    REQUIRE(tenure->released);
+    cell.run(5s); // a released host that still runs gets nothing back
+    REQUIRE(servedBy(cell, "shubra-1").empty());
+    cell.start("shubra-1"); // its next process does
+    REQUIRE(timeUntilServed(cell, 10s) < 10s);
+    cell.run(10s);
+    REQUIRE_FALSE(servedBy(cell, "shubra-1").empty());
+    REQUIRE(cell.violations == 0);
+}
+
+TEST_CASE("a host that was paused may not act when it wakes", "[membership]")
+{
+    CellSimulation cell(4);
+    startCell(cell, kThree);
+    const std::vector<ServerId> servers = servedBy(cell, "shubra-1");
+    cell.freeze("shubra-1", 1600ms);
+    cell.run(1599ms);
+    const Membership &woken = cell.node("shubra-1").membership;
+    REQUIRE_FALSE(woken.mayActFor(servers.at(0), cell.now() + 1ms));
+    cell.run(5s);
+    REQUIRE(servedBy(cell, "shubra-1") == servers);
+}
+
+TEST_CASE("a minority serves nothing until the platform drops the lost hosts", "[membership]")
+{
+    CellSimulation cell(5);
+    startCell(cell, kFive);
+    for (const std::string host : { "shubra-2", "shubra-3", "shubra-4", "shubra-5" })
+        cell.kill(host);
+    cell.run(20s);
+    REQUIRE(servedBy(cell, "shubra-1").empty());
+    cell.platform.setHosts({ "shubra-1" });
+    cell.run(8s);
+    REQUIRE(cell.allServed());
+    cell.run(20s);
+    REQUIRE(cell.node("shubra-1").documents.members({ "shubra" })->members.size() == 1);
+}
+
+TEST_CASE("a cell whose hosts were all replaced forms anew", "[membership]")
+{
+    CellSimulation cell(6);
+    startCell(cell, kThree);
+    for (const std::string &host : kThree)
+        cell.kill(host);
+    startCell(cell, { "shubra-6", "shubra-7" });
+    cell.run(15s);
+    REQUIRE(cell.allServed());
+    REQUIRE(cell.violations == 0);
+}
+
+TEST_CASE("a platform outage disturbs no owner", "[membership]")
+{
+    CellSimulation cell(7);
+    startCell(cell, kThree);
+    const std::vector<ServerId> servers = servedBy(cell, "shubra-1");
+    cell.platform.down = true;
+    for (int second = 0; second < 60; ++second) {
+        cell.run(1s);
+        REQUIRE(servedBy(cell, "shubra-1") == servers);
+    }
+    cell.kill("shubra-2"); // exclusion and takeover do not need the platform
+    cell.run(3s);
+    REQUIRE(cell.allServed());
+    // Nor does a restart: members and documents are learned from peers.
+    cell.seeds = { cell.node("shubra-1").options.peerEndpoint };
+    cell.start("shubra-2");
+    cell.run(10s);
+    REQUIRE(cell.allServed());
+    REQUIRE_FALSE(servedBy(cell, "shubra-2").empty());
+}
+
+TEST_CASE("adding a host moves only the servers that it ranks first for", "[membership]")
+{
+    CellSimulation cell(8);
+    startCell(cell, kThree);
+    cell.platform.setHosts({ "shubra-1", "shubra-2", "shubra-3", "shubra-4" });
+    std::map<std::string, std::string> before;
+    for (const ServerId &server : cell.servers()) {
+        if (!cell.actors(server).empty())
+            before[server.value] = cell.actors(server)[0];
+    }
+    cell.start("shubra-4");
+    int gaps = 0;
+    for (int slice = 0; slice < 1500; ++slice) {
+        cell.run(10ms);
+        for (const auto &[server, owner] : before) {
+            const std::optional<Member> expected =
+                    cell.node("shubra-1").membership.ownerOf({ server }, cell.now());
+            const bool kept = expected && expected->host.value == owner;
+            gaps += kept && cell.actors({ server }).empty();
+        }
+    }
+    REQUIRE_FALSE(servedBy(cell, "shubra-4").empty());
+    REQUIRE(gaps == 0);
+    REQUIRE(cell.violations == 0);
+}
+
+TEST_CASE("entry hosts follow lost connections and reports on owners of other cells",
+          "[membership]")
+{
+    CellSimulation cell(9);
+    cell.platform.setHosts({ "shubra-1", "shubra-2", "shubra-3", "bulaq-1" });
+    cell.start("bulaq-1", "bulaq");
+    for (const std::string &host : kThree)
+        cell.start(host);
+    cell.run(20s);
+    const ServerId server = servedBy(cell, "shubra-1").at(0);
+    const auto owner = [&] {
+        return cell.node("bulaq-1").membership.ownerOf(server, cell.now())->host.value;
+    };
+    REQUIRE(owner() == "shubra-1");
+    cell.step("bulaq-1", [&](StepContext &context) {
+        cell.node("bulaq-1").membership.onPeerLost(context, { "shubra-1" });
+    });
+    REQUIRE(owner() != "shubra-1");
+    cell.run(2s);
+    REQUIRE(owner() == "shubra-1");
+    cell.kill("shubra-1");
+    cell.run(6s);
+    REQUIRE(owner() == cell.actors(server).at(0));
+}
+
 /** One fault drawn at random; up to half of the hosts may be down, frozen or cut at a time. */
 static void injectFault(CellSimulation &cell, std::mt19937_64 &random,
                         std::vector<std::string> &live, int &lastHost)
