--- a/src/core/Membership.cpp
+++ b/src/core/Membership.cpp
@@ -106,6 +106,11 @@
     return std::min(until, now + kGrantDuration);
 }
 
+bool Membership::holdsCurrentGrants(MonotonicTime now) const
+{
+    return m_trusted && now < m_current.grantsUntil();
+}
+
 void Membership::onHeartbeat(StepContext &context, const PeerEnvelope &envelope,
                              const Heartbeat &heartbeat)
 {
@@ -168,8 +173,8 @@
     // A listed host asks if it has seen itself dropped from the host list: it needs a new entry.
     const bool unchanged = listed && listed->endpoint == request.endpoint
             && listed->listedAt >= m_documents.hostListVersion();
-    if (!isOwnCell(request.failureDomain) || unchanged || !mayEditList(context.now())
-        || !m_presence.shows(envelope.sender)) {
+    if (!isOwnCell(request.failureDomain) || unchanged || m_editor.isBusy()
+        || !holdsCurrentGrants(context.now()) || !m_presence.shows(envelope.sender)) {
         context.counters.add("join_requests_refused_total");
         return;
     }
@@ -467,7 +472,7 @@
         askToJoin(context);
         return;
     }
-    if (!gone.empty() && mayEditList(context.now()))
+    if (!gone.empty() && holdsCurrentGrants(context.now()))
         m_editor.remove(context, m_current.version(), *gone.begin());
 }
 
@@ -490,9 +495,4 @@
                               JoinRequest { m_options.failureDomain, m_options.peerEndpoint } });
 }
 
-bool Membership::mayEditList(MonotonicTime now) const
-{
-    return m_trusted && now < m_current.grantsUntil() && !m_editor.isBusy();
-}
-
 } // namespace greengagestair
--- a/src/core/Membership.h
+++ b/src/core/Membership.h
@@ -32,6 +32,9 @@
     std::optional<Tenure> tenure(const ServerId &server, MonotonicTime now) const override;
     MonotonicTime grantsUntil(MonotonicTime now) const override;
 
+    /** Whether a majority grants at the newest list; such a member may change the list. */
+    bool holdsCurrentGrants(MonotonicTime now) const;
+
     void onHeartbeat(StepContext &context, const PeerEnvelope &envelope,
                      const Heartbeat &heartbeat);
     void onHeartbeatAck(StepContext &context, const PeerEnvelope &envelope,
@@ -76,7 +79,6 @@
 
     void editList(StepContext &context);
     void askToJoin(StepContext &context);
-    bool mayEditList(MonotonicTime now) const;
 
     const ReducerOptions m_options;
     DocumentView &m_documents;
--- a/tests/core/MembershipTest.cpp
+++ b/tests/core/MembershipTest.cpp
@@ -1,4 +1,5 @@
 #include "core/CellSimulation.h"
+#include "core/DocumentParsers.h"
 
 #include <catch2/catch.hpp>
 
@@ -205,6 +206,25 @@
     REQUIRE(owner() == cell.actors(server).at(0));
 }
 
+/**
+ * An operator takes a host that still runs off the list: only then can a member act at an old list
+ * while another acts for its servers at the new one. The operator waits until a majority holds the
+ * list that is replaced, as members do.
+ */
+static void takeOffList(CellSimulation &cell, const std::string &host, const std::string &editor)
+{
+    const DocumentStore &documents = cell.node(editor).documents;
+    const MemberList *list = documents.members({ "shubra" });
+    const bool current = list && list->members.size() > 1
+            && documents.memberListVersion({ "shubra" })
+                    == cell.platform.revision("members/shubra");
+    if (!current || !cell.node(editor).membership.holdsCurrentGrants(cell.now()))
+        return;
+    MemberList shorter = *list;
+    std::erase_if(shorter.members, [&](const Member &member) { return member.host.value == host; });
+    cell.platform.put("members/shubra", formatMemberList(shorter));
+}
+
 /** One fault drawn at random; up to half of the hosts may be down, frozen or cut at a time. */
 static void injectFault(CellSimulation &cell, std::mt19937_64 &random,
                         std::vector<std::string> &live, int &lastHost)
@@ -215,7 +235,7 @@
     const std::string host = live[below(live.size())];
     const std::string other = live[below(live.size())];
     const auto length = std::chrono::milliseconds(100 + below(6000));
-    switch (below(10)) {
+    switch (below(11)) {
     case 0:
     case 1:
         cell.cut(host, other);
@@ -250,6 +270,9 @@
         cell.platform.setHosts(live);
         cell.start(live.back());
         break;
+    case 10:
+        takeOffList(cell, host, other);
+        break;
     }
 }
 
@@ -304,3 +327,37 @@
     mechanisms.ownershipGrants = false;
     REQUIRE(runUnderFaults(1, kThree, mechanisms, nullptr) > 0);
 }
+
+TEST_CASE("a restarted host does not grant at a list older than one that it granted at before",
+          "[membership]")
+{
+    CellSimulation cell(10);
+    startCell(cell, kThree);
+    const auto isolate = [&cell](const std::string &host, const std::vector<std::string> &others) {
+        for (const std::string &other : others) {
+            cell.cut(host, other);
+            cell.cut(other, host);
+        }
+    };
+    isolate("shubra-3", { "shubra-1", "shubra-2", "shubra-4", "shubra-5", "platform" });
+    cell.platform.setHosts(kFive);
+    cell.start("shubra-4");
+    cell.run(10s);
+    cell.start("shubra-5");
+    cell.run(10s);
+    REQUIRE(cell.node("shubra-1").documents.members({ "shubra" })->members.size() == 5);
+    REQUIRE(cell.node("shubra-3").documents.members({ "shubra" })->members.size() == 3);
+    // Host 2 has granted at the list of five. It restarts and reaches only host 3, which knows the
+    // list of three: together they are a majority of that one.
+    cell.heal();
+    isolate("shubra-3", { "shubra-1", "shubra-4", "shubra-5", "platform" });
+    isolate("shubra-2", { "shubra-1", "shubra-4", "shubra-5", "platform" });
+    cell.seeds = { cell.node("shubra-3").options.peerEndpoint };
+    cell.start("shubra-2");
+    cell.run(20s);
+    REQUIRE(cell.node("shubra-2").documents.members({ "shubra" }));
+    REQUIRE(cell.violations == 0);
+    cell.heal();
+    cell.run(10s);
+    REQUIRE(cell.allServed());
+}
