Silence a false finding of clang-tidy in comparisons of names and numbers

modernize-use-nullptr reports the 0 that the compiler puts into a rewritten comparison at each use of < on these types, for example as keys of std::map. The check stays on elsewhere.

--- a/include/greengagestair/Types.h
+++ b/include/greengagestair/Types.h
@@ -45,7 +45,8 @@
 {
     std::string value;
 
-    auto operator<=>(const Name &) const = default;
+    // clang-tidy mistakes the 0 of a rewritten comparison for a null pointer.
+    auto operator<=>(const Name &) const = default; // NOLINT(modernize-use-nullptr)
     bool empty() const { return value.empty(); }
 };
 
@@ -72,7 +73,8 @@
 {
     std::uint64_t value = 0;
 
-    auto operator<=>(const Number &) const = default;
+    // clang-tidy mistakes the 0 of a rewritten comparison for a null pointer.
+    auto operator<=>(const Number &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /** Start time of a process in microseconds since the Unix epoch; a later process of a host has a
