Add the ledger of non-repeatable requests

A request that may not be repeated needs a record in the platform that any host can decide from. Each update (claim, result, release, outcome query) is applied to the bucket's content as it is in the platform, as often as needed until a write is confirmed; lost answers and conflicts therefore have one treatment, reading and applying again. A claim that finds its own token is confirmed. A claim that was refused at its deadline with a write of unknown outcome becomes a release, which writes an entry even where it finds none: that raises the revision, so the delayed claim conflicts. Entries expire by the time in their identifier, which does not depend on the clock of the writer.

--- /dev/null
+++ b/src/core/LedgerBucket.cpp
@@ -0,0 +1,174 @@
+#include "core/LedgerBucket.h"
+
+#include "core/LedgerIdentifier.h"
+
+#include <boost/json.hpp>
+#include <boost/leaf/error.hpp>
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+namespace greengagestair {
+
+/** Field names, punctuation and numbers of one entry: at most 4 numbers of 20 digits. */
+static constexpr std::size_t kEntryFrameBytes = 224;
+
+struct StateName
+{
+    LedgerState state;
+    std::string_view name;
+};
+
+static constexpr std::array kStateNames {
+    StateName { LedgerState::Claimed, "claimed" },
+    StateName { LedgerState::Done, "done" },
+    StateName { LedgerState::Released, "released" },
+    StateName { LedgerState::NotRun, "notRun" },
+};
+
+static std::string_view nameOf(LedgerState state)
+{
+    return kStateNames.at(static_cast<std::size_t>(state)).name;
+}
+
+/** Throws what Boost.JSON throws, or std::invalid_argument. */
+static LedgerState stateOf(const json::value &value)
+{
+    const std::string_view name = value.as_string();
+    for (const StateName &candidate : kStateNames) {
+        if (candidate.name == name)
+            return candidate.state;
+    }
+    throw std::invalid_argument("state");
+}
+
+static std::string textOf(const json::value &value)
+{
+    return std::string(value.as_string());
+}
+
+static LedgerEntry readEntry(const json::object &object)
+{
+    LedgerEntry entry;
+    entry.key = { textOf(object.at("id")) };
+    entry.state = stateOf(object.at("state"));
+    entry.token.host = { textOf(object.at("host")) };
+    entry.token.incarnation = { json::value_to<std::uint64_t>(object.at("incarnation")) };
+    entry.token.counter = json::value_to<std::uint64_t>(object.at("counter"));
+    const auto milliseconds = json::value_to<std::int64_t>(object.at("timeMs"));
+    entry.time = WallTime(std::chrono::milliseconds(milliseconds));
+    if (const json::value *snapshot = object.if_contains("snapshot"))
+        entry.snapshot = { json::value_to<std::uint64_t>(*snapshot) };
+    if (const json::value *result = object.if_contains("result"))
+        entry.body = textOf(*result);
+    if (const json::value *omitted = object.if_contains("resultOmitted"))
+        entry.resultOmitted = omitted->as_bool();
+    return entry;
+}
+
+static json::object writeEntry(const LedgerEntry &entry)
+{
+    const auto time = std::chrono::floor<std::chrono::milliseconds>(entry.time.time_since_epoch());
+    json::object object;
+    object["id"] = entry.key.value;
+    object["state"] = nameOf(entry.state);
+    object["host"] = entry.token.host.value;
+    object["incarnation"] = entry.token.incarnation.value;
+    object["counter"] = entry.token.counter;
+    object["timeMs"] = time.count();
+    if (entry.state != LedgerState::Done)
+        return object;
+    object["snapshot"] = entry.snapshot.value;
+    if (entry.resultOmitted)
+        object["resultOmitted"] = true;
+    else
+        object["result"] = entry.body;
+    return object;
+}
+
+/** Results are bytes as the backend server sent them, not always UTF-8. */
+static json::value parseText(const std::string &text)
+{
+    json::parse_options options;
+    options.allow_invalid_utf8 = true;
+    return json::parse(text, {}, options);
+}
+
+leaf::result<LedgerBucket> LedgerBucket::parse(const std::string &text)
+{
+    LedgerBucket bucket;
+    try {
+        const json::value value = parseText(text);
+        for (const json::value &entry : value.as_object().at("entries").as_array())
+            bucket.put(readEntry(entry.as_object()));
+    } catch (const std::exception &) {
+        return leaf::new_error(MalformedLedgerBucket {});
+    }
+    return bucket;
+}
+
+std::string LedgerBucket::serialize() const
+{
+    json::array entries;
+    entries.reserve(m_entries.size());
+    for (const auto &[key, entry] : m_entries)
+        entries.push_back(writeEntry(entry));
+    return json::serialize(json::object { { "entries", std::move(entries) } });
+}
+
+const LedgerEntry *LedgerBucket::find(const IdempotencyKey &key) const
+{
+    const auto found = m_entries.find(key);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+void LedgerBucket::put(LedgerEntry entry)
+{
+    const auto found = m_entries.find(entry.key);
+    if (found != m_entries.end()) {
+        m_bytes -= entryBytes(found->second);
+        m_entries.erase(found);
+    }
+    m_bytes += entryBytes(entry);
+    IdempotencyKey key = entry.key;
+    m_entries.emplace(std::move(key), std::move(entry));
+}
+
+void LedgerBucket::dropExpired(WallTime now)
+{
+    // The time in the identifier counts, not the time of the entry: it does not depend on the
+    // clock of the host that wrote the entry.
+    const WallTime limit = now - kLedgerRetention - kLedgerClockMargin;
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        if (issueTime(it->first).value_or(it->second.time) >= limit) {
+            ++it;
+            continue;
+        }
+        m_bytes -= entryBytes(it->second);
+        it = m_entries.erase(it);
+    }
+}
+
+/** Length of a text as a JSON string without its quotes. */
+static std::size_t escapedBytes(const std::string &text)
+{
+    std::size_t bytes = 0;
+    for (const char c : text) {
+        const bool control = static_cast<unsigned char>(c) < 0x20;
+        const bool quoted = c == '"' || c == '\\';
+        bytes += control ? 6 : quoted ? 2 : 1;
+    }
+    return bytes;
+}
+
+std::size_t LedgerBucket::entryBytes(const LedgerEntry &entry)
+{
+    return kEntryFrameBytes + escapedBytes(entry.key.value) + escapedBytes(entry.token.host.value)
+            + escapedBytes(entry.body);
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/tests/core/RequestLedgerTest.cpp
@@ -0,0 +1,565 @@
+#include "core/RequestLedger.h"
+#include "core/LedgerIdentifier.h"
+
+#include <boost/json/object.hpp>
+#include <catch2/catch.hpp>
+
+#include <list>
+
+using namespace greengagestair;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Verdict = ClaimResult::Verdict;
+
+/** Seconds of all identifiers, and the time of day at which tests start. */
+static constexpr std::uint64_t kStartSeconds = 1'796'342'400;
+
+static const ServiceId kService { "order-ledger" };
+static const IdempotencyKey kKey { std::to_string(kStartSeconds) + "-order" };
+
+/** The platform's store, shared by hosts. */
+struct FakeStore
+{
+    struct Value
+    {
+        Revision revision;
+        std::string text;
+    };
+
+    decltype(PlatformFinished::result) apply(const CallPlatform &call)
+    {
+        ++calls;
+        if (const auto *read = std::get_if<ReadKey>(&call.request)) {
+            const auto found = values.find(read->key);
+            if (found == values.end())
+                return KeyAbsent { read->key };
+            return KeyValue { read->key, found->second.revision, found->second.text };
+        }
+        const auto &write = std::get<WriteKey>(call.request);
+        Value &value = values[write.key];
+        if (value.revision != write.expected)
+            return RevisionConflict { write.key, value.revision };
+        value = { { value.revision.value + 1 }, write.value };
+        return WriteAccepted { write.key, value.revision };
+    }
+
+    std::map<PlatformKey, Value> values;
+    int calls = 0;
+};
+
+/** What becomes of a call: whether it takes effect and whether its answer arrives. */
+enum class Fate { Answered, AnswerLost, Lost, NotSent };
+
+/** One host's ledger with a platform whose answers the test hands out. */
+class TestHost : public PlatformCaller
+{
+public:
+    TestHost(FakeStore &store, const std::string &name, MechanismSwitches mechanisms = {})
+        : m_store(store)
+        , m_ledger(optionsOf(name, mechanisms), *this)
+    {
+    }
+
+    CallId call(StepContext &, decltype(CallPlatform::request) request, Duration timeout,
+                PlatformHandler handler) override
+    {
+        const CallId id { ++m_lastCall };
+        pending.push_back({ { id, timeout, std::move(request) }, std::move(handler) });
+        return id;
+    }
+
+    Duration silence(MonotonicTime) const override { return {}; }
+
+    template <typename Step>
+    void step(Step action)
+    {
+        Effects effects;
+        const Instant instant { now, wall };
+        StepContext context { instant, effects, counters, m_random };
+        action(context);
+        m_ledger.onTick(context);
+    }
+
+    void advance(Duration time)
+    {
+        now += time;
+        wall += time;
+        step([](StepContext &) {});
+    }
+
+    /** Lets the oldest call have this fate. */
+    void answer(Fate fate = Fate::Answered)
+    {
+        REQUIRE_FALSE(pending.empty());
+        const Pending done = std::move(pending.front());
+        pending.pop_front();
+        PlatformFinished finished { done.call.call, PlatformFailure { {}, fate != Fate::NotSent } };
+        if (fate == Fate::Answered)
+            finished.result = m_store.apply(done.call);
+        if (fate == Fate::AnswerLost)
+            m_store.apply(done.call);
+        step([&](StepContext &context) { done.handler(context, finished); });
+    }
+
+    void answerAll()
+    {
+        while (!pending.empty())
+            answer();
+    }
+
+    void claim(const IdempotencyKey &key = kKey, Duration deadline = seconds(2))
+    {
+        step([&](StepContext &context) {
+            m_ledger.claim(context, kService, key, now + deadline, taker());
+        });
+    }
+
+    void findOutcome(Duration deadline = seconds(2))
+    {
+        step([&](StepContext &context) {
+            m_ledger.findOutcome(context, kService, kKey, now + deadline, taker());
+        });
+    }
+
+    void recordDone(const std::string &body)
+    {
+        step([&](StepContext &context) {
+            m_ledger.recordDone(
+                    context, kService, kKey, { 8 }, body, now + seconds(1),
+                    [this](StepContext &, bool recorded) { records.push_back(recorded); });
+        });
+    }
+
+    void release()
+    {
+        step([&](StepContext &context) { m_ledger.release(context, kService, kKey); });
+    }
+
+    bool idle() const { return m_ledger.idle(); }
+    MonotonicTime nextWakeUp() const { return m_ledger.nextWakeUp(); }
+
+    /** The only result since the last call. */
+    ClaimResult result()
+    {
+        REQUIRE(results.size() == 1);
+        const ClaimResult only = results.front();
+        results.clear();
+        return only;
+    }
+
+    struct Pending
+    {
+        CallPlatform call;
+        PlatformHandler handler;
+    };
+
+    MonotonicTime now { seconds(100) };
+    WallTime wall { seconds(kStartSeconds) };
+    CounterSet counters;
+    std::list<Pending> pending;
+    std::vector<ClaimResult> results;
+    std::vector<bool> records;
+
+private:
+    static ReducerOptions optionsOf(const std::string &name, MechanismSwitches mechanisms)
+    {
+        ReducerOptions options;
+        options.host = { name };
+        options.incarnation = { 1 };
+        options.mechanisms = mechanisms;
+        return options;
+    }
+
+    ClaimHandler taker()
+    {
+        return [this](StepContext &, const ClaimResult &taken) { results.push_back(taken); };
+    }
+
+    FakeStore &m_store;
+    RequestLedger m_ledger;
+    std::mt19937_64 m_random { 1 };
+    std::uint64_t m_lastCall = 0;
+};
+
+static LedgerBucket bucketIn(const FakeStore &store)
+{
+    return LedgerBucket::parse(store.values.at(ledgerBucketKey(kService, kKey)).text).value();
+}
+
+static LedgerState stateIn(const FakeStore &store)
+{
+    const LedgerBucket bucket = bucketIn(store);
+    const LedgerEntry *entry = bucket.find(kKey);
+    REQUIRE(entry);
+    return entry->state;
+}
+
+/** Identifiers in the bucket of kKey. */
+static std::vector<IdempotencyKey> neighbours(std::size_t count)
+{
+    std::vector<IdempotencyKey> keys;
+    for (int i = 0; keys.size() < count; ++i) {
+        const IdempotencyKey key { kKey.value + std::to_string(i) };
+        if (ledgerBucketKey(kService, key) == ledgerBucketKey(kService, kKey))
+            keys.push_back(key);
+    }
+    return keys;
+}
+
+// Guards against a request that runs again although its result is known.
+TEST_CASE("a recorded result is given to every later request", "[ledger]")
+{
+    FakeStore store;
+    TestHost a(store, "a");
+    TestHost b(store, "b");
+    a.claim();
+    a.answerAll();
+    REQUIRE(a.result().verdict == Verdict::Claimed);
+    b.claim();
+    b.answerAll();
+    REQUIRE(b.result().verdict == Verdict::MayHaveRun);
+    const std::string body("\x00\"\xff", 3);
+    a.recordDone(body);
+    a.answerAll();
+    REQUIRE(a.records == std::vector<bool> { true });
+    for (TestHost *host : { &a, &b }) {
+        host->advance(seconds(1));
+        host->claim();
+        host->answerAll();
+        const ClaimResult result = host->result();
+        REQUIRE(result.verdict == Verdict::Done);
+        REQUIRE(result.body == body);
+        REQUIRE(result.snapshot == IndexVersion { 8 });
+        REQUIRE(host->idle());
+    }
+}
+
+// Guards against two hosts that both run a request, and against none that may.
+TEST_CASE("of two hosts that race for an identifier one claims it", "[ledger]")
+{
+    FakeStore store;
+    TestHost a(store, "a");
+    TestHost b(store, "b");
+    a.claim();
+    b.claim();
+    a.answer();
+    b.answer(); // both have seen the empty bucket
+    a.answer();
+    b.answer();
+    b.answerAll();
+    REQUIRE(a.result().verdict == Verdict::Claimed);
+    const ClaimResult lost = b.result();
+    REQUIRE(lost.verdict == Verdict::MayHaveRun);
+    REQUIRE(lost.reason == QueryReason::ClaimedElsewhere);
+    REQUIRE(b.counters.value("ledger_conflicts_total") == 1);
+}
+
+// Guards against a conflict that overwrites the entries of another host.
+TEST_CASE("a conflict on a bucket keeps the entries of both hosts", "[ledger]")
+{
+    FakeStore store;
+    TestHost a(store, "a");
+    TestHost b(store, "b");
+    a.claim();
+    b.claim(neighbours(1).front());
+    a.answer();
+    b.answer();
+    a.answerAll();
+    b.answerAll();
+    REQUIRE(a.result().verdict == Verdict::Claimed);
+    REQUIRE(b.result().verdict == Verdict::Claimed);
+    REQUIRE(bucketIn(store).size() == 2);
+}
+
+// Guards against a claim that is taken for another host's when the answer to its write was lost.
+TEST_CASE("a lost answer is resolved by reading", "[ledger]")
+{
+    const Fate fate = GENERATE(Fate::AnswerLost, Fate::Lost, Fate::NotSent);
+    FakeStore store;
+    TestHost a(store, "a");
+    a.claim();
+    a.answer();
+    a.answer(fate);
+    REQUIRE(a.results.empty());
+    a.advance(milliseconds(200));
+    a.answerAll();
+    REQUIRE(a.result().verdict == Verdict::Claimed);
+    REQUIRE(bucketIn(store).find(kKey)->token.host == HostId { "a" });
+
+    a.recordDone("body");
+    a.answer(fate);
+    REQUIRE(a.records.empty());
+    a.advance(milliseconds(200));
+    a.answerAll();
+    REQUIRE(a.records == std::vector<bool> { true });
+    REQUIRE(stateIn(store) == LedgerState::Done);
+}
+
+// Guards against a refusal that leaves the identifier claimed for ever, and against a claim that is
+// confirmed after its refusal.
+TEST_CASE("a claim that is not confirmed in time is released", "[ledger]")
+{
+    const bool proof = GENERATE(true, false);
+    MechanismSwitches mechanisms;
+    mechanisms.refusalProof = proof;
+    FakeStore store;
+    TestHost a(store, "a", mechanisms);
+    a.claim();
+    a.answer();
+    a.advance(seconds(2));
+    const ClaimResult refused = a.result();
+    REQUIRE(refused.verdict == Verdict::NotRun);
+    REQUIRE(refused.reason == QueryReason::DeadlinePassed);
+    const Fate fate = GENERATE(Fate::Answered, Fate::AnswerLost);
+    a.answer(fate);
+    a.advance(milliseconds(200));
+    a.answerAll();
+    REQUIRE(a.results.empty());
+    REQUIRE(a.idle());
+    REQUIRE(stateIn(store) == (proof ? LedgerState::Released : LedgerState::Claimed));
+
+    TestHost b(store, "b");
+    b.claim();
+    b.answerAll();
+    REQUIRE(b.result().verdict == (proof ? Verdict::Claimed : Verdict::MayHaveRun));
+}
+
+// Guards against a claim that takes effect after its refusal and its release: nobody would ever
+// release it.
+TEST_CASE("a delayed claim cannot take effect after its release", "[ledger]")
+{
+    FakeStore store;
+    TestHost a(store, "a");
+    a.claim();
+    a.answer();
+    const CallPlatform delayed = a.pending.front().call;
+    a.answer(Fate::Lost);
+    a.advance(seconds(2));
+    a.answerAll();
+    REQUIRE(a.result().verdict == Verdict::NotRun);
+    REQUIRE(std::holds_alternative<RevisionConflict>(store.apply(delayed)));
+    REQUIRE(stateIn(store) == LedgerState::Released);
+}
+
+// Guards against "not run" that becomes untrue when a claim arrives later.
+TEST_CASE("an outcome query makes not run final", "[ledger]")
+{
+    FakeStore store;
+    TestHost a(store, "a");
+    TestHost b(store, "b");
+    a.claim();
+    a.answer();
+    b.findOutcome();
+    b.answerAll();
+    REQUIRE(b.result().verdict == Verdict::NotRun);
+    a.answerAll();
+    REQUIRE(a.result().verdict == Verdict::NotRun);
+    REQUIRE(stateIn(store) == LedgerState::NotRun);
+}
+
+TEST_CASE("an outcome query tells the state of the request", "[ledger]")
+{
+    FakeStore store;
+    TestHost a(store, "a");
+    TestHost b(store, "b");
+    const auto outcome = [](TestHost &host) {
+        host.advance(seconds(1));
+        host.findOutcome();
+        host.answerAll();
+        return host.result().verdict;
+    };
+    a.claim(kKey, seconds(60));
+    a.answerAll();
+    a.results.clear();
+    REQUIRE(outcome(a) == Verdict::MayHaveRun);
+    REQUIRE(outcome(b) == Verdict::MayHaveRun);
+    a.recordDone(std::string(5000, 'x')); // too long to be kept
+    a.answerAll();
+    REQUIRE(outcome(a) == Verdict::MayHaveRun);
+    b.findOutcome(milliseconds(500));
+    b.advance(milliseconds(500));
+    REQUIRE(b.result().verdict == Verdict::MayHaveRun);
+}
+
+// Guards against requests that hang or run while the platform is out.
+TEST_CASE("without the platform claims are refused and results not confirmed", "[ledger]")
+{
+    FakeStore store;
+    TestHost a(store, "a");
+    a.claim();
+    for (int i = 0; i < 3; ++i) {
+        REQUIRE(a.results.empty());
+        a.answer(Fate::NotSent);
+        a.advance(milliseconds(100));
+    }
+    const ClaimResult refused = a.result();
+    REQUIRE(refused.verdict == Verdict::NotRun);
+    REQUIRE(refused.reason == QueryReason::PlatformUnavailable);
+    REQUIRE(a.idle());
+
+    a.claim();
+    a.answerAll();
+    REQUIRE(a.result().verdict == Verdict::Claimed);
+    a.recordDone("body");
+    for (int i = 0; i < 60; ++i) { // a minute
+        while (!a.pending.empty())
+            a.answer(Fate::Lost);
+        a.advance(seconds(1));
+    }
+    REQUIRE(a.records == std::vector<bool> { false });
+    REQUIRE(a.counters.value("ledger_failed_writes_total") <= 1);
+    a.advance(seconds(5));
+    a.answerAll();
+    REQUIRE(stateIn(store) == LedgerState::Done);
+    REQUIRE(a.idle());
+}
+
+// Guards against one platform write per request.
+TEST_CASE("updates that arrive during a write go into the next one together", "[ledger]")
+{
+    FakeStore store;
+    TestHost a(store, "a");
+    a.claim();
+    a.answer();
+    for (const IdempotencyKey &key : neighbours(20))
+        a.claim(key);
+    REQUIRE(a.pending.size() == 1);
+    a.answerAll();
+    REQUIRE(a.results.size() == 21);
+    REQUIRE(a.counters.value("ledger_writes_total") == 2);
+}
+
+// Guards against two runs of one identifier on the same host.
+TEST_CASE("a second request waits for the end of the first on its host", "[ledger]")
+{
+    FakeStore store;
+    TestHost a(store, "a");
+    a.claim();
+    a.claim();
+    a.claim(kKey, seconds(20));
+    a.answerAll();
+    REQUIRE(a.result().verdict == Verdict::Claimed);
+    SECTION("recorded")
+    {
+        a.recordDone("body");
+        a.answerAll();
+        REQUIRE(a.results.size() == 2);
+        REQUIRE(a.results.back().verdict == Verdict::Done);
+    }
+    SECTION("released")
+    {
+        a.release();
+        a.answerAll();
+        REQUIRE(a.result().verdict == Verdict::Claimed);
+        REQUIRE(stateIn(store) == LedgerState::Claimed);
+    }
+    SECTION("unknown")
+    {
+        a.advance(seconds(2));
+        REQUIRE(a.results.size() == 2);
+        REQUIRE(a.results.back().verdict == Verdict::MayHaveRun);
+        REQUIRE(a.idle());
+    }
+}
+
+// Guards against identifiers whose entries may be gone already, which could run again.
+TEST_CASE("identifiers outside of the retention are not claimed", "[ledger]")
+{
+    FakeStore store;
+    TestHost a(store, "a");
+    const auto verdictOf = [&](std::int64_t offset, const std::string &chosen) {
+        a.claim({ std::to_string(kStartSeconds + offset) + chosen });
+        a.answerAll();
+        return a.result();
+    };
+    REQUIRE(verdictOf(-3601, "-x").reason == QueryReason::IdentifierExpired);
+    REQUIRE(verdictOf(-3599, "-x").verdict == Verdict::Claimed);
+    REQUIRE(verdictOf(299, "-x").verdict == Verdict::Claimed);
+    REQUIRE(verdictOf(301, "-x").reason == QueryReason::IdentifierInFuture);
+    REQUIRE(verdictOf(0, "-" + std::string(65, 'x')).reason == QueryReason::BadRequest);
+    REQUIRE(verdictOf(0, "-").reason == QueryReason::BadRequest);
+    REQUIRE(verdictOf(0, "").reason == QueryReason::BadRequest);
+    a.claim();
+    a.answerAll();
+    a.results.clear();
+    // The entry stays until no host takes its identifier any more.
+    const auto keptAfter = [&](Duration age) {
+        a.advance(seconds(kStartSeconds) + age - a.wall.time_since_epoch());
+        const std::int64_t now = std::chrono::floor<seconds>(a.wall).time_since_epoch().count();
+        for (int i = 0; a.results.empty(); ++i) {
+            const IdempotencyKey key { std::to_string(now) + "-" + std::to_string(i) };
+            if (ledgerBucketKey(kService, key) != ledgerBucketKey(kService, kKey))
+                continue;
+            a.claim(key);
+            a.answerAll();
+        }
+        a.results.clear();
+        return bucketIn(store).find(kKey) != nullptr;
+    };
+    REQUIRE(keptAfter(std::chrono::minutes(70)));
+    REQUIRE_FALSE(keptAfter(std::chrono::minutes(71)));
+}
+
+// Guards against a value above the platform's bound, which no host could write any more.
+TEST_CASE("a full bucket takes no new claims but still takes results", "[ledger]")
+{
+    FakeStore store;
+    TestHost a(store, "a");
+    a.claim();
+    a.answerAll();
+    a.results.clear();
+    LedgerBucket full = bucketIn(store);
+    LedgerEntry entry;
+    entry.state = LedgerState::Done;
+    entry.token = { { "b" }, { ~0ULL }, ~0ULL };
+    entry.snapshot = { ~0ULL };
+    entry.time = WallTime(seconds(kStartSeconds));
+    entry.body = std::string(4000, '\x01');
+    for (int i = 0; full.bytes() <= 980'000; ++i) {
+        entry.key = { std::to_string(kStartSeconds) + "-" + std::to_string(i) };
+        full.put(entry);
+    }
+    const std::string text = full.serialize();
+    REQUIRE(text.size() <= full.bytes());
+    store.values[ledgerBucketKey(kService, kKey)] = { { 7 }, text };
+    a.advance(milliseconds(200));
+    a.claim(neighbours(1).front());
+    a.answerAll();
+    REQUIRE(a.result().reason == QueryReason::Overloaded);
+    a.recordDone(std::string(4000, '\x01'));
+    a.answerAll();
+    REQUIRE(a.records == std::vector<bool> { true });
+    REQUIRE(store.values.at(ledgerBucketKey(kService, kKey)).text.size() < 1'000'000);
+    REQUIRE(stateIn(store) == LedgerState::Done);
+}
+
+// Guards against a value that this build cannot read and overwrites, with all claims in it.
+TEST_CASE("a malformed bucket is left as it is", "[ledger]")
+{
+    FakeStore store;
+    const std::string text = R"({"entries":[{"id":1}]})";
+    store.values[ledgerBucketKey(kService, kKey)] = { { 7 }, text };
+    TestHost a(store, "a");
+    a.claim();
+    for (int i = 0; i < 3; ++i) {
+        a.answerAll();
+        a.advance(milliseconds(100));
+    }
+    REQUIRE(a.result().verdict == Verdict::NotRun);
+    REQUIRE(store.values[ledgerBucketKey(kService, kKey)].text == text);
+}
+
+// Shows that the check of R7 depends on the mechanism.
+TEST_CASE("without claims two hosts run the same request", "[ledger]")
+{
+    MechanismSwitches mechanisms;
+    mechanisms.ledgerClaims = false;
+    FakeStore store;
+    TestHost a(store, "a", mechanisms);
+    TestHost b(store, "b", mechanisms);
+    a.claim();
+    b.claim();
+    REQUIRE(a.result().verdict == Verdict::Claimed);
+    REQUIRE(b.result().verdict == Verdict::Claimed);
+    REQUIRE(store.calls == 0);
+}
