--- a/tests/net/CurlBackendClientTest.cpp
+++ b/tests/net/CurlBackendClientTest.cpp
@@ -237,4 +237,15 @@
     }
     std::sort(times.begin(), times.end());
     std::cout << "p50 " << times[2500] << " us, p99 " << times[4950] << " us\n";
+    constexpr std::uint64_t kInFlight = 16;
+    constexpr std::uint64_t kRequests = 50'000;
+    const MonotonicTime start = steadyNow();
+    for (std::uint64_t send = 1; send <= kRequests + kInFlight; ++send) {
+        if (send <= kRequests)
+            client.send(requestTo(server.endpoint(), send));
+        if (send > kInFlight)
+            queue.take<BackendFinished>();
+    }
+    const Duration each = (steadyNow() - start) / kRequests;
+    std::cout << kInFlight << " in flight: " << each.count() << " us per request\n";
 }
