--- a/tests/net/TcpPeerTransportTest.cpp
+++ b/tests/net/TcpPeerTransportTest.cpp
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include <functional>
+#include <iostream>
 
 using namespace greengagestair;
 namespace asio = boost::asio;
@@ -182,3 +183,36 @@
     REQUIRE(a.transport.counters().framesSent == 100);
     REQUIRE(a.transport.counters().droppedFrames == 2);
 }
+
+// Prints what the transport costs; run with [.latency]. Both hosts run on this thread.
+TEST_CASE("frames over loopback", "[.latency]")
+{
+    asio::io_context context;
+    TestHost a(context, "a", { "127.0.0.1", 0 });
+    TestHost b(context, "b", { "127.0.0.2", 0 });
+    PartRequest request;
+    request.server = { "counter-lookup-0-shubra" };
+    request.service = { "counter-lookup" };
+    request.body = std::string(200, 'x');
+    const auto carry = [&](std::uint64_t frames) {
+        for (std::uint64_t i = 0; i < frames; ++i)
+            a.transport.send({ "b" }, b.transport.listenEndpoint(), request);
+        while (b.queue.size() < frames)
+            context.run_one();
+        for (std::uint64_t i = 0; i < frames; ++i)
+            b.queue.take<PeerReceived>();
+    };
+    carry(1);
+    constexpr int kRounds = 5000;
+    const auto start = std::chrono::steady_clock::now();
+    for (int i = 0; i < kRounds; ++i)
+        carry(1);
+    const auto single = std::chrono::steady_clock::now();
+    for (int i = 0; i < kRounds / 100; ++i)
+        carry(1000);
+    const auto batched = std::chrono::steady_clock::now();
+    const auto nanoseconds = [](auto time) { return std::chrono::nanoseconds(time).count(); };
+    std::cout << "one at a time: " << nanoseconds(single - start) / kRounds << " ns per frame\n"
+              << "1000 at a time: " << nanoseconds(batched - single) / (kRounds * 10)
+              << " ns per frame\n";
+}
