Guard HTTP requests against unusual names and deadlines

A line break in the name of a group would have started another header, and the longest duration would have overflowed as a deadline; both come from configurations that pass the checks of others. IPv6 addresses get their brackets. Local types of source files move into unnamed namespaces, so that types of one name in two files are not taken for one.

--- a/src/codec/FrameCodec.cpp
+++ b/src/codec/FrameCodec.cpp
@@ -179,6 +179,8 @@
 
 // Decoding
 
+namespace {
+
 /** Reads fields and remembers whether one had a value that this build does not know. */
 class FieldReader
 {
@@ -249,6 +251,8 @@
     bool m_unknownEnumerator = false;
 };
 
+} // namespace
+
 template <typename Vector>
 static std::vector<DocumentVersion> readDocuments(FieldReader &reader, const Vector *documents)
 {
@@ -399,6 +403,8 @@
     return envelope;
 }
 
+namespace {
+
 /** FlatBuffers reads numbers in place and needs them aligned; a body in a stream is not. */
 class AlignedCopy
 {
@@ -415,6 +421,8 @@
     std::vector<std::uint64_t> m_words;
 };
 
+} // namespace
+
 leaf::result<PeerEnvelope> FrameCodec::decodeBody(std::span<const std::uint8_t> body)
 {
     AlignedCopy copy(body);
--- a/src/core/LedgerBucket.cpp
+++ b/src/core/LedgerBucket.cpp
@@ -17,12 +17,16 @@
 /** Field names, punctuation and numbers of one entry: at most 4 numbers of 20 digits. */
 static constexpr std::size_t kEntryFrameBytes = 224;
 
+namespace {
+
 struct StateName
 {
     LedgerState state;
     std::string_view name;
 };
 
+} // namespace
+
 static constexpr std::array kStateNames {
     StateName { LedgerState::Claimed, "claimed" },
     StateName { LedgerState::Done, "done" },
--- a/src/net/CurlBackendClient.cpp
+++ b/src/net/CurlBackendClient.cpp
@@ -118,7 +118,7 @@
                      "X-Group: " + request.group.value };
     http.deadlineHeader = "X-Deadline-Ms";
     http.body = request.body;
-    http.deadline = steadyNow() + request.deadline;
+    http.deadline = steadyDeadline(request.deadline);
     http.notAfter = request.notAfter;
     http.connectTimeout = kConnectTimeout;
     http.maxResponseBytes = kMaxBackendAnswerBytes;
@@ -133,7 +133,7 @@
     http.method = "POST";
     http.endpoint = request.endpoint;
     http.target = "/cancel/" + std::to_string(request.send.value);
-    http.deadline = steadyNow() + kCancelTimeout;
+    http.deadline = steadyDeadline(kCancelTimeout);
     http.notAfter = http.deadline;
     http.connectTimeout = kConnectTimeout;
     http.maxResponseBytes = kMaxBackendAnswerBytes;
--- a/src/net/CurlPlatformClient.cpp
+++ b/src/net/CurlPlatformClient.cpp
@@ -141,7 +141,7 @@
         m_queue.post(PlatformFinished { request.call, PlatformFailure { keyOf(request), false } });
         return;
     }
-    start({ request, steadyNow() + timeoutOf(request), m_preferred.load(), 0 });
+    start({ request, steadyDeadline(timeoutOf(request)), m_preferred.load(), 0 });
 }
 
 void CurlPlatformClient::start(Attempt attempt)
--- a/src/net/HttpLoop.cpp
+++ b/src/net/HttpLoop.cpp
@@ -5,6 +5,7 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <chrono>
 #include <mutex>
 #include <thread>
@@ -26,6 +27,11 @@
     return MonotonicTime(std::chrono::duration_cast<Duration>(sinceEpoch));
 }
 
+MonotonicTime steadyDeadline(Duration timeout)
+{
+    return steadyNow() + std::min<Duration>(timeout, std::chrono::hours(24));
+}
+
 static void initialiseCurl()
 {
     static const CURLcode kResult = curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/src/net/HttpLoop.h
+++ b/src/net/HttpLoop.h
@@ -16,13 +16,16 @@
 /** The steady clock as event time: microseconds since the clock's epoch. */
 MonotonicTime steadyNow();
 
+/** The time on the steady clock when `timeout` has passed; a day from now at the latest. */
+MonotonicTime steadyDeadline(Duration timeout);
+
 /** One HTTP request. It is sent once at most, even if a kept-open connection turns out dead. */
 struct HttpRequest
 {
     std::string method;
     Endpoint endpoint;
     std::string target;               ///< path and query, escaped
-    std::vector<std::string> headers; ///< "Name: value"
+    std::vector<std::string> headers; ///< "Name: value"; control characters are replaced
     std::string body;
     MonotonicTime deadline;           ///< on the steady clock
     MonotonicTime notAfter;           ///< not to be started after this time
--- a/src/net/HttpTransfer.cpp
+++ b/src/net/HttpTransfer.cpp
@@ -17,6 +17,22 @@
     return static_cast<long>(std::chrono::ceil<std::chrono::milliseconds>(duration).count());
 }
 
+static std::string urlOf(const HttpRequest &request)
+{
+    const std::string &address = request.endpoint.address;
+    const bool version6 = address.find(':') != std::string::npos;
+    return "http://" + (version6 ? "[" + address + "]" : address) + ":"
+            + std::to_string(request.endpoint.port) + request.target;
+}
+
+/** A line break in a name would start another header. */
+static void replaceControlCharacters(std::string &header)
+{
+    std::replace_if(
+            header.begin(), header.end(),
+            [](char c) { return static_cast<unsigned char>(c) < 0x20; }, '?');
+}
+
 HttpTransfer::HttpTransfer(HttpRequest request, HttpDone done)
     : m_request(std::move(request))
     , m_done(std::move(done))
@@ -32,8 +48,7 @@
     if (!m_handle)
         return false;
     CURL *handle = m_handle.get();
-    m_url = "http://" + m_request.endpoint.address + ":" + std::to_string(m_request.endpoint.port)
-            + m_request.target;
+    m_url = urlOf(m_request);
     curl_easy_setopt(handle, CURLOPT_PRIVATE, this);
     curl_easy_setopt(handle, CURLOPT_URL, m_url.c_str());
     curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
@@ -77,7 +92,8 @@
     m_request.headers.emplace_back("Expect:");
     if (m_request.method != "GET")
         m_request.headers.emplace_back("Content-Type: application/octet-stream");
-    for (const std::string &header : m_request.headers) {
+    for (std::string &header : m_request.headers) {
+        replaceControlCharacters(header);
         curl_slist *longer = curl_slist_append(m_headers.get(), header.c_str());
         if (longer && !m_headers)
             m_headers.reset(longer);
--- a/src/net/IncomingPeer.cpp
+++ b/src/net/IncomingPeer.cpp
@@ -84,9 +84,13 @@
     return true;
 }
 
+namespace {
+
 /** What one call of the decoder came to. */
 enum class Taken { Frame, Unknown, NoMore, Malformed };
 
+} // namespace
+
 /** Posts all whole frames; false after a malformed one. */
 bool IncomingPeer::takeFrames()
 {
--- a/tests/codec/FrameCodecTest.cpp
+++ b/tests/codec/FrameCodecTest.cpp
@@ -53,8 +53,12 @@
     };
 }
 
+namespace {
+
 enum class Read { Envelope, Incomplete, TooLarge, Invalid, Unknown, Unsupported };
 
+} // namespace
+
 static Read readNext(FrameDecoder &decoder, PeerEnvelope *out = nullptr)
 {
     return leaf::try_handle_all(
--- a/tests/core/RequestLedgerRandomTest.cpp
+++ b/tests/core/RequestLedgerRandomTest.cpp
@@ -17,6 +17,8 @@
 static constexpr std::uint64_t kStartSeconds = 1'796'342'400;
 static const ServiceId kService { "order-ledger" };
 
+namespace {
+
 /** Several ledgers, one store, and calls that are delayed, lost or answered in any order. */
 class LedgerWorld : public PlatformCaller
 {
@@ -222,6 +224,8 @@
     std::map<IdempotencyKey, Truth> m_truth;
 };
 
+} // namespace
+
 // Guards against a request that runs twice, a final "not run" that is untrue, a wrong result, and a
 // handler that is not called exactly once, under lost, delayed and reordered calls.
 TEST_CASE("requests run at most once under random faults", "[ledger][random]")
--- a/tests/core/RequestLedgerTest.cpp
+++ b/tests/core/RequestLedgerTest.cpp
@@ -17,6 +17,8 @@
 static const ServiceId kService { "order-ledger" };
 static const IdempotencyKey kKey { std::to_string(kStartSeconds) + "-order" };
 
+namespace {
+
 /** The platform's store, shared by hosts. */
 struct FakeStore
 {
@@ -181,6 +183,8 @@
     std::uint64_t m_lastCall = 0;
 };
 
+} // namespace
+
 static LedgerBucket bucketIn(const FakeStore &store)
 {
     return LedgerBucket::parse(store.values.at(ledgerBucketKey(kService, kKey)).text).value();
--- a/tests/net/CurlBackendClientTest.cpp
+++ b/tests/net/CurlBackendClientTest.cpp
@@ -183,6 +183,26 @@
     REQUIRE(seen.size() == 3 * kRounds);
 }
 
+// Guards against a name that starts another header, and against sums that overflow.
+TEST_CASE("unusual names and deadlines do no harm", "[backend]")
+{
+    std::string head;
+    ScriptedHttpServer server([&](const ScriptedRequest &request) {
+        head = request.head;
+        return answer(request);
+    });
+    RecordingQueue queue;
+    CurlBackendClient client(queue);
+    SendToBackend request = requestTo(server.endpoint(), 1);
+    request.service = { "a b/../c?" };
+    request.group = { "g0\r\nX-Request-Id: 2" };
+    request.deadline = Duration::max();
+    request.notAfter = MonotonicTime::max();
+    REQUIRE(finish(client, queue, request).value().echoed == SendId { 1 });
+    REQUIRE(head.starts_with("POST /parts/a%20b/../c%3F HTTP/1.1\r\n"));
+    REQUIRE(head.find("X-Group: g0??X-Request-Id: 2\r\n") != std::string::npos);
+}
+
 // Guards against a cancellation that waits behind the request that it cancels.
 TEST_CASE("a cancellation overtakes the request", "[backend]")
 {
--- a/tests/net/TcpPeerTransportTest.cpp
+++ b/tests/net/TcpPeerTransportTest.cpp
@@ -18,6 +18,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
 /** One entry host; all hosts of a test share an io_context. */
 struct TestHost
 {
@@ -30,6 +32,8 @@
     TcpPeerTransport transport;
 };
 
+} // namespace
+
 /** Runs the io_context until the condition holds; false if it does not in time. */
 static bool runUntil(asio::io_context &context, const std::function<bool()> &condition)
 {
