Add the quarantine of requests that crash backend servers

A lost server makes it suspect; it gets no further attempt before the document says so, and then an isolated one in the group of the lost server, so that all hosts agree on the second server. The second loss quarantines it; an isolated answer clears it. Without the mechanism, the test loses all six replicas instead of two.

--- a/src/core/Quarantine.h
+++ b/src/core/Quarantine.h
@@ -1,14 +1,23 @@
 #pragma once
 
 #include "core/Interfaces.h"
+#include "core/QuarantineUpdate.h"
+#include "core/RecentSet.h"
 
 #include <boost/json/fwd.hpp>
 
+#include <map>
+#include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace greengagestair {
 
-/** Keeps a request that crashes backend servers from reaching more than two of them. */
+/**
+ * Keeps a request that crashes backend servers from reaching more than two of them. Serves both
+ * roles: the entry role asks how a signature may be sent, the owner role whether it may start, and
+ * reports lost servers.
+ */
 class Quarantine : public ServerLossListener
 {
 public:
@@ -27,6 +36,9 @@
         ServerId server; ///< empty if no candidate accepts work
     };
 
+    /** Whether the owner may start an attempt. */
+    enum class StartVerdict { Start, Wait, Refuse };
+
     Quarantine(const ReducerOptions &options, DocumentView &documents, DocumentWriter &writer);
 
     /** Plans for a request to the given groups; servers in `tried` are passed over. */
@@ -41,15 +53,70 @@
     /** Changes whenever plans may have changed. */
     std::uint64_t generation() const { return m_generation; }
 
+    /** Owner role: the signature gets no attempt now; its parts are refused as `quarantined`. */
+    bool isBlocked(Signature signature) const;
+    /**
+     * Owner role: `Wait` while an attempt of a signature that was never answered here is in flight
+     * on the server, or one of a suspect signature on any server of this host.
+     */
+    StartVerdict mayStart(Signature signature, const ServerId &server) const;
+    /** Owner role: an attempt was sent to the server. */
+    void attemptStarted(Signature signature, const ServerId &server);
+    /** Owner role: it ended. Waiting parts of the signature should be looked at again. */
+    void attemptEnded(Signature signature, const ServerId &server, bool answered);
+
     void serverLost(StepContext &context, const ServerId &server,
                     const std::vector<Signature> &inFlight) override;
     void signatureAnswered(StepContext &context, Signature signature) override;
 
     void onTick(StepContext &context);
-    MonotonicTime nextWakeUp() const;
+    MonotonicTime nextWakeUp() const { return m_wakeUpAt; }
     boost::json::object dump(MonotonicTime now) const;
 
 private:
+    /** A loss that the document may not show yet. */
+    struct LocalLoss
+    {
+        enum class State { ToWrite, Writing, Written };
+
+        State state = State::ToWrite;
+        std::vector<ServerId> servers; ///< empty if only an owner knows them
+        MonotonicTime writeAt;
+        MonotonicTime expiresAt = kNever;
+    };
+
+    const QuarantineEntry *findEntry(Signature signature) const;
+    const LocalLoss *findLoss(Signature signature) const;
+    std::vector<ServerId> lostServers(Signature signature) const;
+    bool isPending(Signature signature) const;
+    bool isSuspect(Signature signature) const;
+    ServerId firstInOrder(Signature signature, const std::vector<const Group *> &groups,
+                          const std::vector<ServerId> &passedOver) const;
+    ServerId isolatedServer(Signature signature, const std::vector<const Group *> &groups,
+                            const std::vector<ServerId> &tried) const;
+    void addLoss(StepContext &context, Signature signature, const ServerId &server,
+                 MonotonicTime writeAt);
+    void adoptDocument(StepContext &context);
+    void dropShownLosses();
+    void dropExpiredLosses(MonotonicTime now);
+    void writeDue(StepContext &context);
+    QuarantineUpdate takeUpdate(StepContext &context);
+    void finishWrite(StepContext &context, const QuarantineUpdate &update, bool accepted);
+    void updateWakeUp();
+
+    const ReducerOptions &m_options;
+    DocumentView &m_documents;
+    DocumentWriter &m_writer;
+    RecentSet m_knownGood;    ///< signature and version, answered for queries of this host
+    RecentSet m_answeredHere; ///< signatures, answered by servers of this host
+    std::unordered_map<Signature, QuarantineEntry> m_entries; ///< of the document
+    std::uint64_t m_documentHash = 0;
+    std::map<std::uint64_t, LocalLoss> m_losses; ///< by signature
+    std::set<std::uint64_t> m_toClear;           ///< signatures
+    std::unordered_map<Signature, std::vector<ServerId>> m_running;
+    bool m_writing = false;
+    MonotonicTime m_nextWriteAt;
+    MonotonicTime m_wakeUpAt = kNever;
     std::uint64_t m_generation = 0;
 };
 
--- /dev/null
+++ b/tests/core/QuarantineTest.cpp
@@ -0,0 +1,185 @@
+#include "EntryRoleFixture.h"
+
+#include "core/Signature.h"
+
+#include <boost/json.hpp>
+
+using namespace greengagestair;
+using namespace greengagestair::test;
+
+namespace {
+
+const Signature kSignature = computeSignature({ "lookup" }, { "find" }, "query");
+
+/** Applies pending document changes and shows the result to all readers. */
+void applyWrites(EntryRoleFixture &fixture, std::optional<std::string> &content)
+{
+    for (const TestWriter::Change &write : std::exchange(fixture.writer.changes, {})) {
+        REQUIRE(write.key == PlatformKey { "quarantine" });
+        if (auto next = write.change(content))
+            content = next;
+        fixture.run([&](StepContext &context) { write.done(context, true); });
+    }
+    fixture.documents.quarantined.entries.clear();
+    if (!content.has_value())
+        return;
+    const boost::json::value document = boost::json::parse(*content);
+    for (const auto &item : document.at("entries").as_array()) {
+        QuarantineEntry entry;
+        entry.signature = { std::stoull(std::string(item.at("signature").as_string()), nullptr,
+                                        16) };
+        if (item.at("state").as_string() == "quarantined")
+            entry.state = QuarantineState::Quarantined;
+        for (const auto &server : item.at("lostServers").as_array())
+            entry.lostServers.push_back({ std::string(server.as_string()) });
+        fixture.documents.quarantined.entries.push_back(entry);
+    }
+    fixture.run([](StepContext &) {});
+}
+
+void crash(EntryRoleFixture &fixture, const PartRequest &part)
+{
+    fixture.run([&](StepContext &context) {
+        fixture.quarantine.serverLost(context, part.server, { part.signature });
+    });
+    fixture.fail(part, PartOutcome::ServerLost, PartReason::ConnectionLost);
+}
+
+} // namespace
+
+// Guards against a fan-out of a request that crashes servers.
+TEST_CASE("an unknown request is tried on one server first", "[quarantine]")
+{
+    EntryRoleFixture fixture;
+    fixture.ask();
+    const auto canary = fixture.takeSent();
+    REQUIRE(canary.size() == 1);
+    REQUIRE_FALSE(canary[0].isolated);
+    fixture.succeed(canary[0]);
+    const auto rest = fixture.takeSent();
+    REQUIRE(rest.size() == 1);
+    REQUIRE(rest[0].group != canary[0].group);
+    fixture.ask();
+    REQUIRE(fixture.takeSent().size() == 2);
+    // Another entry host chooses the same server.
+    EntryRoleFixture other;
+    other.ask();
+    REQUIRE(other.takeSent()[0].server == canary[0].server);
+}
+
+// Without the mechanism every replica of every group is lost.
+TEST_CASE("a crashing request that is sent again reaches two servers at most", "[quarantine]")
+{
+    const bool enabled = GENERATE(true, false);
+    MechanismSwitches mechanisms;
+    mechanisms.quarantine = enabled;
+    EntryRoleFixture fixture(mechanisms);
+    std::optional<std::string> content;
+    std::set<ServerId> lost;
+    for (int round = 0; round < 10; ++round) {
+        fixture.ask();
+        for (int attempt = 0; attempt < 5; ++attempt) {
+            for (const PartRequest &part : fixture.takeSent()) {
+                lost.insert(part.server);
+                crash(fixture, part);
+            }
+            applyWrites(fixture, content);
+        }
+        fixture.advance(100ms);
+    }
+    REQUIRE(lost.size() == (enabled ? 2 : 6));
+    if (!enabled)
+        return;
+    const CallerId caller = fixture.ask();
+    REQUIRE(fixture.answerTo(caller)->outcome == QueryOutcome::NotRun);
+    REQUIRE(fixture.answerTo(caller)->reason == QueryReason::Quarantined);
+    REQUIRE(fixture.quarantine.isBlocked(kSignature));
+}
+
+// Guards against a second attempt before the first loss is in the document.
+TEST_CASE("a suspect waits for the document and is then isolated", "[quarantine]")
+{
+    EntryRoleFixture fixture;
+    fixture.warmUp();
+    const CallerId caller = fixture.ask();
+    const auto parts = fixture.takeSent();
+    crash(fixture, parts[0]);
+    fixture.succeed(parts[1]);
+    REQUIRE(fixture.takeSent().empty());
+    REQUIRE(fixture.quarantine.mayStart(kSignature, { "any" }) == Quarantine::StartVerdict::Refuse);
+    const CallerId refused = fixture.ask();
+    REQUIRE(fixture.answerTo(refused)->reason == QueryReason::Quarantined);
+
+    std::optional<std::string> content;
+    applyWrites(fixture, content);
+    const auto isolated = fixture.takeSent();
+    REQUIRE(isolated.size() == 1);
+    REQUIRE(isolated[0].isolated);
+    REQUIRE(isolated[0].group == parts[0].group);
+    REQUIRE(isolated[0].server != parts[0].server);
+    REQUIRE(fixture.quarantine.mayStart(kSignature, { "any" }) == Quarantine::StartVerdict::Start);
+
+    // An innocent request is cleared by its own isolated run, and fans out again.
+    fixture.succeed(isolated[0]);
+    REQUIRE(fixture.answerTo(caller)->outcome == QueryOutcome::Complete);
+    fixture.run([&](StepContext &context) {
+        fixture.quarantine.signatureAnswered(context, kSignature);
+    });
+    applyWrites(fixture, content);
+    REQUIRE(fixture.documents.quarantined.entries.empty());
+    fixture.ask();
+    const auto again = fixture.takeSent();
+    REQUIRE(again.size() == 2);
+    REQUIRE_FALSE(again[0].isolated);
+}
+
+// Guards against a loss that is forgotten because the platform was out.
+TEST_CASE("a loss is written again until it is accepted", "[quarantine]")
+{
+    EntryRoleFixture fixture;
+    fixture.run([&](StepContext &context) {
+        fixture.quarantine.serverLost(context, { "lookup-g0-shubra" }, { kSignature });
+    });
+    REQUIRE(fixture.writer.changes.size() == 1);
+    fixture.run([&](StepContext &context) { fixture.writer.changes[0].done(context, false); });
+    REQUIRE(fixture.quarantine.isBlocked(kSignature));
+    REQUIRE(fixture.quarantine.nextWakeUp() == fixture.now + 500ms);
+    fixture.advance(500ms);
+    REQUIRE(fixture.writer.changes.size() == 2);
+    fixture.run([&](StepContext &context) { fixture.writer.changes[1].done(context, true); });
+    REQUIRE_FALSE(fixture.quarantine.isBlocked(kSignature));
+}
+
+TEST_CASE("the owner runs one attempt of an unknown signature per server", "[quarantine]")
+{
+    using Verdict = Quarantine::StartVerdict;
+    EntryRoleFixture fixture;
+    Quarantine &quarantine = fixture.quarantine;
+    const ServerId one { "one" };
+    REQUIRE(quarantine.mayStart(kSignature, one) == Verdict::Start);
+    quarantine.attemptStarted(kSignature, one);
+    REQUIRE(quarantine.mayStart(kSignature, one) == Verdict::Wait);
+    REQUIRE(quarantine.mayStart(kSignature, { "two" }) == Verdict::Start);
+    quarantine.attemptEnded(kSignature, one, true);
+    quarantine.attemptStarted(kSignature, one);
+    REQUIRE(quarantine.mayStart(kSignature, one) == Verdict::Start);
+}
+
+TEST_CASE("updates keep other entries and say nothing when nothing changes", "[quarantine]")
+{
+    QuarantineUpdate update;
+    update.time = WallTime(1796342400s);
+    update.losses = { { { 1 }, { { "a" } } } };
+    const auto first = update.applyTo("not JSON");
+    REQUIRE(first
+            == R"({"entries":[{"signature":"0000000000000001","state":"suspect",)"
+               R"("lostServers":["a"],"changedAtMs":1796342400000}]})");
+    REQUIRE_FALSE(update.applyTo(first).has_value());
+    update.losses = { { { 1 }, { { "b" } } }, { { 2 }, { { "b" } } } };
+    const auto second = update.applyTo(first);
+    update.losses.clear();
+    update.cleared = { { 1 }, { 2 } };
+    // A quarantined signature is not cleared by an answer.
+    REQUIRE(update.applyTo(second)->find("quarantined") != std::string::npos);
+    REQUIRE(update.applyTo(second)->find("0000000000000002") == std::string::npos);
+}
