Limit the queries in progress by what the owners bear

The limit of a service rises while it is in use and parts are fast, and falls when owners refuse parts or part times exceed 1.5 times the best recent ones. Limits below 1 are kept by pauses, since eight hosts share servers that run six queries at a time. Waiting is bounded, urgent queries have slots of their own and go first, and a query that cannot start in time is refused at once.

--- a/src/core/AdmissionControl.cpp
+++ b/src/core/AdmissionControl.cpp
@@ -1,36 +1,242 @@
 #include "core/AdmissionControl.h"
 
+#include "core/Assert.h"
+
 #include <boost/json.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace greengagestair {
 
+/** A query that waits longer is refused: its caller can still go elsewhere. */
+static constexpr Duration kMaxWait = std::chrono::milliseconds(100);
+static constexpr std::size_t kMaxUrgentInRow = 7;
+static constexpr std::size_t kMinUrgentSlots = 2;
+/** A host starts with this share of what the service can run, as it is one of several. */
+static constexpr double kInitialShare = 0.25;
+static constexpr double kMinInitialLimit = 2.0;
+/** Weight of the newest query in the smoothed query time. */
+static constexpr int kSmoothing = 8;
+/** Pauses below this are not worth a wake-up. */
+static constexpr Duration kMinPause = std::chrono::microseconds(200);
+
+static double initialLimit(const Service &service)
+{
+    std::size_t smallest = 0;
+    std::size_t total = 0;
+    for (const Group &group : service.groups) {
+        total += group.servers.size();
+        if (smallest == 0 || group.servers.size() < smallest)
+            smallest = group.servers.size();
+    }
+    const std::size_t servers = service.route == Route::AllGroups ? smallest : total;
+    const double runnable = static_cast<double>(servers) * service.slots;
+    return std::max(kMinInitialLimit, runnable * kInitialShare);
+}
+
+AdmissionControl::ServiceState::ServiceState(const Service &service)
+    : limit(initialLimit(service), service.warmPartTime)
+    , queryTime(service.warmPartTime)
+{
+}
+
 AdmissionControl::AdmissionControl(const ReducerOptions &, DocumentView &) { }
 
-AdmissionControl::Verdict AdmissionControl::request(StepContext &, const Service &, Priority,
-                                                    QueryId, MonotonicTime)
+AdmissionControl::Verdict AdmissionControl::request(StepContext &context, const Service &service,
+                                                    Priority priority, QueryId query,
+                                                    MonotonicTime deadline)
 {
-    return Verdict::Admitted;
+    const MonotonicTime now = context.now();
+    ServiceState &state = m_services.try_emplace(service.name, service).first->second;
+    auto &queue = priority == Priority::Urgent ? state.urgent : state.routine;
+    const bool mustLetRoutineGo = priority == Priority::Urgent && routineIsDue(state);
+    if (queue.empty() && !mustLetRoutineGo && hasRoom(state, priority, now)) {
+        start(state, priority);
+        return Verdict::Admitted;
+    }
+    state.limit.noteInUse();
+    const Duration bearable = std::min(kMaxWait, deadline - now - state.queryTime);
+    if (expectedWait(state, priority) > bearable) {
+        context.counters.add("admission_refused_total");
+        return Verdict::Refused;
+    }
+    const Sequence sequence = ++m_lastSequence;
+    const MonotonicTime until = now + bearable;
+    queue.emplace(sequence, Waiting { query, until });
+    m_places[query] = { service.name, &state, priority, sequence };
+    m_expiries.emplace(until, query.value);
+    context.counters.add("admission_queued_total");
+    return Verdict::Queued;
 }
 
-void AdmissionControl::withdraw(const ServiceId &, QueryId) { }
+void AdmissionControl::withdraw(QueryId query)
+{
+    if (m_places.contains(query))
+        removeFromQueue(query);
+}
 
-void AdmissionControl::finished(StepContext &, const ServiceId &) { }
+void AdmissionControl::finished(StepContext &context, const ServiceId &service, Priority priority,
+                                Duration inProgress)
+{
+    ServiceState &state = m_services.at(service);
+    std::size_t &count =
+            priority == Priority::Urgent ? state.urgentInProgress : state.routineInProgress;
+    GREENGAGESTAIR_ASSERT(count > 0);
+    --count;
+    state.queryTime += (inProgress - state.queryTime) / kSmoothing;
+    if (priority == Priority::Routine) {
+        // With a limit of 2.5, three slots pause for a fifth of the query time after each query.
+        const double pauseShare = static_cast<double>(slots(state)) / state.limit.value() - 1.0;
+        const Duration pause(static_cast<Duration::rep>(
+                pauseShare * static_cast<double>(state.queryTime.count())));
+        if (pause >= kMinPause)
+            state.pauses.insert(context.now() + pause);
+    }
+    startWaiting(context, state);
+}
 
-void AdmissionControl::partEnded(StepContext &, const ServiceId &, const PartSample &) { }
+void AdmissionControl::partEnded(StepContext &context, const ServiceId &service,
+                                 const PartSample &sample)
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return;
+    if (sample.refusedForLoad)
+        found->second.limit.addRefusal(context.now());
+    else if (sample.partTime > Duration::zero())
+        found->second.limit.addAnswer(sample.partTime, context.now());
+}
 
-std::optional<AdmissionControl::Decision> AdmissionControl::nextDecision(StepContext &)
+std::optional<AdmissionControl::Decision> AdmissionControl::nextDecision(StepContext &context)
 {
-    return std::nullopt;
+    if (!m_places.empty()) {
+        expire(context);
+        for (auto &[name, state] : m_services)
+            startWaiting(context, state);
+    }
+    if (m_decisions.empty())
+        return std::nullopt;
+    const Decision decision = m_decisions.front();
+    m_decisions.pop_front();
+    return decision;
 }
 
 MonotonicTime AdmissionControl::nextWakeUp() const
 {
-    return kNever;
+    if (m_places.empty())
+        return kNever;
+    MonotonicTime time = m_expiries.begin()->first;
+    for (const auto &[name, state] : m_services) {
+        if (!state.routine.empty() && !state.pauses.empty())
+            time = std::min(time, *state.pauses.begin());
+    }
+    return time;
 }
 
 boost::json::object AdmissionControl::dump(MonotonicTime) const
 {
-    return {};
+    boost::json::object result;
+    for (const auto &[name, state] : m_services) {
+        boost::json::object item;
+        item["limit"] = state.limit.value();
+        item["bestPartTimeUs"] = state.limit.bestPartTime().count();
+        item["queryTimeUs"] = state.queryTime.count();
+        item["urgentInProgress"] = state.urgentInProgress;
+        item["routineInProgress"] = state.routineInProgress;
+        item["urgentWaiting"] = state.urgent.size();
+        item["routineWaiting"] = state.routine.size();
+        result[name.value] = std::move(item);
+    }
+    return result;
+}
+
+std::size_t AdmissionControl::slots(const ServiceState &state)
+{
+    return static_cast<std::size_t>(std::ceil(state.limit.value()));
+}
+
+bool AdmissionControl::routineIsDue(const ServiceState &state)
+{
+    return state.urgentInRow >= kMaxUrgentInRow && !state.routine.empty();
+}
+
+/** Urgent queries have slots of their own: routine ones in progress do not hold them up. */
+bool AdmissionControl::hasRoom(ServiceState &state, Priority priority, MonotonicTime now)
+{
+    if (priority == Priority::Urgent)
+        return state.urgentInProgress < std::max(kMinUrgentSlots, slots(state));
+    state.pauses.erase(state.pauses.begin(), state.pauses.upper_bound(now));
+    const std::size_t urgent = routineIsDue(state) ? 0 : state.urgentInProgress;
+    return state.routineInProgress + urgent + state.pauses.size() < slots(state);
+}
+
+Duration AdmissionControl::expectedWait(const ServiceState &state, Priority priority)
+{
+    std::size_t ahead = state.urgent.size();
+    if (priority == Priority::Routine)
+        ahead += state.routine.size();
+    const double turns = static_cast<double>(ahead + 1) / state.limit.value();
+    return Duration(
+            static_cast<Duration::rep>(turns * static_cast<double>(state.queryTime.count())));
+}
+
+void AdmissionControl::start(ServiceState &state, Priority priority)
+{
+    if (priority == Priority::Routine) {
+        ++state.routineInProgress;
+        state.urgentInRow = 0;
+        return;
+    }
+    ++state.urgentInProgress;
+    state.urgentInRow = state.routine.empty() ? 0 : state.urgentInRow + 1;
+}
+
+void AdmissionControl::startWaiting(StepContext &context, ServiceState &state)
+{
+    while (true) {
+        const bool urgentFirst = !state.urgent.empty() && !routineIsDue(state);
+        if (urgentFirst && hasRoom(state, Priority::Urgent, context.now()))
+            takeFirst(context, state, Priority::Urgent);
+        else if (!state.routine.empty() && hasRoom(state, Priority::Routine, context.now()))
+            takeFirst(context, state, Priority::Routine);
+        else
+            return;
+    }
+}
+
+void AdmissionControl::takeFirst(StepContext &context, ServiceState &state, Priority priority)
+{
+    auto &queue = priority == Priority::Urgent ? state.urgent : state.routine;
+    const QueryId query = queue.begin()->second.query;
+    start(state, priority);
+    m_decisions.push_back({ query, true, m_places.at(query).name, priority });
+    removeFromQueue(query);
+    context.counters.add("admission_dequeued_total");
+}
+
+void AdmissionControl::expire(StepContext &context)
+{
+    while (!m_expiries.empty() && m_expiries.begin()->first <= context.now()) {
+        const QueryId query { m_expiries.begin()->second };
+        const Place &place = m_places.at(query);
+        m_decisions.push_back({ query, false, place.name, place.priority });
+        removeFromQueue(query);
+        context.counters.add("admission_expired_total");
+    }
+}
+
+void AdmissionControl::removeFromQueue(QueryId query)
+{
+    const auto found = m_places.find(query);
+    GREENGAGESTAIR_ASSERT(found != m_places.end());
+    const Place place = found->second;
+    auto &queue =
+            place.priority == Priority::Urgent ? place.service->urgent : place.service->routine;
+    const auto waiting = queue.find(place.sequence);
+    m_expiries.erase({ waiting->second.until, query.value });
+    queue.erase(waiting);
+    m_places.erase(found);
 }
 
 } // namespace greengagestair
--- a/src/core/AdmissionControl.h
+++ b/src/core/AdmissionControl.h
@@ -1,11 +1,16 @@
 #pragma once
 
+#include "core/ConcurrencyLimit.h"
 #include "core/Interfaces.h"
 #include "core/QueryId.h"
 
 #include <boost/json/fwd.hpp>
 
+#include <deque>
+#include <map>
 #include <optional>
+#include <set>
+#include <unordered_map>
 
 namespace greengagestair {
 
@@ -20,6 +25,8 @@
     {
         QueryId query;
         bool admitted = false;
+        ServiceId service;
+        Priority priority = Priority::Routine;
     };
 
     /** How one attempt of a part ended, as a sign of load. */
@@ -34,15 +41,68 @@
     /** Each admitted query must be reported by `finished`. */
     Verdict request(StepContext &context, const Service &service, Priority priority, QueryId query,
                     MonotonicTime deadline);
-    /** A queued query is no longer wanted. */
-    void withdraw(const ServiceId &service, QueryId query);
-    void finished(StepContext &context, const ServiceId &service);
+    /** A queued query is no longer wanted; others are ignored. */
+    void withdraw(QueryId query);
+    /** An admitted query ended after `inProgress`. */
+    void finished(StepContext &context, const ServiceId &service, Priority priority,
+                  Duration inProgress);
     void partEnded(StepContext &context, const ServiceId &service, const PartSample &sample);
-    /** The next queued query that is now admitted or refused, if any. */
+    /**
+     * The next queued query that is now admitted or refused, if any. An admitted one that is gone
+     * by now must be reported by `finished` all the same.
+     */
     std::optional<Decision> nextDecision(StepContext &context);
 
     MonotonicTime nextWakeUp() const;
     boost::json::object dump(MonotonicTime now) const;
+
+private:
+    /** Position in the queues: order of arrival. */
+    using Sequence = std::uint64_t;
+
+    struct Waiting
+    {
+        QueryId query;
+        MonotonicTime until;
+    };
+
+    struct ServiceState
+    {
+        explicit ServiceState(const Service &service);
+
+        ConcurrencyLimit limit;
+        Duration queryTime; ///< smoothed time in progress
+        std::map<Sequence, Waiting> urgent;
+        std::map<Sequence, Waiting> routine;
+        std::size_t urgentInProgress = 0;
+        std::size_t routineInProgress = 0;
+        std::size_t urgentInRow = 0;
+        std::multiset<MonotonicTime> pauses; ///< ends of pauses between routine queries
+    };
+
+    struct Place
+    {
+        ServiceId name;
+        ServiceState *service = nullptr;
+        Priority priority = Priority::Routine;
+        Sequence sequence = 0;
+    };
+
+    static std::size_t slots(const ServiceState &state);
+    static bool routineIsDue(const ServiceState &state);
+    static bool hasRoom(ServiceState &state, Priority priority, MonotonicTime now);
+    static Duration expectedWait(const ServiceState &state, Priority priority);
+    static void start(ServiceState &state, Priority priority);
+    void startWaiting(StepContext &context, ServiceState &state);
+    void takeFirst(StepContext &context, ServiceState &state, Priority priority);
+    void expire(StepContext &context);
+    void removeFromQueue(QueryId query);
+
+    std::unordered_map<ServiceId, ServiceState> m_services;
+    std::unordered_map<QueryId, Place> m_places;
+    std::set<std::pair<MonotonicTime, std::uint64_t>> m_expiries; ///< time and query
+    std::deque<Decision> m_decisions;
+    Sequence m_lastSequence = 0;
 };
 
 } // namespace greengagestair
--- a/src/core/Query.h
+++ b/src/core/Query.h
@@ -62,6 +62,7 @@
     Signature signature;
     Priority priority = Priority::Routine;
     MonotonicTime arrivedAt;
+    MonotonicTime admittedAt;
     MonotonicTime deadline;
     MonotonicTime wakeUpAt = kNever; ///< registered timer
 
--- a/src/core/QueryEngine.cpp
+++ b/src/core/QueryEngine.cpp
@@ -214,8 +214,14 @@
     if (!decision.has_value())
         return false;
     Query *query = m_table.find(decision->query);
-    GREENGAGESTAIR_ASSERT(query != nullptr && query->phase == Query::Phase::Waiting);
+    if (query == nullptr) {
+        if (decision->admitted)
+            m_admission.finished(context, decision->service, decision->priority, Duration::zero());
+        return true;
+    }
+    GREENGAGESTAIR_ASSERT(query->phase == Query::Phase::Waiting);
     query->admitted = decision->admitted;
+    query->admittedAt = context.now();
     if (decision->admitted)
         begin(context, *query);
     else
@@ -257,6 +263,7 @@
         end(context, added, QueryOutcome::NotRun, QueryReason::Overloaded);
     } else if (verdict == AdmissionControl::Verdict::Admitted) {
         added.admitted = true;
+        added.admittedAt = context.now();
         begin(context, added);
     }
 }
@@ -903,8 +910,7 @@
     unknown.snapshot = query.snapshot->version;
     answer(context, query, std::move(unknown));
     query.callerGone = true;
-    m_admission.finished(context, query.service);
-    query.admitted = false;
+    leaveAdmission(context, query);
     query.deadline = context.now() + kLateResultTime;
     m_table.wakeAt(query, query.deadline);
 }
@@ -982,11 +988,18 @@
         else
             m_dispatcher.abandonOpen(query, part);
     }
-    if (query.admitted)
-        m_admission.finished(context, query.service);
-    else
-        m_admission.withdraw(query.service, query.id);
+    leaveAdmission(context, query);
     m_table.remove(query.id);
 }
 
+void QueryEngine::leaveAdmission(StepContext &context, Query &query)
+{
+    if (query.admitted)
+        m_admission.finished(context, query.service, query.priority,
+                             context.now() - query.admittedAt);
+    else if (query.phase == Query::Phase::Waiting)
+        m_admission.withdraw(query.id);
+    query.admitted = false;
+}
+
 } // namespace greengagestair
--- a/src/core/QueryEngine.h
+++ b/src/core/QueryEngine.h
@@ -96,6 +96,7 @@
     void answer(StepContext &context, Query &query, CallerAnswer answer);
     void end(StepContext &context, Query &query, QueryOutcome outcome, QueryReason reason);
     void remove(StepContext &context, Query &query);
+    void leaveAdmission(StepContext &context, Query &query);
 
     const ReducerOptions &m_options;
     DocumentView &m_documents;
--- /dev/null
+++ b/tests/core/AdmissionControlTest.cpp
@@ -0,0 +1,351 @@
+#include "EntryRoleFixture.h"
+
+#include <algorithm>
+#include <queue>
+
+using namespace greengagestair;
+using namespace greengagestair::test;
+
+namespace {
+
+/**
+ * Eight entry hosts before 10 groups of 3 servers with 2 slots and parts of 6 ms. Owners serve
+ * urgent parts first and refuse a part that would wait beyond its deadline.
+ */
+class OverloadModel
+{
+public:
+    struct Result
+    {
+        double goodput = 0;      ///< complete queries in time, as a share of capacity
+        double refusedParts = 0; ///< share of the parts of admitted queries
+        Duration urgentP99 {};
+        std::size_t late = 0;
+    };
+
+    OverloadModel(bool controlled, std::uint64_t seed)
+        : m_controlled(controlled)
+        , m_random(seed)
+    {
+        for (int host = 0; host < kHosts; ++host)
+            m_hosts.push_back(std::make_unique<AdmissionControl>(m_options, m_documents));
+    }
+
+    Result run(double load)
+    {
+        const double capacity = kReplicas * kSlots / 0.006;
+        std::exponential_distribution<double> gap(load * capacity);
+        MonotonicTime arrival { 1s };
+        while (arrival < kEnd) {
+            arrival += Duration(static_cast<Duration::rep>(gap(m_random) * 1e6) + 1);
+            at(arrival, [this] { arrive(); });
+        }
+        while (!m_events.empty()) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = event.time;
+            event.work();
+            for (int host = 0; host < kHosts; ++host)
+                settle(host);
+        }
+        Result result;
+        result.goodput = static_cast<double>(m_good) / (capacity * 3.0);
+        result.refusedParts = static_cast<double>(m_refused) / std::max(1.0, m_parts);
+        result.late = m_late;
+        std::sort(m_urgentTimes.begin(), m_urgentTimes.end());
+        if (!m_urgentTimes.empty())
+            result.urgentP99 = m_urgentTimes[m_urgentTimes.size() * 99 / 100];
+        return result;
+    }
+
+private:
+    static constexpr int kHosts = 8;
+    static constexpr int kGroups = 10;
+    static constexpr int kReplicas = 3;
+    static constexpr int kSlots = 2;
+    static constexpr Duration kDeadline = 200ms;
+    static constexpr Duration kTransport = 1ms;
+    static constexpr MonotonicTime kMeasured { 3s };
+    static constexpr MonotonicTime kEnd { 6s };
+
+    struct Event
+    {
+        MonotonicTime time;
+        std::uint64_t order;
+        std::function<void()> work;
+        bool operator>(const Event &other) const
+        {
+            return std::pair(time, order) > std::pair(other.time, other.order);
+        }
+    };
+    struct Request
+    {
+        int host = 0;
+        bool urgent = false;
+        MonotonicTime arrived;
+        MonotonicTime admitted;
+        int open = kGroups;
+        bool refused = false;
+    };
+    struct Part
+    {
+        std::uint64_t request = 0;
+        MonotonicTime sent;
+    };
+    struct Server
+    {
+        int busy = 0;
+        std::deque<Part> urgent;
+        std::deque<Part> routine;
+        std::size_t load() const { return busy + urgent.size() + routine.size(); }
+    };
+
+    void at(MonotonicTime time, std::function<void()> work)
+    {
+        m_events.push({ time, ++m_order, std::move(work) });
+    }
+
+    template <typename Work>
+    auto step(Work work)
+    {
+        const Instant instant { m_now, {} };
+        StepContext context { instant, m_effects, m_counters, m_random };
+        return work(context);
+    }
+
+    void arrive()
+    {
+        const std::uint64_t id = ++m_lastRequest;
+        Request &request = m_requests[id];
+        request.host = static_cast<int>(m_random() % kHosts);
+        request.urgent = m_random() % 10 == 0;
+        request.arrived = m_now;
+        if (!m_controlled)
+            return admit(id);
+        const Priority priority = request.urgent ? Priority::Urgent : Priority::Routine;
+        const auto verdict = step([&](StepContext &context) {
+            return m_hosts[request.host]->request(context, m_service, priority, { id },
+                                                  m_now + kDeadline);
+        });
+        if (verdict == AdmissionControl::Verdict::Admitted)
+            admit(id);
+        else if (verdict == AdmissionControl::Verdict::Refused)
+            m_requests.erase(id);
+    }
+
+    void settle(int host)
+    {
+        while (auto decision = step([&](StepContext &context) {
+                   return m_hosts[host]->nextDecision(context);
+               })) {
+            if (decision->admitted)
+                admit(decision->query.value);
+            else
+                m_requests.erase(decision->query.value);
+        }
+        const MonotonicTime next = m_hosts[host]->nextWakeUp();
+        MonotonicTime &planned = m_wakeUps[host];
+        if (next != kNever && (planned <= m_now || next < planned)) {
+            planned = std::max(next, m_now + 1us);
+            at(planned, [] {});
+        }
+    }
+
+    void admit(std::uint64_t id)
+    {
+        Request &request = m_requests[id];
+        request.admitted = m_now;
+        for (int group = 0; group < kGroups; ++group) {
+            const int first = group * kReplicas;
+            int best = first + static_cast<int>(m_random() % kReplicas);
+            for (int server = first; server < first + kReplicas; ++server) {
+                if ((m_requests[id].urgent
+                             ? m_servers[server].busy + m_servers[server].urgent.size()
+                             : m_servers[server].load())
+                    < (m_requests[id].urgent ? m_servers[best].busy + m_servers[best].urgent.size()
+                                             : m_servers[best].load()))
+                    best = server;
+            }
+            take(best, id, request.urgent);
+        }
+    }
+
+    void take(int index, std::uint64_t id, bool urgent)
+    {
+        Server &server = m_servers[index];
+        m_parts += m_now >= kMeasured;
+        const std::size_t ahead = urgent ? server.urgent.size() : server.load();
+        const MonotonicTime deadline = m_requests[id].arrived + kDeadline - kTransport;
+        if (m_now + 3ms * ahead + 6ms > deadline) {
+            m_refused += m_now >= kMeasured;
+            at(m_now + kTransport, [this, id] { endPart(id, m_now, true); });
+            return;
+        }
+        (urgent ? server.urgent : server.routine).push_back({ id, m_now });
+        serve(index);
+    }
+
+    void serve(int index)
+    {
+        Server &server = m_servers[index];
+        while (server.busy < kSlots && !(server.urgent.empty() && server.routine.empty())) {
+            auto &queue = server.urgent.empty() ? server.routine : server.urgent;
+            const Part part = queue.front();
+            queue.pop_front();
+            ++server.busy;
+            const Duration time(4800 + static_cast<Duration::rep>(m_random() % 2400));
+            at(m_now + time, [this, index, part] {
+                --m_servers[index].busy;
+                serve(index);
+                at(m_now + kTransport, [this, part] { endPart(part.request, part.sent, false); });
+            });
+        }
+    }
+
+    void endPart(std::uint64_t id, MonotonicTime sent, bool refused)
+    {
+        Request &request = m_requests[id];
+        request.refused = request.refused || refused;
+        AdmissionControl &admission = *m_hosts[request.host];
+        step([&](StepContext &context) {
+            admission.partEnded(context, m_service.name, { m_now - sent, refused });
+        });
+        if (--request.open > 0)
+            return;
+        const bool inTime = m_now <= request.arrived + kDeadline;
+        if (m_now >= kMeasured && m_now < kEnd && !request.refused) {
+            m_good += inTime;
+            m_late += !inTime;
+            if (request.urgent)
+                m_urgentTimes.push_back(m_now - request.arrived);
+        }
+        if (m_controlled) {
+            const Priority priority = request.urgent ? Priority::Urgent : Priority::Routine;
+            step([&](StepContext &context) {
+                admission.finished(context, m_service.name, priority, m_now - request.admitted);
+            });
+        }
+        m_requests.erase(id);
+    }
+
+    bool m_controlled;
+    ReducerOptions m_options;
+    TestDocuments m_documents;
+    Service m_service = EntryRoleFixture::makeService("lookup", Route::AllGroups);
+    std::vector<std::unique_ptr<AdmissionControl>> m_hosts;
+    std::array<MonotonicTime, kHosts> m_wakeUps {};
+    std::array<Server, kGroups * kReplicas> m_servers;
+    std::unordered_map<std::uint64_t, Request> m_requests;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    std::mt19937_64 m_random;
+    Effects m_effects;
+    CounterSet m_counters;
+    MonotonicTime m_now;
+    std::vector<Duration> m_urgentTimes;
+    double m_parts = 0;
+    std::size_t m_refused = 0;
+    std::size_t m_good = 0;
+    std::size_t m_late = 0;
+    std::uint64_t m_lastRequest = 0;
+    std::uint64_t m_order = 0;
+};
+
+} // namespace
+
+// Without admission control the owners refuse some part of nearly every query.
+TEST_CASE("twice the bearable load keeps its goodput", "[admission]")
+{
+    const std::uint64_t seed = GENERATE(1, 2, 3);
+    const auto unloaded = OverloadModel(true, seed).run(0.1);
+    const auto overloaded = OverloadModel(true, seed).run(2.0);
+    const auto uncontrolled = OverloadModel(false, seed).run(2.0);
+    CAPTURE(unloaded.urgentP99.count(), overloaded.urgentP99.count());
+    CAPTURE(overloaded.goodput, overloaded.refusedParts, uncontrolled.goodput);
+    REQUIRE(unloaded.refusedParts == 0);
+    REQUIRE(overloaded.goodput >= 0.9);
+    REQUIRE(overloaded.refusedParts <= 0.01);
+    REQUIRE(overloaded.late == 0);
+    // Parts are not interrupted, so an urgent query may wait for a routine part on each server.
+    REQUIRE(overloaded.urgentP99 <= unloaded.urgentP99 + 2 * 6ms);
+    REQUIRE(uncontrolled.goodput < 0.5);
+}
+
+// Guards against routine queries that never run beside a steady stream of urgent ones.
+TEST_CASE("a routine query waits for at most seven urgent ones", "[admission]")
+{
+    EntryRoleFixture fixture;
+    AdmissionControl &admission = fixture.admission;
+    const Service &service = fixture.documents.config.services[0];
+    using Verdict = AdmissionControl::Verdict;
+    std::vector<std::uint64_t> order;
+    fixture.run([&](StepContext &context) {
+        const auto request = [&](Priority priority, std::uint64_t id) {
+            return admission.request(context, service, priority, { id }, context.now() + 1s);
+        };
+        REQUIRE(request(Priority::Routine, 1) == Verdict::Admitted);
+        REQUIRE(request(Priority::Routine, 2) == Verdict::Admitted);
+        REQUIRE(request(Priority::Routine, 3) == Verdict::Queued);
+        REQUIRE(request(Priority::Urgent, 10) == Verdict::Admitted);
+        REQUIRE(request(Priority::Urgent, 11) == Verdict::Admitted);
+        for (std::uint64_t id = 12; id < 22; ++id)
+            REQUIRE(request(Priority::Urgent, id) == Verdict::Queued);
+        for (int round = 0; round < 12; ++round) {
+            admission.finished(context, service.name,
+                               round == 2 || round == 3 ? Priority::Routine : Priority::Urgent,
+                               6ms);
+            while (const auto decision = admission.nextDecision(context)) {
+                REQUIRE(decision->admitted);
+                order.push_back(decision->query.value);
+            }
+        }
+    });
+    const auto routine = std::find(order.begin(), order.end(), 3);
+    REQUIRE(routine != order.end());
+    REQUIRE(routine - order.begin() <= 5);
+    REQUIRE(std::is_sorted(order.begin(), routine));
+}
+
+// Guards against time-outs in the queue: what cannot be served in time is refused at once.
+TEST_CASE("waiting is bounded by time and by the deadline", "[admission]")
+{
+    EntryRoleFixture fixture;
+    AdmissionControl &admission = fixture.admission;
+    const Service &service = fixture.documents.config.services[0];
+    using Verdict = AdmissionControl::Verdict;
+    fixture.run([&](StepContext &context) {
+        const auto request = [&](std::uint64_t id, Duration deadline) {
+            return admission.request(context, service, Priority::Routine, { id },
+                                     context.now() + deadline);
+        };
+        REQUIRE(request(1, 1s) == Verdict::Admitted);
+        REQUIRE(request(2, 1s) == Verdict::Admitted);
+        REQUIRE(request(3, 8ms) == Verdict::Refused);
+        std::uint64_t id = 4;
+        while (request(id, 1s) == Verdict::Queued)
+            ++id;
+        REQUIRE(id < 50);
+        REQUIRE(admission.nextWakeUp() == context.now() + 100ms);
+    });
+    fixture.now += 100ms;
+    fixture.run([&](StepContext &context) {
+        const auto decision = admission.nextDecision(context);
+        REQUIRE(decision.has_value());
+        REQUIRE_FALSE(decision->admitted);
+        while (admission.nextDecision(context)) { }
+    });
+}
+
+TEST_CASE("a query that waits too long is refused as not run", "[admission]")
+{
+    EntryRoleFixture fixture;
+    fixture.warmUp("list");
+    std::vector<CallerId> callers;
+    for (int query = 0; query < 4; ++query)
+        callers.push_back(fixture.ask("list"));
+    REQUIRE(fixture.takeSent().size() == 4);
+    fixture.advance(95ms);
+    const auto refused = fixture.answerTo(callers[2]);
+    REQUIRE(refused.has_value());
+    REQUIRE(refused->outcome == QueryOutcome::NotRun);
+    REQUIRE(refused->reason == QueryReason::Overloaded);
+}
