--- a/src/core/QueryEngine.cpp
+++ b/src/core/QueryEngine.cpp
@@ -553,8 +553,11 @@
         return false;
     query.restarted = true;
     context.counters.add("restarts_total");
-    for (std::size_t part = 0; part < query.parts.size(); ++part)
-        m_dispatcher.cancelOpen(context, query, part);
+    for (std::size_t part = 0; part < query.parts.size(); ++part) {
+        const bool ran = query.parts[part].state == State::Answered;
+        query.mayHaveRun = query.mayHaveRun || ran;
+        cancelOpen(context, query, part);
+    }
     if (!makeParts(query, std::move(snapshot)))
         return false;
     passGate(context, query);
@@ -833,13 +836,20 @@
         QueryPart &state = query.parts[part];
         if (state.isSettled())
             continue;
-        m_dispatcher.cancelOpen(context, query, part);
+        cancelOpen(context, query, part);
         const bool keepReason =
                 state.reason != PartReason::None && reason != PartReason::Quarantined;
         miss(query, part, keepReason ? state.reason : reason);
     }
 }
 
+/** A cancelled attempt may have run. */
+void QueryEngine::cancelOpen(StepContext &context, Query &query, std::size_t part)
+{
+    query.mayHaveRun = query.mayHaveRun || !query.parts[part].attempts.empty();
+    m_dispatcher.cancelOpen(context, query, part);
+}
+
 void QueryEngine::loseAttempt(StepContext &context, PartId id)
 {
     const auto place = m_table.findAttempt(id);
--- a/src/core/QueryEngine.h
+++ b/src/core/QueryEngine.h
@@ -86,6 +86,7 @@
     void retryProbe(StepContext &context, Query &query, PartReason reason);
     void miss(Query &query, std::size_t part, PartReason reason);
     void missUnsettled(StepContext &context, Query &query, PartReason reason);
+    void cancelOpen(StepContext &context, Query &query, std::size_t part);
     void loseAttempt(StepContext &context, PartId id);
 
     void endAtDeadline(StepContext &context, Query &query);
