--- a/src/core/PartDispatcher.cpp
+++ b/src/core/PartDispatcher.cpp
@@ -76,12 +76,12 @@
             m_services[query.service].partTimes.typicalPartTime(service->warmPartTime);
     const BackendServer *server =
             m_replicas.select(servers, *service, partTime, context.now(), context.random);
-    return sendTo(context, query, part, *server, purpose, false);
+    return sendTo(context, query, part, *server, purpose, Trial::None);
 }
 
 PartDispatcher::Result PartDispatcher::sendTo(StepContext &context, Query &query, std::size_t part,
                                               const BackendServer &server, Purpose purpose,
-                                              bool isolated)
+                                              Trial trial)
 {
     const MonotonicTime now = context.now();
     const Service *service = findService(query.service);
@@ -99,7 +99,7 @@
     QueryPart &state = query.parts[part];
     state.state = QueryPart::State::Open;
     state.tried.push_back(server.name);
-    const bool mayHedge = query.isRepeatable() && !isolated;
+    const bool mayHedge = query.isRepeatable() && trial != Trial::Isolated;
     state.hedgeAt = mayHedge ? now + hedgeDelay(query.service) : kNever;
     m_table.wakeAt(query, state.hedgeAt);
     m_table.addAttempt(query, part, { id, server.name, *owner, now, purpose == Purpose::Hedge });
@@ -125,7 +125,8 @@
     request.age = now - query.arrivedAt;
     request.deadline = remaining;
     request.repeatable = query.isRepeatable();
-    request.isolated = isolated;
+    request.canary = trial == Trial::Canary;
+    request.isolated = trial == Trial::Isolated;
     request.body = query.body;
     m_router.sendPart(context, *owner, std::move(request));
     return Result::Sent;
--- a/src/core/PartDispatcher.h
+++ b/src/core/PartDispatcher.h
@@ -18,6 +18,9 @@
 class PartDispatcher
 {
 public:
+    /** How an attempt of a signature that is not known good is bounded at its owner. */
+    enum class Trial { None, Canary, Isolated };
+
     enum class Result { Sent, NoReplica, TooLate };
     enum class Purpose { First, Retry, Hedge };
     /** Service and group that an attempt was sent for. */
@@ -43,7 +46,7 @@
     Result send(StepContext &context, Query &query, std::size_t part, Purpose purpose);
     /** Sends the part to the given server. */
     Result sendTo(StepContext &context, Query &query, std::size_t part, const BackendServer &server,
-                  Purpose purpose, bool isolated);
+                  Purpose purpose, Trial trial);
     /** Cancels and closes the open attempts of a part. */
     void cancelOpen(StepContext &context, Query &query, std::size_t part);
     /** Closes the open attempts of a part and leaves their requests to run. */
--- a/src/core/QueryEngine.cpp
+++ b/src/core/QueryEngine.cpp
@@ -13,6 +13,7 @@
 
 namespace greengagestair {
 
+using Trial = PartDispatcher::Trial;
 using Purpose = PartDispatcher::Purpose;
 using SendResult = PartDispatcher::Result;
 using State = QueryPart::State;
@@ -214,8 +215,14 @@
     if (!decision.has_value())
         return false;
     Query *query = m_table.find(decision->query);
-    GREENGAGESTAIR_ASSERT(query != nullptr && query->phase == Query::Phase::Waiting);
+    if (query == nullptr) {
+        if (decision->admitted)
+            m_admission.finished(context, decision->service, decision->priority, Duration::zero());
+        return true;
+    }
+    GREENGAGESTAIR_ASSERT(query->phase == Query::Phase::Waiting);
     query->admitted = decision->admitted;
+    query->admittedAt = context.now();
     if (decision->admitted)
         begin(context, *query);
     else
@@ -257,6 +264,7 @@
         end(context, added, QueryOutcome::NotRun, QueryReason::Overloaded);
     } else if (verdict == AdmissionControl::Verdict::Admitted) {
         added.admitted = true;
+        added.admittedAt = context.now();
         begin(context, added);
     }
 }
@@ -487,9 +495,9 @@
         return false;
     const auto part = static_cast<std::size_t>(group - query.groups.begin());
     const bool first = query.parts[part].tried.empty();
-    const SendResult result =
-            m_dispatcher.sendTo(context, query, part, *place->server,
-                                first ? Purpose::First : Purpose::Retry, isolated);
+    const SendResult result = m_dispatcher.sendTo(context, query, part, *place->server,
+                                                  first ? Purpose::First : Purpose::Retry,
+                                                  isolated ? Trial::Isolated : Trial::Canary);
     if (result == SendResult::NoReplica)
         return false;
     if (result == SendResult::TooLate) {
@@ -546,8 +554,11 @@
         return false;
     query.restarted = true;
     context.counters.add("restarts_total");
-    for (std::size_t part = 0; part < query.parts.size(); ++part)
-        m_dispatcher.cancelOpen(context, query, part);
+    for (std::size_t part = 0; part < query.parts.size(); ++part) {
+        const bool ran = query.parts[part].state == State::Answered;
+        query.mayHaveRun = query.mayHaveRun || ran;
+        cancelOpen(context, query, part);
+    }
     if (!makeParts(query, std::move(snapshot)))
         return false;
     passGate(context, query);
@@ -599,7 +610,8 @@
     case Quarantine::Plan::Kind::Isolated: {
         const auto place = m_documents.findServer(plan.server);
         const bool sent = place.has_value()
-                && m_dispatcher.sendTo(context, query, part, *place->server, Purpose::Retry, true)
+                && m_dispatcher.sendTo(context, query, part, *place->server, Purpose::Retry,
+                                       Trial::Isolated)
                         == SendResult::Sent;
         if (!sent)
             miss(query, part, state.reason);
@@ -661,7 +673,7 @@
     const auto place = m_documents.findServer(plan.server);
     if (!place.has_value() || !m_dispatcher.budget(query.service).take())
         return false;
-    return m_dispatcher.sendTo(context, query, part, *place->server, Purpose::Hedge, false)
+    return m_dispatcher.sendTo(context, query, part, *place->server, Purpose::Hedge, Trial::Canary)
             == SendResult::Sent;
 }
 
@@ -826,13 +838,20 @@
         QueryPart &state = query.parts[part];
         if (state.isSettled())
             continue;
-        m_dispatcher.cancelOpen(context, query, part);
+        cancelOpen(context, query, part);
         const bool keepReason =
                 state.reason != PartReason::None && reason != PartReason::Quarantined;
         miss(query, part, keepReason ? state.reason : reason);
     }
 }
 
+/** A cancelled attempt may have run. */
+void QueryEngine::cancelOpen(StepContext &context, Query &query, std::size_t part)
+{
+    query.mayHaveRun = query.mayHaveRun || !query.parts[part].attempts.empty();
+    m_dispatcher.cancelOpen(context, query, part);
+}
+
 void QueryEngine::loseAttempt(StepContext &context, PartId id)
 {
     const auto place = m_table.findAttempt(id);
@@ -903,8 +922,7 @@
     unknown.snapshot = query.snapshot->version;
     answer(context, query, std::move(unknown));
     query.callerGone = true;
-    m_admission.finished(context, query.service);
-    query.admitted = false;
+    leaveAdmission(context, query);
     query.deadline = context.now() + kLateResultTime;
     m_table.wakeAt(query, query.deadline);
 }
@@ -982,11 +1000,18 @@
         else
             m_dispatcher.abandonOpen(query, part);
     }
-    if (query.admitted)
-        m_admission.finished(context, query.service);
-    else
-        m_admission.withdraw(query.service, query.id);
+    leaveAdmission(context, query);
     m_table.remove(query.id);
 }
 
+void QueryEngine::leaveAdmission(StepContext &context, Query &query)
+{
+    if (query.admitted)
+        m_admission.finished(context, query.service, query.priority,
+                             context.now() - query.admittedAt);
+    else if (query.phase == Query::Phase::Waiting)
+        m_admission.withdraw(query.id);
+    query.admitted = false;
+}
+
 } // namespace greengagestair
