Shorten the gap when a host restarts or joins

A restarted host waited 2 s for grants and, since it did not know the former list, 2 s more from its first majority. The wait now counts from the moment at which a majority is known to hold the list: that is what makes grants at older lists lapse. Failure reports that are not repeated stay valid for their 1.5 s, so the host that took over serves on.

--- a/src/core/CellView.cpp
+++ b/src/core/CellView.cpp
@@ -26,7 +26,8 @@
 }
 
 void CellView::update(const GrantTable &own, const GrantCollector &others,
-                      const std::set<HostId> &gone, bool selfGrants, MonotonicTime now)
+                      const std::set<HostId> &gone, const std::map<HostId, Revision> &heldVersions,
+                      bool selfGrants, MonotonicTime now)
 {
     const auto live = static_cast<std::size_t>(
             std::count_if(members().begin(), members().end(),
@@ -35,7 +36,7 @@
     m_grantsUntil = countGrants(others, gone, selfGrants);
     for (std::size_t index = 0; index < members().size(); ++index)
         m_failedUntil[index] = countReports(members()[index].host, own, others, gone);
-    if (now < m_grantsUntil)
+    if (isHeldByMajority(heldVersions, gone))
         m_waits.onMajority(now);
 }
 
@@ -88,6 +89,18 @@
     return higher;
 }
 
+bool CellView::isHeldByMajority(const std::map<HostId, Revision> &heldVersions,
+                                const std::set<HostId> &gone) const
+{
+    const auto holders =
+            std::count_if(members().begin(), members().end(), [&](const Member &member) {
+                const auto held = heldVersions.find(member.host);
+                const bool holds = held != heldVersions.end() && held->second >= m_version;
+                return !gone.contains(member.host) && (member.host == m_self || holds);
+            });
+    return m_majority > 0 && static_cast<std::size_t>(holders) >= m_majority;
+}
+
 MonotonicTime CellView::countGrants(const GrantCollector &others, const std::set<HostId> &gone,
                                     bool selfGrants) const
 {
--- a/src/core/CellView.h
+++ b/src/core/CellView.h
@@ -6,6 +6,7 @@
 #include "core/RendezvousRanking.h"
 #include "core/StepContext.h"
 
+#include <map>
 #include <set>
 #include <vector>
 
@@ -30,9 +31,12 @@
     /** Notes that this host has taken a newer list: it grants itself no more at this one. */
     void retire(MonotonicTime now) { m_selfGrantEnd = now + kGrantDuration; }
 
-    /** Counts again what the members say; `selfGrants` tells whether this host may grant. */
+    /**
+     * Counts again what the members say. `heldVersions` are the newest list versions that the
+     * others have shown; `selfGrants` tells whether this host may grant.
+     */
     void update(const GrantTable &own, const GrantCollector &others, const std::set<HostId> &gone,
-                bool selfGrants, MonotonicTime now);
+                const std::map<HostId, Revision> &heldVersions, bool selfGrants, MonotonicTime now);
 
     Revision version() const { return m_version; }
     const std::vector<Member> &members() const { return m_ranking.members(); }
@@ -54,6 +58,8 @@
     MonotonicTime waitEnd(const ServerId &server) const { return m_waits.waitEnd(server); }
 
 private:
+    bool isHeldByMajority(const std::map<HostId, Revision> &heldVersions,
+                          const std::set<HostId> &gone) const;
     MonotonicTime countGrants(const GrantCollector &others, const std::set<HostId> &gone,
                               bool selfGrants) const;
     MonotonicTime countReports(const HostId &subject, const GrantTable &own,
--- a/src/core/GrantCollector.cpp
+++ b/src/core/GrantCollector.cpp
@@ -87,7 +87,7 @@
 
 void GrantCollector::takeReports(Statements &statements, const Sent &sent, const HeartbeatAck &ack)
 {
-    statements.reports.clear();
+    // A report that is not repeated stays valid: its giver keeps the silence before it may grant.
     for (const MemberReport &report : ack.reports) {
         if (report.state == GrantState::Failed)
             statements.reports[report.member] = sent.at + kGrantDuration;
--- a/src/core/HandoverWaits.h
+++ b/src/core/HandoverWaits.h
@@ -13,12 +13,13 @@
  * How long this member must not use a server after changes of the member list.
  *
  * A member that has not learned of a new list may act on grants of the old one until they lapse.
- * Each majority at the new list contains a member that granted at the old one and has stopped doing
- * so, hence kTakeoverSilence after its first majority at the new list a member knows that all
- * grants of older lists have lapsed. It need not wait for a server for which any member that may
- * act at the old list and this one exclude each other anyway: this one was listed before, and no
- * member that ranks higher for the server was taken off the list. (Consecutive lists differ by one
- * host, so that their majorities intersect.) Members that are gone cannot act and do not count.
+ * A majority of the new list contains a member of each majority of the old one. Once a majority is
+ * known to hold the new list, hence to have stopped granting at the old one, all grants at the old
+ * list lapse within kGrantDuration; this class waits for kTakeoverSilence. It need not wait for a
+ * server for which any member that may act at the old list and this one exclude each other anyway:
+ * this one was listed before, and no member that ranks higher for the server was taken off the
+ * list. (Consecutive lists differ by one host, so that their majorities intersect.) Members that
+ * are gone cannot act and do not count.
  */
 class HandoverWaits
 {
@@ -29,7 +30,7 @@
     void onNewList(Revision oldVersion, const std::vector<Member> &oldMembers, Revision newVersion,
                    const std::vector<Member> &newMembers, const std::set<HostId> &gone);
 
-    /** Notes that a majority grants at the newest list. */
+    /** Notes that a majority of the members, this one included, holds the newest list. */
     void onMajority(MonotonicTime now);
 
     /** The server must not be used before; kNever while the first majority is awaited. */
--- a/src/core/Membership.cpp
+++ b/src/core/Membership.cpp
@@ -123,7 +123,8 @@
         return;
     }
     noteHeard(envelope, heartbeat.released, context.now());
-    noteListVersion(sender, heartbeat.memberListVersion);
+    if (isOwnCell(heartbeat.failureDomain))
+        noteListVersion(sender, heartbeat.memberListVersion);
     const std::set<HostId> &gone = m_presence.gone();
     const bool mayGrant = m_trusted && heartbeat.memberListVersion == m_current.version()
             && m_current.listsSelf() && !gone.contains(sender) && !gone.contains(m_options.host);
@@ -288,9 +289,11 @@
 
 void Membership::update(StepContext &context)
 {
-    m_current.update(m_table, m_collector, m_presence.gone(), m_trusted, context.now());
+    m_current.update(m_table, m_collector, m_presence.gone(), m_heardVersions, m_trusted,
+                     context.now());
     if (m_previous) {
-        m_previous->update(m_table, m_collector, m_presence.gone(), m_trusted, context.now());
+        m_previous->update(m_table, m_collector, m_presence.gone(), m_heardVersions, m_trusted,
+                           context.now());
         if (context.now() >= m_previous->grantsUntil())
             m_previous.reset();
     }
@@ -316,6 +319,8 @@
     m_current.retire(context.now());
     m_previous = std::move(m_current);
     m_current = std::move(next);
+    std::erase_if(m_heardVersions,
+                  [this](const auto &heard) { return !m_current.find(heard.first); });
     m_table.setMembers(list.members, m_options.host, context.now());
     m_nextHeartbeat = context.now();
     update(context);
@@ -384,8 +389,10 @@
 
 void Membership::noteListVersion(const HostId &host, Revision version)
 {
-    if (!m_trusted && version.value != 0)
-        m_heardVersions[host] = version;
+    if (version.value == 0)
+        return;
+    Revision &heard = m_heardVersions[host];
+    heard = std::max(heard, version);
 }
 
 void Membership::sendToCell(StepContext &context)
--- a/src/core/Membership.h
+++ b/src/core/Membership.h
@@ -91,7 +91,8 @@
     PeerContacts m_contacts;
     mutable std::map<FailureDomainId, std::pair<Revision, RendezvousRanking>> m_otherCells;
 
-    std::map<HostId, Revision> m_heardVersions; ///< member list versions of the other members
+    /** Newest member list versions that the other members have shown to this process. */
+    std::map<HostId, Revision> m_heardVersions;
     bool m_trusted = false; ///< the list is not older than one that this host has granted at
     std::map<HostId, MonotonicTime> m_failedSince;
     std::optional<MonotonicTime> m_majoritySince;
