--- a/src/core/DocumentStore.cpp
+++ b/src/core/DocumentStore.cpp
@@ -171,10 +171,12 @@
 {
     PeerState &peer = m_peers[envelope.sender];
     peer.heard = context.now();
-    peer.versions.clear();
     m_unheardSeeds.erase(envelope.endpoint);
     if (!m_firstAnswer)
         m_firstAnswer = context.now();
+    if (versions.empty())
+        return;
+    peer.versions.clear();
     for (const DocumentVersion &theirs : versions) {
         peer.versions[theirs.key] = theirs.version;
         if (theirs.key.value == kConfigurationKey)
--- a/src/core/DocumentStore.h
+++ b/src/core/DocumentStore.h
@@ -49,7 +49,10 @@
     void onPush(StepContext &context, const PeerEnvelope &envelope, const DocumentPush &push);
     void onRequest(StepContext &context, const PeerEnvelope &envelope,
                    const DocumentRequest &request);
-    /** Compares the versions of a heartbeat or ack with those held. */
+    /**
+     * Compares the versions of a heartbeat or ack with those held. No versions tell nothing: most
+     * heartbeats carry none.
+     */
     void onPeerVersions(StepContext &context, const PeerEnvelope &envelope,
                         const std::vector<DocumentVersion> &versions);
 
--- a/src/core/Membership.cpp
+++ b/src/core/Membership.cpp
@@ -20,6 +20,9 @@
 static constexpr Duration kSeedInterval = 250ms;
 static constexpr Duration kSeedIntervalListed = 10s;
 static constexpr Duration kEditInterval = 1s;
+/** Document versions go with one in so many heartbeats to the cell, that is once a second: they are
+ * most of a heartbeat's bytes, and newly adopted documents are pushed at once anyway. */
+static constexpr std::uint64_t kHeartbeatsPerVersions = 4;
 
 Membership::Membership(const ReducerOptions &options, DocumentView &documents,
                        DocumentWriter &writer)
@@ -136,7 +139,9 @@
     ack.grant = m_table.onHeartbeat(sender, envelope.incarnation, heartbeat.released, mayGrant,
                                     context.now());
     ack.reports = m_table.reports(sender, context.now());
-    ack.documents = m_documents.versions();
+    // A host that starts up holds nothing and asks with every heartbeat.
+    if (!heartbeat.documents.empty() || heartbeat.memberListVersion.value == 0)
+        ack.documents = m_documents.versions();
     context.emit(SendToPeer { sender, envelope.endpoint, std::move(ack) });
     const GrantState after = m_table.state(sender);
     if (after == before)
@@ -398,11 +403,12 @@
 void Membership::sendToCell(StepContext &context)
 {
     m_nextHeartbeat = context.now() + kHeartbeatInterval;
+    const bool withDocuments = m_sequence % kHeartbeatsPerVersions == 0;
     ++m_sequence;
     m_collector.noteSent(m_sequence, m_current.version(), context.now());
     for (const Member &member : m_current.members()) {
         if (member.host != m_options.host)
-            sendHeartbeat(context, member.host, member.endpoint);
+            sendHeartbeat(context, member.host, member.endpoint, withDocuments);
     }
 }
 
@@ -430,7 +436,7 @@
                       ranked.end(),
                       [](const auto &left, const auto &right) { return left.first > right.first; });
     for (std::size_t index = 0; index < count; ++index)
-        sendHeartbeat(context, ranked[index].second->host, ranked[index].second->endpoint);
+        sendHeartbeat(context, ranked[index].second->host, ranked[index].second->endpoint, true);
 }
 
 void Membership::sendToSeeds(StepContext &context)
@@ -439,16 +445,17 @@
     m_nextSeeds = context.now() + (listed ? kSeedIntervalListed : kSeedInterval);
     // The names of the seeds are not known yet: only the endpoint is given.
     for (const Endpoint &endpoint : m_unheardSeeds)
-        sendHeartbeat(context, HostId {}, endpoint);
+        sendHeartbeat(context, HostId {}, endpoint, true);
 }
 
-void Membership::sendHeartbeat(StepContext &context, const HostId &host, const Endpoint &endpoint)
+void Membership::sendHeartbeat(StepContext &context, const HostId &host, const Endpoint &endpoint,
+                               bool withDocuments)
 {
     context.counters.add("heartbeats_total");
-    context.emit(SendToPeer { host, endpoint, makeHeartbeat() });
+    context.emit(SendToPeer { host, endpoint, makeHeartbeat(withDocuments) });
 }
 
-Heartbeat Membership::makeHeartbeat() const
+Heartbeat Membership::makeHeartbeat(bool withDocuments) const
 {
     Heartbeat heartbeat;
     heartbeat.sequence = m_sequence;
@@ -456,7 +463,8 @@
     heartbeat.memberListVersion = m_current.version();
     heartbeat.leaving = m_leaving;
     heartbeat.released = m_released;
-    heartbeat.documents = m_documents.versions();
+    if (withDocuments)
+        heartbeat.documents = m_documents.versions();
     return heartbeat;
 }
 
--- a/src/core/Membership.h
+++ b/src/core/Membership.h
@@ -73,8 +73,9 @@
     void sendToCell(StepContext &context);
     void sendToOtherCells(StepContext &context);
     void sendToSeeds(StepContext &context);
-    void sendHeartbeat(StepContext &context, const HostId &host, const Endpoint &endpoint);
-    Heartbeat makeHeartbeat() const;
+    void sendHeartbeat(StepContext &context, const HostId &host, const Endpoint &endpoint,
+                       bool withDocuments);
+    Heartbeat makeHeartbeat(bool withDocuments) const;
     void noteHeard(const PeerEnvelope &envelope, bool released, MonotonicTime now);
 
     void editList(StepContext &context);
