--- a/tests/core/MembershipTest.cpp
+++ b/tests/core/MembershipTest.cpp
@@ -1,5 +1,6 @@
 #include "core/CellSimulation.h"
 #include "core/DocumentParsers.h"
+#include "core/HostPresence.h"
 
 #include <catch2/catch.hpp>
 
@@ -361,3 +362,34 @@
     cell.run(10s);
     REQUIRE(cell.allServed());
 }
+
+TEST_CASE("a member that was dropped from the host list is gone until it is admitted anew",
+          "[membership]")
+{
+    CellSimulation cell(11);
+    cell.start("shubra-9");
+    const DocumentStore &documents = cell.node("shubra-9").documents;
+    HostPresence presence(documents);
+    const FailureDomainId domain { "shubra" };
+    const auto push = [&](const std::string &key, std::uint64_t version, const std::string &text) {
+        cell.step("shubra-9", [&](StepContext &context) {
+            const DocumentPush document { { key }, { version }, text };
+            cell.node("shubra-9")
+                    .documents.onPush(context, { { "x" }, { 1 }, {}, document }, document);
+        });
+        presence.update(documents.members(domain), documents.memberListVersion(domain));
+        return presence.gone().contains({ "shubra-1" });
+    };
+    const auto list = [&](std::uint64_t listedAt) {
+        return formatMemberList(
+                { domain, { { { "shubra-1" }, { "127.0.9.1", 7400 }, { listedAt } } } });
+    };
+    const std::string shown = R"({"hosts": [{"name": "shubra-1", "state": "live"}]})";
+    REQUIRE_FALSE(push("members/shubra", 5, list(20)));
+    REQUIRE_FALSE(push("hosts", 19, R"({"hosts": []})")); // older than its admission
+    REQUIRE_FALSE(push("hosts", 20, shown));
+    REQUIRE(push("hosts", 21, R"({"hosts": []})"));
+    REQUIRE(push("hosts", 22, shown));
+    REQUIRE(push("members/shubra", 6, list(20)));
+    REQUIRE_FALSE(push("members/shubra", 7, list(22)));
+}
