--- a/src/core/Membership.h
+++ b/src/core/Membership.h
@@ -73,8 +73,9 @@
     void sendToCell(StepContext &context);
     void sendToOtherCells(StepContext &context);
     void sendToSeeds(StepContext &context);
-    void sendHeartbeat(StepContext &context, const HostId &host, const Endpoint &endpoint);
-    Heartbeat makeHeartbeat() const;
+    void sendHeartbeat(StepContext &context, const HostId &host, const Endpoint &endpoint,
+                       bool withDocuments);
+    Heartbeat makeHeartbeat(bool withDocuments) const;
     void noteHeard(const PeerEnvelope &envelope, bool released, MonotonicTime now);
 
     void editList(StepContext &context);
@@ -91,7 +92,8 @@
     PeerContacts m_contacts;
     mutable std::map<FailureDomainId, std::pair<Revision, RendezvousRanking>> m_otherCells;
 
-    std::map<HostId, Revision> m_heardVersions; ///< member list versions of the other members
+    /** Newest member list versions that the other members have shown to this process. */
+    std::map<HostId, Revision> m_heardVersions;
     bool m_trusted = false; ///< the list is not older than one that this host has granted at
     std::map<HostId, MonotonicTime> m_failedSince;
     std::optional<MonotonicTime> m_majoritySince;
