--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -14,6 +14,8 @@
 
 using boost::leaf::result;
 
+namespace {
+
 /** Options and positional arguments as given. */
 struct RawArguments
 {
@@ -23,6 +25,8 @@
     bool wantsVersion = false;
 };
 
+} // namespace
+
 static boost::leaf::error_id usageError(const std::string &problem)
 {
     return boost::leaf::new_error(UsageError { problem });
@@ -65,6 +69,8 @@
     return raw;
 }
 
+namespace {
+
 /** Takes options and words out of the raw arguments; what is left over is an error. */
 class ArgumentTaker
 {
@@ -127,6 +133,8 @@
     RawArguments m_raw;
 };
 
+} // namespace
+
 static result<Command> takeConfigCommand(ArgumentTaker &taker)
 {
     const std::string action = taker.takeWord();
--- a/src/app/Metrics.cpp
+++ b/src/app/Metrics.cpp
@@ -28,6 +28,8 @@
     return { text.data(), static_cast<std::size_t>(length) };
 }
 
+namespace {
+
 /** One histogram of latencies in seconds, with their sum. */
 class LatencyHistogram
 {
@@ -77,6 +79,8 @@
     std::uint64_t m_count = 0;
 };
 
+} // namespace
+
 class Metrics::Histograms
 {
 public:
--- a/src/app/Replay.cpp
+++ b/src/app/Replay.cpp
@@ -11,6 +11,8 @@
 
 using boost::leaf::result;
 
+namespace {
+
 /** Reads the lines of a trace that end in a line break. */
 class TraceReader
 {
@@ -70,6 +72,8 @@
     bool m_endsInPartialLine = false;
 };
 
+} // namespace
+
 result<ReplayReport> replay(std::istream &trace, std::istream &expected)
 {
     TraceReader events(trace);
--- a/src/app/Settings.cpp
+++ b/src/app/Settings.cpp
@@ -29,11 +29,15 @@
     "httpThreads", "maxBodyBytes",  "stopTimeoutMs",  "logLevel",     "traceFile"
 };
 
+namespace {
+
 /** An endpoint that is not `address:port`. */
 struct MalformedEndpoint
 {
 };
 
+} // namespace
+
 static bool isIpNumber(const std::string &address)
 {
     std::array<unsigned char, sizeof(in6_addr)> binary {};
@@ -69,6 +73,8 @@
     return address + ":" + std::to_string(endpoint.port);
 }
 
+namespace {
+
 /** Reads the members of the settings object; the first problem ends the reading. */
 class SettingsReader
 {
@@ -229,6 +235,8 @@
     std::map<std::string, std::string> m_paths; ///< where each address was given first
 };
 
+} // namespace
+
 /** Line and column of an offset, counted from 1. */
 static std::string describePosition(std::string_view text, std::size_t offset)
 {
--- a/src/net/HttpFraming.cpp
+++ b/src/net/HttpFraming.cpp
@@ -38,6 +38,8 @@
     return length;
 }
 
+namespace {
+
 /** The header fields that decide where a request ends. */
 struct FramingFields
 {
@@ -45,6 +47,8 @@
     bool wantsContinue = false;
 };
 
+} // namespace
+
 /** Reads the fields; nothing if they are malformed. */
 static std::optional<FramingFields> readFields(std::string_view lines)
 {
--- a/src/net/HttpFrontEnd.cpp
+++ b/src/net/HttpFrontEnd.cpp
@@ -29,6 +29,8 @@
 static constexpr std::chrono::hours kLibraryTimeout(24);
 static constexpr int kBacklog = 1024;
 
+namespace {
+
 /** One connection of a caller. Guarded by the mutex of the server. */
 struct Connection
 {
@@ -67,6 +69,8 @@
     std::string body;
 };
 
+} // namespace
+
 static HttpAnswer toAnswer(CallerResponse response)
 {
     return { response.status, "application/json", std::move(response.body) };
@@ -156,6 +160,8 @@
     std::thread m_sweeper;
 };
 
+namespace {
+
 /** Pistache's handler; each of its threads has a copy. */
 class RequestHandler : public Pistache::Http::Handler
 {
@@ -200,6 +206,8 @@
     std::function<void(const PeerPointer &)> m_disconnected;
 };
 
+} // namespace
+
 HttpFrontEnd::Server::Server(const HttpFrontEndOptions &options, EventQueue &events,
                              OperatorPages &pages, AnswerObserver &observer)
     : m_options(options)
--- a/tests/app/ConfigurationChangeTest.cpp
+++ b/tests/app/ConfigurationChangeTest.cpp
@@ -13,6 +13,8 @@
     return R"({"changeId": ")" + changeId + R"(", "slots": )" + std::to_string(slots) + "}";
 }
 
+namespace {
+
 /** A platform whose answers are lost, or whose writes are overtaken, as the test asks for. */
 class FakeStore : public ConfigurationStore
 {
@@ -54,6 +56,8 @@
     int writes = 0;
 };
 
+} // namespace
+
 TEST_CASE("an accepted change keeps the identifiers of earlier ones", "[config]")
 {
     FakeStore store;
--- a/tests/app/EventLoopTest.cpp
+++ b/tests/app/EventLoopTest.cpp
@@ -7,6 +7,8 @@
 
 using namespace greengagestair;
 
+namespace {
+
 /** Order of the calls at a stop. */
 using Calls = std::vector<std::string>;
 
@@ -129,6 +131,8 @@
     CountingRecorder recorder;
 };
 
+} // namespace
+
 static CallerRequest request(std::uint64_t caller)
 {
     return { { caller }, { "s" }, { "o" }, {}, {}, "", "" };
--- a/tests/app/HttpFrontEndTest.cpp
+++ b/tests/app/HttpFrontEndTest.cpp
@@ -17,6 +17,8 @@
 static constexpr std::chrono::seconds kTestLimit(10);
 static const std::string kClosed = "<closed>";
 
+namespace {
+
 /** Keeps posted events for the test, or gives each to a function at once. */
 class RecordedEvents : public EventQueue
 {
@@ -168,6 +170,8 @@
     std::optional<HttpFrontEnd> frontEnd;
 };
 
+} // namespace
+
 TEST_CASE("callers get their own answers in any order, on connections that stay open", "[http]")
 {
     Fixture fixture;
