--- a/include/greengagestair/Messages.h
+++ b/include/greengagestair/Messages.h
@@ -96,6 +96,7 @@
     Duration age {};      ///< since the query arrived at its entry host
     Duration deadline {}; ///< remaining
     bool repeatable = true;
+    bool canary = false;   ///< first attempt of an unknown signature: one at a time at its owner
     bool isolated = false; ///< run only while nothing else is in flight on the server
     std::string body;
 
--- a/src/app/TraceJson.cpp
+++ b/src/app/TraceJson.cpp
@@ -328,10 +328,11 @@
 boost::leaf::result<TraceStep> decodeStep(std::string_view line)
 {
     const json::value value = parseLine(line);
-    TraceStep step;
-    const bool isCorrect = readMember(value, "now", step.instant.now)
-            && readMember(value, "wall", step.instant.wall)
-            && readMember(value, "event", step.event) && readMember(value, "effects", step.effects);
+    boost::leaf::result<TraceStep> step { TraceStep {} };
+    const bool isCorrect = readMember(value, "now", step->instant.now)
+            && readMember(value, "wall", step->instant.wall)
+            && readMember(value, "event", step->event)
+            && readMember(value, "effects", step->effects);
     if (!isCorrect)
         return boost::leaf::new_error(TraceMalformed { "a time, an event and its effects" });
     return step;
--- a/src/net/Description.h
+++ b/src/net/Description.h
@@ -40,7 +40,7 @@
 BOOST_DESCRIBE_STRUCT(DocumentPush, (), (key, version, content))
 BOOST_DESCRIBE_STRUCT(PartRequest, (),
                       (part, server, service, operation, group, version, signature, priority, age,
-                       deadline, repeatable, isolated, body))
+                       deadline, repeatable, canary, isolated, body))
 BOOST_DESCRIBE_STRUCT(PartCancel, (), (part))
 BOOST_DESCRIBE_STRUCT(PartAnswer, (),
                       (part, outcome, reason, version, heldVersions, expectedWait, body))
--- a/tests/app/TraceJsonTest.cpp
+++ b/tests/app/TraceJsonTest.cpp
@@ -38,6 +38,7 @@
                            kTime,
                            false,
                            true,
+                           true,
                            kBytes },
              PartCancel { { 1 } },
              PartAnswer { { 1 },
