--- a/src/app/Metrics.cpp
+++ b/src/app/Metrics.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdio>
+#include <set>
 
 namespace greengagestair {
 
@@ -81,6 +82,21 @@
 
 } // namespace
 
+/** Counter names may carry labels: `queries_total{outcome="complete"}`. */
+static void renderCounters(const std::vector<Counter> &counters, std::string &text)
+{
+    std::set<std::string> families;
+    for (const Counter &counter : counters) {
+        const std::string name = std::string(kPrefix) + counter.name;
+        const std::string family = name.substr(0, name.find('{'));
+        if (families.insert(family).second) {
+            const char *type = family.ends_with("_total") ? "counter" : "gauge";
+            text += "# TYPE " + family + " " + type + "\n";
+        }
+        text += name + " " + std::to_string(counter.value) + "\n";
+    }
+}
+
 class Metrics::Histograms
 {
 public:
@@ -106,12 +122,7 @@
             + std::string(kPrefix) + "answer_seconds histogram\n";
     for (const QueryOutcome outcome : kOutcomes)
         m_histograms->byOutcome.at(static_cast<std::size_t>(outcome)).render(toText(outcome), text);
-    for (const Counter &counter : counters) {
-        const std::string name = std::string(kPrefix) + counter.name;
-        const char *type = counter.name.ends_with("_total") ? "counter" : "gauge";
-        text += "# TYPE " + name + " " + type + "\n";
-        text += name + " " + std::to_string(counter.value) + "\n";
-    }
+    renderCounters(counters, text);
     return text;
 }
 
--- a/src/app/OutboundAdapters.cpp
+++ b/src/app/OutboundAdapters.cpp
@@ -20,6 +20,17 @@
 
 #if GREENGAGESTAIR_HAS_ADAPTERS
 
+static std::vector<Counter> toCounters(const PeerTransportCounters &counters)
+{
+    return { { "peer_frames_sent_total", counters.framesSent },
+             { "peer_frames_received_total", counters.framesReceived },
+             { "peer_frames_malformed_total", counters.malformedFrames },
+             { "peer_payloads_unknown_total", counters.unknownPayloads },
+             { "peer_frames_dropped_total", counters.droppedFrames },
+             { "peer_reconnects_total", counters.reconnects },
+             { "peer_writes_total", counters.writes } };
+}
+
 boost::leaf::result<OutboundAdapters> makeOutboundAdapters(boost::asio::io_context &context,
                                                            const Settings &settings,
                                                            Incarnation incarnation,
@@ -27,8 +38,10 @@
 {
     OutboundAdapters adapters;
     try {
-        adapters.peers = std::make_unique<TcpPeerTransport>(context, settings.host, incarnation,
-                                                            settings.peerEndpoint, events);
+        auto peers = std::make_unique<TcpPeerTransport>(context, settings.host, incarnation,
+                                                        settings.peerEndpoint, events);
+        adapters.peerCounters = [&transport = *peers] { return toCounters(transport.counters()); };
+        adapters.peers = std::move(peers);
     } catch (const boost::system::system_error &error) {
         return boost::leaf::new_error(ListenFailed { settings.peerEndpoint, error.what() });
     }
@@ -110,7 +123,8 @@
 {
     return OutboundAdapters { std::make_unique<UnreachablePeers>(events),
                               std::make_unique<UnreachableBackends>(events),
-                              std::make_unique<UnreachablePlatform>(events) };
+                              std::make_unique<UnreachablePlatform>(events),
+                              [] { return std::vector<Counter>(); } };
 }
 
 #endif
--- a/src/app/OutboundAdapters.h
+++ b/src/app/OutboundAdapters.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "app/Settings.h"
+#include "greengagestair/Reducer.h"
 #include "net/Adapters.h"
 
+#include <functional>
 #include <memory>
+#include <vector>
 
 namespace boost::asio {
 class io_context;
@@ -17,6 +20,8 @@
     std::unique_ptr<PeerTransport> peers;
     std::unique_ptr<BackendClient> backends;
     std::unique_ptr<PlatformClient> platform;
+    /** Counters of the peer transport; only for the thread of the event loop. */
+    std::function<std::vector<Counter>()> peerCounters;
 };
 
 /** Makes the adapters; the arguments must outlive them. Fails with ListenFailed. */
--- a/src/app/Serve.cpp
+++ b/src/app/Serve.cpp
@@ -66,8 +66,9 @@
     Metrics metrics;
     StatusPages pages(loop, metrics);
     HttpFrontEnd frontEnd(makeFrontEndOptions(settings, options.incarnation), loop, pages, metrics);
-    pages.setFrontEnd(frontEnd);
+    pages.addCounters([&] { return frontEnd.counters(); });
     BOOST_LEAF_AUTO(adapters, makeOutboundAdapters(context, settings, options.incarnation, loop));
+    pages.addCounters(adapters.peerCounters);
     BOOST_LEAF_CHECK(frontEnd.start());
     logLine(LogLevel::Info, "started",
             { { "host", settings.host.value },
--- a/src/app/StatusPages.cpp
+++ b/src/app/StatusPages.cpp
@@ -22,8 +22,8 @@
     switch (page) {
     case OperatorPage::Metrics: {
         std::vector<Counter> counters = reducer.counters();
-        if (m_frontEnd) {
-            const std::vector<Counter> added = m_frontEnd->counters();
+        for (const auto &source : m_sources) {
+            const std::vector<Counter> added = source();
             counters.insert(counters.end(), added.begin(), added.end());
         }
         return { 200, "text/plain; version=0.0.4", m_metrics.render(counters) };
--- a/src/app/StatusPages.h
+++ b/src/app/StatusPages.h
@@ -13,8 +13,11 @@
     /** The arguments must outlive the event loop's run. */
     StatusPages(EventLoop &loop, const Metrics &metrics);
 
-    /** Adds the counters of the front end; called before the loop runs. */
-    void setFrontEnd(const HttpFrontEnd &frontEnd) { m_frontEnd = &frontEnd; }
+    /** Adds counters to the metrics page; called before the loop runs. */
+    void addCounters(std::function<std::vector<Counter>()> source)
+    {
+        m_sources.push_back(std::move(source));
+    }
 
     void requestPage(OperatorPage page, std::function<void(PageText)> done) override;
 
@@ -23,7 +26,7 @@
 
     EventLoop &m_loop;
     const Metrics &m_metrics;
-    const HttpFrontEnd *m_frontEnd = nullptr;
+    std::vector<std::function<std::vector<Counter>()>> m_sources;
 };
 
 } // namespace greengagestair
--- a/tests/app/MetricsTest.cpp
+++ b/tests/app/MetricsTest.cpp
@@ -24,6 +24,12 @@
                  Catch::Contains("# TYPE greengagestair_hedges_total counter\n"
                                  "greengagestair_hedges_total 3\n"));
     REQUIRE_THAT(text, Catch::Contains("# TYPE greengagestair_queries gauge\n"));
+    const std::string labelled = metrics.render(
+            { { "parts_total{outcome=\"a\"}", 1 }, { "parts_total{outcome=\"b\"}", 2 } });
+    REQUIRE_THAT(labelled,
+                 Catch::EndsWith("# TYPE greengagestair_parts_total counter\n"
+                                 "greengagestair_parts_total{outcome=\"a\"} 1\n"
+                                 "greengagestair_parts_total{outcome=\"b\"} 2\n"));
 }
 
 TEST_CASE("a value cannot forge a second log line or field", "[log]")
