Record each event before it is handled

A violated invariant ends the process inside the reducer, so the trace lacked the very event that violated it. Replay now repeats that event.

--- a/src/app/Commands.cpp
+++ b/src/app/Commands.cpp
@@ -94,7 +94,7 @@
 static ExitCode reportReplay(const ReplayReport &report)
 {
     if (report.endsInPartialLine)
-        std::cerr << "the trace ends in a partial line, which was left out\n";
+        std::cerr << "the trace ends in an event whose handling did not end\n";
     if (!report.difference) {
         std::cout << report.events << " events, no difference\n";
         return ExitCode::Success;
--- a/src/app/EventLoop.cpp
+++ b/src/app/EventLoop.cpp
@@ -100,9 +100,11 @@
     if (std::holds_alternative<StopRequested>(event))
         armStopLimit();
     const Instant instant = currentInstant();
+    if (m_recorder)
+        m_recorder->begin(instant, event);
     const Effects effects = m_reducer.handle(instant, event);
     if (m_recorder)
-        m_recorder->record(instant, event, effects);
+        m_recorder->finish(effects);
     for (const Effect &effect : effects)
         apply(effect);
 }
--- a/src/app/EventLoop.h
+++ b/src/app/EventLoop.h
@@ -26,7 +26,9 @@
 {
 public:
     virtual ~StepRecorder() = default;
-    virtual void record(const Instant &instant, const Event &event, const Effects &effects) = 0;
+    /** Called before the reducer handles the event, since a violated invariant ends the process. */
+    virtual void begin(const Instant &instant, const Event &event) = 0;
+    virtual void finish(const Effects &effects) = 0;
 };
 
 /** How the loop ended. */
--- a/src/app/Replay.cpp
+++ b/src/app/Replay.cpp
@@ -11,6 +11,9 @@
 
 using boost::leaf::result;
 
+/** A line that ends here holds an event whose handling did not end. */
+static constexpr std::string_view kEffectsKey = R"("effects":)";
+
 namespace {
 
 /** Reads the lines of a trace that end in a line break. */
@@ -27,12 +30,11 @@
         std::string line;
         if (!std::getline(m_stream, line))
             return std::nullopt;
-        if (m_stream.eof()) {
-            m_endsInPartialLine = true;
+        m_endsInPartialLine = m_stream.eof();
+        if (m_endsInPartialLine && !line.ends_with(kEffectsKey))
             return std::nullopt;
-        }
         ++m_line;
-        return line;
+        return m_endsInPartialLine ? line + "[]}" : line;
     }
 
     result<ReducerOptions> readOptions()
@@ -98,7 +100,7 @@
         const std::string actual = encodeEffects(reducer.handle(step->instant, step->event));
         ++report.events;
         const std::string wanted = encodeEffects(recorded->effects);
-        if (actual != wanted) {
+        if (actual != wanted && !events.endsInPartialLine()) {
             report.difference = { events.line(), event, wanted, actual };
             break;
         }
--- a/src/app/Replay.h
+++ b/src/app/Replay.h
@@ -22,7 +22,7 @@
 struct ReplayReport
 {
     std::size_t events = 0;
-    bool endsInPartialLine = false; ///< the process ended while it wrote the last line
+    bool endsInPartialLine = false; ///< the process ended while it handled the last event
     std::optional<ReplayDifference> difference;
 };
 
@@ -36,7 +36,8 @@
 /**
  * Feeds the events of `trace` into a new reducer and compares its effects with those recorded in
  * `expected`, which holds the same events (often it is the same trace). Stops at the first
- * difference. Fails with ReplayMalformed.
+ * difference. An event without effects in the last line is handled, too: it repeats the violated
+ * invariant that ended the process. Fails with ReplayMalformed.
  */
 boost::leaf::result<ReplayReport> replay(std::istream &trace, std::istream &expected);
 
--- a/src/app/TraceJson.cpp
+++ b/src/app/TraceJson.cpp
@@ -290,14 +290,25 @@
     return json::serialize(toJson(effects));
 }
 
-std::string encodeStep(const Instant &instant, const Event &event, const Effects &effects)
+std::string encodeStepBegin(const Instant &instant, const Event &event)
 {
     json::object step;
     step["now"] = toJson(instant.now);
     step["wall"] = toJson(instant.wall);
     step["event"] = toJson(event);
-    step["effects"] = toJson(effects);
-    return json::serialize(step);
+    std::string line = json::serialize(step);
+    line.pop_back();
+    return line + R"(,"effects":)";
+}
+
+std::string encodeStepEnd(const Effects &effects)
+{
+    return encodeEffects(effects) + "}";
+}
+
+std::string encodeStep(const Instant &instant, const Event &event, const Effects &effects)
+{
+    return encodeStepBegin(instant, event) + encodeStepEnd(effects);
 }
 
 /** Bodies are recorded as they came, so they may be invalid UTF-8. */
--- a/src/app/TraceJson.h
+++ b/src/app/TraceJson.h
@@ -27,6 +27,9 @@
 std::string encodeOptions(const ReducerOptions &options);
 std::string encodeEvent(const Event &event);
 std::string encodeEffects(const Effects &effects);
+/** A step's line is its begin followed by its end. */
+std::string encodeStepBegin(const Instant &instant, const Event &event);
+std::string encodeStepEnd(const Effects &effects);
 std::string encodeStep(const Instant &instant, const Event &event, const Effects &effects);
 
 /** Fail with TraceMalformed. */
--- a/src/app/TraceWriter.cpp
+++ b/src/app/TraceWriter.cpp
@@ -17,9 +17,14 @@
     return writer;
 }
 
-void TraceWriter::record(const Instant &instant, const Event &event, const Effects &effects)
+void TraceWriter::begin(const Instant &instant, const Event &event)
 {
-    m_stream << encodeStep(instant, event, effects) << '\n' << std::flush;
+    m_stream << encodeStepBegin(instant, event) << std::flush;
+}
+
+void TraceWriter::finish(const Effects &effects)
+{
+    m_stream << encodeStepEnd(effects) << '\n' << std::flush;
 }
 
 } // namespace greengagestair
--- a/src/app/TraceWriter.h
+++ b/src/app/TraceWriter.h
@@ -17,8 +17,9 @@
 };
 
 /**
- * Writes a trace: the reducer's options in the first line, then one JSON line per event. Each line
- * is flushed, since the events before a violated invariant matter most.
+ * Writes a trace: the reducer's options in the first line, then one JSON line per event. The event
+ * is flushed before it is handled, so that a trace that ends with a violated invariant holds the
+ * event that violated it.
  */
 class TraceWriter : public StepRecorder
 {
@@ -27,7 +28,8 @@
     static boost::leaf::result<std::unique_ptr<TraceWriter>> create(const std::string &file,
                                                                     const ReducerOptions &options);
 
-    void record(const Instant &instant, const Event &event, const Effects &effects) override;
+    void begin(const Instant &instant, const Event &event) override;
+    void finish(const Effects &effects) override;
 
 private:
     TraceWriter() = default;
--- a/tests/app/TraceJsonTest.cpp
+++ b/tests/app/TraceJsonTest.cpp
@@ -12,6 +12,7 @@
 static const std::uint64_t kLarge = std::numeric_limits<std::uint64_t>::max();
 static const Endpoint kEndpoint { "127.0.1.1", 7400 };
 static const Duration kTime(1'234'567);
+static const Duration kLater(10'000'000);
 static const std::string kBytes("quote\" line\n nul\0 byte\xff", 23);
 
 static std::vector<PeerMessage> allMessages()
@@ -184,6 +185,11 @@
     REQUIRE(same.events == 20);
     REQUIRE_FALSE(same.difference);
     REQUIRE(replayTexts(trace + R"({"now":)", trace).endsInPartialLine);
+    const std::string crashed = trace + encodeStepBegin({ MonotonicTime(kLater), {} }, Tick {});
+    const auto repeated = replayTexts(crashed, crashed);
+    REQUIRE(repeated.events == 21);
+    REQUIRE(repeated.endsInPartialLine);
+    REQUIRE_FALSE(repeated.difference);
 
     std::string changed = trace;
     const auto effects = changed.rfind("\"effects\":[") + std::string("\"effects\":[").size();
