--- /dev/null
+++ b/src/core/PartFlow.cpp
@@ -0,0 +1,573 @@
+#include "core/PartFlow.h"
+
+#include "core/Assert.h"
+#include "core/QueryAnswer.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace greengagestair {
+
+using Purpose = PartDispatcher::Purpose;
+using SendResult = PartDispatcher::Result;
+using State = QueryPart::State;
+
+/** Canary servers that may refuse for load before the query is refused. */
+static constexpr std::size_t kMaxProbeRefusals = 3;
+/** Open attempts of one part: the slow one and its hedge. */
+static constexpr std::size_t kMaxOpenAttempts = 2;
+
+static bool isLoadRefusal(PartReason reason)
+{
+    return reason == PartReason::Overloaded || reason == PartReason::Shed
+            || reason == PartReason::Expired;
+}
+
+static std::string failureCounter(PartReason reason)
+{
+    return std::string("part_failures_total{reason=\"") + reasonLabel(reason) + "\"}";
+}
+
+/** Whether another attempt costs the backend servers work beyond the first attempt. */
+static bool needsBudget(PartOutcome outcome, PartReason reason)
+{
+    if (outcome == PartOutcome::NotSent || outcome == PartOutcome::VersionNotHeld)
+        return false;
+    return outcome != PartOutcome::Refused || reason != PartReason::Draining;
+}
+
+static std::optional<std::size_t> rangeOf(const PinnedSnapshot &snapshot, const std::string &key)
+{
+    const auto found = std::find_if(snapshot.ranges.begin(), snapshot.ranges.end(),
+                                    [&](const KeyRange &range) { return range.contains(key); });
+    if (found == snapshot.ranges.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(found - snapshot.ranges.begin());
+}
+
+PartFlow::PartFlow(const ReducerOptions &options, DocumentView &documents, OwnershipView &ownership,
+                   PartRouter &router, AdmissionControl &admission, Quarantine &quarantine,
+                   IdentifierSource &identifiers, QueryTable &table)
+    : m_options(options)
+    , m_documents(documents)
+    , m_admission(admission)
+    , m_quarantine(quarantine)
+    , m_table(table)
+    , m_dispatcher(options, documents, ownership, router, identifiers, table)
+{
+}
+
+void PartFlow::removeIdle(MonotonicTime now)
+{
+    m_dispatcher.removeIdle(now);
+}
+
+boost::json::object PartFlow::dump(MonotonicTime now) const
+{
+    boost::json::object result = m_dispatcher.dump(now);
+    result["openAttempts"] = m_table.openAttempts();
+    result["queriesHeld"] = m_held.size();
+    return result;
+}
+
+std::shared_ptr<const PinnedSnapshot> PartFlow::selectSnapshot(const ServiceId &service,
+                                                               MonotonicTime now)
+{
+    const Configuration *configuration = m_documents.configuration();
+    const Service *declared =
+            configuration == nullptr ? nullptr : configuration->findService(service);
+    const ServiceSnapshots *snapshots = m_documents.snapshots(service);
+    if (declared == nullptr || snapshots == nullptr)
+        return nullptr;
+    return m_dispatcher.snapshots().select(
+            *declared, *snapshots,
+            [&](const ServerId &server) { return m_dispatcher.isUsable(server, now); }, now);
+}
+
+bool PartFlow::makeParts(Query &query, std::shared_ptr<const PinnedSnapshot> snapshot) const
+{
+    const Service *service = m_documents.configuration()->findService(query.service);
+    query.snapshot = std::move(snapshot);
+    const PinnedSnapshot &pinned = *query.snapshot;
+    query.onlyRange.reset();
+    query.gate = Query::Gate::Open;
+    query.groups.clear();
+    query.parts.clear();
+    query.partOfGroup.assign(pinned.groups.size(), 0);
+    if (service->route == Route::OneGroup) {
+        query.onlyRange = rangeOf(pinned, query.routingKey);
+        if (!query.onlyRange.has_value())
+            return false;
+        query.groups.push_back(pinned.groups[pinned.groupOfRange[*query.onlyRange]]);
+    } else {
+        query.groups = pinned.groups;
+        for (std::size_t group = 0; group < pinned.groups.size(); ++group)
+            query.partOfGroup[group] = group;
+    }
+    query.parts.resize(query.groups.size());
+    query.unsettled = query.parts.size();
+    // A non-repeatable request runs on exactly one backend server.
+    return query.isRepeatable() ? !query.parts.empty() : query.parts.size() == 1;
+}
+
+void PartFlow::start(StepContext &context, Query &query)
+{
+    std::vector<const Group *> groups;
+    std::vector<ServerId> passedOver;
+    bool anyTried = false;
+    for (std::size_t part = 0; part < query.parts.size(); ++part) {
+        if (const Group *group = m_dispatcher.findGroup(query, part)) {
+            groups.push_back(group);
+            m_dispatcher.addLacking(query, *group, context.now(), passedOver);
+        }
+        const auto &servers = query.parts[part].tried;
+        anyTried = anyTried || !servers.empty();
+        passedOver.insert(passedOver.end(), servers.begin(), servers.end());
+    }
+    while (true) {
+        const Quarantine::Plan plan =
+                m_quarantine.plan(query.signature, query.snapshot->version, groups, passedOver);
+        switch (plan.kind) {
+        case Quarantine::Plan::Kind::FanOut:
+            query.gate = Query::Gate::Open;
+            sendUnsent(context, query);
+            return;
+        case Quarantine::Plan::Kind::Refuse:
+            missUnsettled(context, query, PartReason::Quarantined);
+            return;
+        case Quarantine::Plan::Kind::Pending:
+            if (!anyTried)
+                missUnsettled(context, query, PartReason::Quarantined);
+            else
+                hold(query, query.probe);
+            return;
+        case Quarantine::Plan::Kind::Canary:
+        case Quarantine::Plan::Kind::Isolated:
+            if (plan.server.empty()) {
+                if (query.isRepeatable() && !query.restarted && restart(context, query))
+                    return;
+                missUnsettled(context, query, PartReason::OutOfService);
+                return;
+            }
+            if (sendProbe(context, query, plan))
+                return;
+            passedOver.push_back(plan.server);
+        }
+    }
+}
+
+bool PartFlow::sendProbe(StepContext &context, Query &query, const Quarantine::Plan &plan)
+{
+    const bool isolated = plan.kind == Quarantine::Plan::Kind::Isolated;
+    const auto place = m_documents.findServer(plan.server);
+    if (!place.has_value())
+        return false;
+    const auto group = std::find(query.groups.begin(), query.groups.end(), place->group->name);
+    if (group == query.groups.end())
+        return false;
+    const auto part = static_cast<std::size_t>(group - query.groups.begin());
+    const bool first = query.parts[part].tried.empty();
+    const SendResult result =
+            m_dispatcher.sendTo(context, query, part, *place->server,
+                                first ? Purpose::First : Purpose::Retry, isolated);
+    if (result == SendResult::NoReplica)
+        return false;
+    if (result == SendResult::TooLate) {
+        missUnsettled(context, query, PartReason::Expired);
+        return true;
+    }
+    query.gate = isolated ? Query::Gate::Isolated : Query::Gate::Canary;
+    query.probe = part;
+    context.counters.add(isolated ? "isolated_total" : "canaries_total");
+    return true;
+}
+
+void PartFlow::sendUnsent(StepContext &context, Query &query)
+{
+    for (std::size_t part = 0; part < query.parts.size(); ++part) {
+        if (query.parts[part].state == State::Unsent)
+            sendPart(context, query, part, Purpose::First);
+    }
+}
+
+void PartFlow::sendPart(StepContext &context, Query &query, std::size_t part, Purpose purpose)
+{
+    const PartReason lastReason = query.parts[part].reason;
+    switch (m_dispatcher.send(context, query, part, purpose)) {
+    case SendResult::Sent:
+        return;
+    case SendResult::TooLate:
+        miss(query, part, PartReason::Expired);
+        return;
+    case SendResult::NoReplica:
+        restartOrMiss(context, query, part,
+                      lastReason == PartReason::None ? PartReason::OutOfService : lastReason);
+        return;
+    }
+}
+
+/** No replica of the part is left: moves the query to another snapshot once, if one would help. */
+void PartFlow::restartOrMiss(StepContext &context, Query &query, std::size_t part,
+                             PartReason reason)
+{
+    const bool mayHelp =
+            query.parts[part].versionMissed || m_dispatcher.findGroup(query, part) == nullptr;
+    if (mayHelp && query.isRepeatable() && !query.restarted && restart(context, query))
+        return;
+    miss(query, part, reason);
+}
+
+bool PartFlow::restart(StepContext &context, Query &query)
+{
+    auto snapshot = selectSnapshot(query.service, context.now());
+    if (snapshot == nullptr || snapshot->version == query.snapshot->version)
+        return false;
+    if (query.onlyRange.has_value() && !rangeOf(*snapshot, query.routingKey).has_value())
+        return false;
+    query.restarted = true;
+    context.counters.add("restarts_total");
+    for (std::size_t part = 0; part < query.parts.size(); ++part) {
+        const bool ran = query.parts[part].state == State::Answered;
+        query.mayHaveRun = query.mayHaveRun || ran;
+        cancelOpen(context, query, part);
+    }
+    if (!makeParts(query, std::move(snapshot)))
+        return false;
+    start(context, query);
+    return true;
+}
+
+void PartFlow::hold(Query &query, std::size_t part)
+{
+    query.parts[part].state = State::Held;
+    m_held.push_back(query.id);
+}
+
+std::vector<QueryId> PartFlow::replanHeld(StepContext &context)
+{
+    if (m_quarantine.generation() == m_plannedGeneration)
+        return {};
+    m_plannedGeneration = m_quarantine.generation();
+    std::vector<QueryId> held = std::exchange(m_held, {});
+    for (const QueryId id : held) {
+        Query *query = m_table.find(id);
+        if (query == nullptr)
+            continue;
+        for (std::size_t part = 0; part < query->parts.size(); ++part) {
+            if (query->parts[part].state == State::Held)
+                replanPart(context, *query, part);
+        }
+    }
+    return held;
+}
+
+/** Sends a part again whose server was lost, as far as the quarantine allows. */
+void PartFlow::replanPart(StepContext &context, Query &query, std::size_t part)
+{
+    QueryPart &state = query.parts[part];
+    state.state = State::Unsent;
+    if (query.gate != Query::Gate::Open && part == query.probe) {
+        start(context, query);
+        return;
+    }
+    std::vector<const Group *> groups;
+    if (const Group *group = m_dispatcher.findGroup(query, part))
+        groups.push_back(group);
+    const Quarantine::Plan plan =
+            m_quarantine.plan(query.signature, query.snapshot->version, groups, state.tried);
+    switch (plan.kind) {
+    case Quarantine::Plan::Kind::Pending:
+        hold(query, part);
+        return;
+    case Quarantine::Plan::Kind::Refuse:
+        miss(query, part, PartReason::Quarantined);
+        return;
+    case Quarantine::Plan::Kind::Isolated: {
+        const auto place = m_documents.findServer(plan.server);
+        const bool sent = place.has_value()
+                && m_dispatcher.sendTo(context, query, part, *place->server, Purpose::Retry, true)
+                        == SendResult::Sent;
+        if (!sent)
+            miss(query, part, state.reason);
+        return;
+    }
+    case Quarantine::Plan::Kind::Canary:
+    case Quarantine::Plan::Kind::FanOut:
+        sendPart(context, query, part, Purpose::Retry);
+        return;
+    }
+}
+
+void PartFlow::hedgeDueParts(StepContext &context, Query &query)
+{
+    const MonotonicTime now = context.now();
+    MonotonicTime next = query.deadline;
+    for (std::size_t part = 0; part < query.parts.size(); ++part) {
+        QueryPart &state = query.parts[part];
+        if (state.state != State::Open)
+            continue;
+        if (state.hedgeAt <= now) {
+            m_dispatcher.noteSlow(query, part, now);
+            if (!hedge(context, query, part))
+                state.hedgeAt = now + m_dispatcher.hedgeDelay(query.service);
+        }
+        next = std::min(next, state.hedgeAt);
+    }
+    m_table.wakeAt(query, next);
+}
+
+bool PartFlow::hedge(StepContext &context, Query &query, std::size_t part)
+{
+    if (query.parts[part].attempts.size() >= kMaxOpenAttempts)
+        return false;
+    if (query.gate != Query::Gate::Open)
+        return hedgeCanary(context, query, part);
+    if (!m_dispatcher.hasReplica(query, part, context.now()))
+        return false;
+    if (!m_dispatcher.budget(query.service).take()) {
+        context.counters.add("hedges_denied_total");
+        return false;
+    }
+    return m_dispatcher.send(context, query, part, Purpose::Hedge) == SendResult::Sent;
+}
+
+/**
+ * A canary that does not answer in time goes to the next server in the signature's order too. All
+ * hosts use the same two servers, so a crashing request still reaches two of them at most.
+ */
+bool PartFlow::hedgeCanary(StepContext &context, Query &query, std::size_t part)
+{
+    const Group *group = m_dispatcher.findGroup(query, part);
+    if (group == nullptr)
+        return false;
+    const Quarantine::Plan plan = m_quarantine.plan(query.signature, query.snapshot->version,
+                                                    { group }, query.parts[part].tried);
+    if (plan.kind != Quarantine::Plan::Kind::Canary || plan.server.empty())
+        return false;
+    const auto place = m_documents.findServer(plan.server);
+    if (!place.has_value() || !m_dispatcher.budget(query.service).take())
+        return false;
+    return m_dispatcher.sendTo(context, query, part, *place->server, Purpose::Hedge, false)
+            == SendResult::Sent;
+}
+
+Query *PartFlow::takeAnswer(StepContext &context, const HostId &owner, const PartAnswer &answer)
+{
+    const auto place = m_table.findAttempt(answer.part);
+    if (!place.has_value())
+        return takeUnmatched(context, answer);
+    Query &query = *m_table.find(place->query);
+    const auto &attempts = query.parts[place->part].attempts;
+    const auto open = std::find_if(attempts.begin(), attempts.end(), [&](const Attempt &attempt) {
+        return attempt.id == answer.part;
+    });
+    if (open->owner.host != owner && m_options.mechanisms.answerMatching) {
+        context.counters.add("mismatched_answers_total");
+        return nullptr;
+    }
+    const Attempt attempt = m_dispatcher.closeEnded(context, query, place->part, answer);
+    AdmissionControl::PartSample sample;
+    sample.refusedForLoad = isLoadRefusal(answer.reason);
+    if (answer.outcome == PartOutcome::Answered)
+        sample.partTime = context.now() - attempt.sentAt;
+    m_admission.partEnded(context, query.service, sample);
+
+    const bool wrongVersion = answer.outcome == PartOutcome::Answered
+            && answer.version != query.snapshot->version && m_options.mechanisms.snapshotPinning;
+    if (wrongVersion) {
+        context.counters.add("mismatched_answers_total");
+        failAttempt(context, query, place->part, attempt.server, PartOutcome::MayHaveRun,
+                    PartReason::Mismatch);
+    } else if (answer.outcome == PartOutcome::Answered) {
+        if (attempt.hedge)
+            context.counters.add("hedges_won_total");
+        acceptAnswer(context, query, place->part, answer);
+    } else {
+        failAttempt(context, query, place->part, attempt.server, answer.outcome, answer.reason);
+    }
+    return &query;
+}
+
+Query *PartFlow::takeUnmatched(StepContext &context, const PartAnswer &answer)
+{
+    if (answer.outcome != PartOutcome::Answered)
+        return nullptr;
+    context.counters.add("late_answers_total");
+    const PartDispatcher::SentPart *sent = m_dispatcher.findSent(answer.part);
+    if (m_options.mechanisms.answerMatching || sent == nullptr)
+        return nullptr;
+    for (const auto &[id, query] : m_table.all()) {
+        const auto group = std::find(query->groups.begin(), query->groups.end(), sent->group);
+        const auto part = static_cast<std::size_t>(group - query->groups.begin());
+        if (query->service != sent->service || group == query->groups.end()
+            || query->parts[part].state != State::Open
+            || query->snapshot->version != answer.version)
+            continue;
+        acceptAnswer(context, *query, part, answer);
+        return query.get();
+    }
+    return nullptr;
+}
+
+void PartFlow::acceptAnswer(StepContext &context, Query &query, std::size_t part,
+                            const PartAnswer &answer)
+{
+    QueryPart &state = query.parts[part];
+    GREENGAGESTAIR_ASSERT(!state.isSettled());
+    m_dispatcher.cancelOpen(context, query, part);
+    state.state = State::Answered;
+    state.answeredFrom = answer.version;
+    state.body = answer.body;
+    --query.unsettled;
+    const bool isFirst = query.unsettled + 1 == query.parts.size();
+    if (isFirst)
+        m_quarantine.partAnswered(query.signature, query.snapshot->version);
+    if (query.gate == Query::Gate::Open || part != query.probe)
+        return;
+    query.gate = Query::Gate::Open;
+    sendUnsent(context, query);
+}
+
+void PartFlow::failAttempt(StepContext &context, Query &query, std::size_t part,
+                           const ServerId &server, PartOutcome outcome, PartReason reason)
+{
+    QueryPart &state = query.parts[part];
+    state.reason = reason;
+    context.counters.add(failureCounter(reason));
+    const bool mayHaveRun =
+            outcome == PartOutcome::ServerLost || outcome == PartOutcome::MayHaveRun;
+    query.mayHaveRun = query.mayHaveRun || mayHaveRun;
+    state.versionMissed = state.versionMissed || outcome == PartOutcome::VersionNotHeld;
+    if (outcome == PartOutcome::ServerLost)
+        m_quarantine.partLost(context, query.signature, server);
+    else if (reason == PartReason::Quarantined)
+        m_quarantine.partRefused(context, query.signature);
+    if (!query.isRepeatable()) {
+        failSingleAttempt(context, query, outcome, reason);
+        return;
+    }
+    if (state.attempts.empty())
+        retry(context, query, part, outcome, reason);
+}
+
+/** A non-repeatable request goes on only when the owner proved that nothing was sent. */
+void PartFlow::failSingleAttempt(StepContext &context, Query &query, PartOutcome outcome,
+                                 PartReason reason)
+{
+    if (outcome == PartOutcome::NotSent && !query.callerGone) {
+        retry(context, query, 0, outcome, reason);
+        return;
+    }
+    query.mayHaveRun = outcome != PartOutcome::NotSent;
+    miss(query, 0, reason);
+}
+
+void PartFlow::retry(StepContext &context, Query &query, std::size_t part, PartOutcome outcome,
+                     PartReason reason)
+{
+    const bool isProbe = query.gate != Query::Gate::Open && part == query.probe;
+    if (needsBudget(outcome, reason) && !m_dispatcher.budget(query.service).take()) {
+        context.counters.add("retries_denied_total");
+        if (isProbe)
+            missUnsettled(context, query, reason);
+        else
+            miss(query, part, reason);
+        return;
+    }
+    if (isProbe) {
+        retryProbe(context, query, reason);
+    } else if (outcome == PartOutcome::ServerLost || reason == PartReason::Quarantined) {
+        replanPart(context, query, part);
+    } else {
+        query.parts[part].state = State::Unsent;
+        sendPart(context, query, part, Purpose::Retry);
+    }
+}
+
+void PartFlow::retryProbe(StepContext &context, Query &query, PartReason reason)
+{
+    query.parts[query.probe].state = State::Unsent;
+    if (isLoadRefusal(reason))
+        ++query.probeRefusals;
+    if (reason == PartReason::Quarantined || query.probeRefusals >= kMaxProbeRefusals)
+        missUnsettled(context, query, reason);
+    else
+        start(context, query);
+}
+
+void PartFlow::miss(Query &query, std::size_t part, PartReason reason)
+{
+    QueryPart &state = query.parts[part];
+    GREENGAGESTAIR_ASSERT(!state.isSettled() && state.attempts.empty());
+    state.state = State::Missing;
+    state.reason = reason;
+    --query.unsettled;
+}
+
+void PartFlow::missUnsettled(StepContext &context, Query &query, PartReason reason)
+{
+    for (std::size_t part = 0; part < query.parts.size(); ++part) {
+        QueryPart &state = query.parts[part];
+        if (state.isSettled())
+            continue;
+        cancelOpen(context, query, part);
+        const bool keepReason =
+                state.reason != PartReason::None && reason != PartReason::Quarantined;
+        miss(query, part, keepReason ? state.reason : reason);
+    }
+}
+
+/** A cancelled attempt may have run. */
+void PartFlow::cancelOpen(StepContext &context, Query &query, std::size_t part)
+{
+    query.mayHaveRun = query.mayHaveRun || !query.parts[part].attempts.empty();
+    m_dispatcher.cancelOpen(context, query, part);
+}
+
+Query *PartFlow::loseAttempt(StepContext &context, PartId id)
+{
+    const auto place = m_table.findAttempt(id);
+    if (!place.has_value())
+        return nullptr;
+    Query &query = *m_table.find(place->query);
+    const Attempt attempt = m_dispatcher.closeLost(context, query, place->part, id);
+    context.counters.add("attempts_lost_total");
+    failAttempt(context, query, place->part, attempt.server, PartOutcome::MayHaveRun,
+                PartReason::ConnectionLost);
+    return &query;
+}
+
+void PartFlow::missAtDeadline(StepContext &context, Query &query)
+{
+    for (std::size_t part = 0; part < query.parts.size(); ++part) {
+        QueryPart &state = query.parts[part];
+        if (state.isSettled())
+            continue;
+        const bool open = state.state == State::Open;
+        cancelOpen(context, query, part);
+        const PartReason unsent =
+                state.reason == PartReason::None ? PartReason::Expired : state.reason;
+        miss(query, part, open ? PartReason::TimedOut : unsent);
+    }
+}
+
+void PartFlow::close(StepContext &context, Query &query)
+{
+    for (std::size_t part = 0; part < query.parts.size(); ++part) {
+        if (query.isRepeatable())
+            cancelOpen(context, query, part);
+        else
+            m_dispatcher.abandonOpen(query, part);
+    }
+}
+
+void PartFlow::clear()
+{
+    m_table.clear();
+    m_held.clear();
+}
+
+} // namespace greengagestair
--- a/src/core/QueryAnswer.cpp
+++ b/src/core/QueryAnswer.cpp
@@ -158,4 +158,41 @@
     return "missingParts";
 }
 
+const char *reasonLabel(PartReason reason)
+{
+    switch (reason) {
+    case PartReason::NotOwner:
+        return "notOwner";
+    case PartReason::OutOfService:
+        return "outOfService";
+    case PartReason::Draining:
+        return "draining";
+    case PartReason::Overloaded:
+        return "overloaded";
+    case PartReason::Expired:
+        return "expired";
+    case PartReason::Unreachable:
+        return "unreachable";
+    case PartReason::VersionNotHeld:
+        return "versionNotHeld";
+    case PartReason::Shed:
+        return "shed";
+    case PartReason::Cold:
+        return "cold";
+    case PartReason::Quarantined:
+        return "quarantined";
+    case PartReason::Cancelled:
+        return "cancelled";
+    case PartReason::ConnectionLost:
+        return "connectionLost";
+    case PartReason::TimedOut:
+        return "timedOut";
+    case PartReason::Mismatch:
+        return "mismatch";
+    case PartReason::None:
+        break;
+    }
+    return "none";
+}
+
 } // namespace greengagestair
--- a/src/core/QueryAnswer.h
+++ b/src/core/QueryAnswer.h
@@ -19,7 +19,8 @@
 /** Label of an outcome in counters. */
 const char *outcomeLabel(QueryOutcome outcome);
 
-/** Label of a reason in counters. */
+/** Labels of reasons in counters. */
 const char *reasonLabel(QueryReason reason);
+const char *reasonLabel(PartReason reason);
 
 } // namespace greengagestair
--- a/src/core/QueryEngine.h
+++ b/src/core/QueryEngine.h
@@ -2,7 +2,7 @@
 
 #include "core/AdmissionControl.h"
 #include "core/Interfaces.h"
-#include "core/PartDispatcher.h"
+#include "core/PartFlow.h"
 #include "core/Quarantine.h"
 #include "core/QueryTable.h"
 #include "greengagestair/Event.h"
@@ -12,7 +12,6 @@
 #include <deque>
 #include <functional>
 #include <unordered_set>
-#include <vector>
 
 namespace greengagestair {
 
@@ -56,39 +55,6 @@
                      const ClaimResult &result);
 
     void start(StepContext &context, Query &query);
-    std::shared_ptr<const PinnedSnapshot> selectSnapshot(const ServiceId &service,
-                                                         MonotonicTime now);
-    bool makeParts(Query &query, std::shared_ptr<const PinnedSnapshot> snapshot) const;
-    void passGate(StepContext &context, Query &query);
-    bool sendProbe(StepContext &context, Query &query, const Quarantine::Plan &plan);
-    void sendUnsent(StepContext &context, Query &query);
-    void sendPart(StepContext &context, Query &query, std::size_t part,
-                  PartDispatcher::Purpose purpose);
-    void restartOrMiss(StepContext &context, Query &query, std::size_t part, PartReason reason);
-    void hold(Query &query, std::size_t part);
-    void replanHeld(StepContext &context);
-    void replanPart(StepContext &context, Query &query, std::size_t part);
-    bool restart(StepContext &context, Query &query);
-    bool hedge(StepContext &context, Query &query, std::size_t part);
-    bool hedgeCanary(StepContext &context, Query &query, std::size_t part);
-    void hedgeDueParts(StepContext &context, Query &query);
-
-    void takePartAnswer(StepContext &context, const HostId &owner, const PartAnswer &answer);
-    void takeUnmatched(StepContext &context, const PartAnswer &answer);
-    void acceptAnswer(StepContext &context, Query &query, std::size_t part,
-                      const PartAnswer &answer);
-    void failAttempt(StepContext &context, Query &query, std::size_t part, const ServerId &server,
-                     PartOutcome outcome, PartReason reason);
-    void failSingleAttempt(StepContext &context, Query &query, PartOutcome outcome,
-                           PartReason reason);
-    void retry(StepContext &context, Query &query, std::size_t part, PartOutcome outcome,
-               PartReason reason);
-    void retryProbe(StepContext &context, Query &query, PartReason reason);
-    void miss(Query &query, std::size_t part, PartReason reason);
-    void missUnsettled(StepContext &context, Query &query, PartReason reason);
-    void cancelOpen(StepContext &context, Query &query, std::size_t part);
-    void loseAttempt(StepContext &context, PartId id);
-
     void endAtDeadline(StepContext &context, Query &query);
     void endPartsAtDeadline(StepContext &context, Query &query);
     void awaitLateResult(StepContext &context, Query &query);
@@ -105,12 +71,10 @@
     AdmissionControl &m_admission;
     Quarantine &m_quarantine;
     QueryTable m_table;
-    PartDispatcher m_dispatcher;
+    PartFlow m_parts;
     std::deque<Work> m_putOff;
-    std::vector<QueryId> m_held; ///< queries with held parts
     std::unordered_set<CallerId> m_outcomeCallers;
     std::uint64_t m_lastQuery = 0;
-    std::uint64_t m_plannedGeneration = 0;
     bool m_busy = false;
     bool m_stopping = false;
 };
