--- a/tests/standins/LocalCalls.h
+++ b/tests/standins/LocalCalls.h
@@ -19,10 +19,10 @@
                                               const boost::asio::ip::tcp::endpoint &endpoint,
                                               HttpRequest request)
 {
-    const auto call = std::make_shared<PendingCall>();
+    auto call = std::make_shared<PendingCall>();
     const auto connection = std::make_shared<HttpConnection>(context, endpoint);
-    auto exchange = [](auto pending, auto open, HttpRequest sent) -> boost::asio::awaitable<void> {
-        pending->response = co_await open->exchange(std::move(sent));
+    auto exchange = [](auto pending, auto open, auto sent) -> boost::asio::awaitable<void> {
+        pending->response = co_await open->exchange(sent);
         pending->finished = true;
     };
     boost::asio::co_spawn(context, exchange(call, connection, std::move(request)),
