--- a/src/core/Membership.cpp
+++ b/src/core/Membership.cpp
@@ -75,6 +75,8 @@
 {
     if (!mayActFor(server, now))
         return std::nullopt;
+    if (!m_options.mechanisms.ownershipGrants)
+        return Tenure { MonotonicTime(), true };
     if (!m_majoritySince)
         return Tenure { now, false };
     const CellView &view = m_current.holds(server, now) || !m_previous ? m_current : *m_previous;
@@ -104,6 +106,11 @@
     return std::min(until, now + kGrantDuration);
 }
 
+bool Membership::holdsCurrentGrants(MonotonicTime now) const
+{
+    return m_trusted && now < m_current.grantsUntil();
+}
+
 void Membership::onHeartbeat(StepContext &context, const PeerEnvelope &envelope,
                              const Heartbeat &heartbeat)
 {
@@ -166,8 +173,8 @@
     // A listed host asks if it has seen itself dropped from the host list: it needs a new entry.
     const bool unchanged = listed && listed->endpoint == request.endpoint
             && listed->listedAt >= m_documents.hostListVersion();
-    if (!isOwnCell(request.failureDomain) || unchanged || !mayEditList(context.now())
-        || !m_presence.shows(envelope.sender)) {
+    if (!isOwnCell(request.failureDomain) || unchanged || m_editor.isBusy()
+        || !holdsCurrentGrants(context.now()) || !m_presence.shows(envelope.sender)) {
         context.counters.add("join_requests_refused_total");
         return;
     }
@@ -294,8 +301,8 @@
 void Membership::followDocuments(StepContext &context)
 {
     const MemberList *list = m_documents.members(m_options.failureDomain);
-    const bool goneChanged = m_presence.update(list);
     const Revision version = m_documents.memberListVersion(m_options.failureDomain);
+    const bool goneChanged = m_presence.update(list, version);
     if (list && version != m_current.version())
         adoptList(context, *list);
     else if (goneChanged)
@@ -465,7 +472,7 @@
         askToJoin(context);
         return;
     }
-    if (!gone.empty() && mayEditList(context.now()))
+    if (!gone.empty() && holdsCurrentGrants(context.now()))
         m_editor.remove(context, m_current.version(), *gone.begin());
 }
 
@@ -488,9 +495,4 @@
                               JoinRequest { m_options.failureDomain, m_options.peerEndpoint } });
 }
 
-bool Membership::mayEditList(MonotonicTime now) const
-{
-    return m_trusted && now < m_current.grantsUntil() && !m_editor.isBusy();
-}
-
 } // namespace greengagestair
