Start servers that return to service, or were idle, at their cold limit

Ruled out: a wrong owner. The limit now falls to the cold limit when a server returns to service, and an idle server gets one request first. The new test failed before the change.

--- a/src/core/BackendScheduler.cpp
+++ b/src/core/BackendScheduler.cpp
@@ -425,8 +425,26 @@
     std::erase_if(server.heldSlots, [&](MonotonicTime until) { return until <= context.now(); });
 }
 
+/** A server that was out of service may have been restarted meanwhile: it comes back cold. */
+void BackendScheduler::noteServiceChanges(StepContext &context)
+{
+    const Revision configuration = m_documents.configurationVersion();
+    const Revision hostList = m_documents.hostListVersion();
+    if (configuration == m_checkedConfiguration && hostList == m_checkedHostList)
+        return;
+    m_checkedConfiguration = configuration;
+    m_checkedHostList = hostList;
+    for (auto &[name, server] : m_servers) {
+        const bool inService = m_documents.acceptsNewWork(name);
+        if (inService && !server.inService)
+            server.limiter.onCold(context.now());
+        server.inService = inService;
+    }
+}
+
 void BackendScheduler::onTick(StepContext &context)
 {
+    noteServiceChanges(context);
     if (context.now() < m_nextCheck)
         return;
     m_nextCheck = context.now() + kCheckInterval;
--- a/src/core/BackendScheduler.h
+++ b/src/core/BackendScheduler.h
@@ -79,6 +79,7 @@
         MonotonicTime drainingUntil = MonotonicTime::min();
         MonotonicTime unreachableUntil = MonotonicTime::min();
         bool loggedWarm = false;
+        bool inService = true;
     };
 
     Server *findOrCreate(StepContext &context, const ServerId &name);
@@ -101,6 +102,7 @@
     void reportLoss(StepContext &context, const ServerId &name, Server &server, Send &send);
     PartAnswer makeAnswer(const Send &send, const BackendFinished &finished) const;
     void checkServer(StepContext &context, const ServerId &name, Server &server);
+    void noteServiceChanges(StepContext &context);
     void logWarmth(StepContext &context, const ServerId &name, Server &server);
 
     const ReducerOptions &m_options;
@@ -114,6 +116,8 @@
     std::map<std::pair<HostId, PartId>, SendId> m_sendsByPart;
     SignatureTrials m_trials;
     MonotonicTime m_nextCheck = MonotonicTime::min();
+    Revision m_checkedConfiguration;
+    Revision m_checkedHostList;
     bool m_stopping = false;
 };
 
--- a/src/core/ServerLimiter.cpp
+++ b/src/core/ServerLimiter.cpp
@@ -71,7 +71,7 @@
 {
     if (!m_rampEnabled)
         return m_limits.slots;
-    const bool idle = now - m_lastAnswer > kIdleReset;
+    const bool idle = now - m_lastAnswer > kIdleDoubt;
     const bool overdue = oldestInFlight > slowPartTime();
     const bool doubtful = idle || overdue || m_slowAnswers > 0;
     const int limit = doubtful ? std::min(m_limit, m_limits.coldLimit) : m_limit;
--- a/src/core/ServerLimiter.h
+++ b/src/core/ServerLimiter.h
@@ -28,7 +28,9 @@
     static constexpr int kSlowFactor = 2;
     /** Slow answers in succession after which the server is taken for cold. */
     static constexpr int kSlowAnswersWhenCold = 2;
-    /** A server without an answer for this long may have turned cold unnoticed. */
+    /** A server without an answer for this long may have restarted: its next answer decides. */
+    static constexpr Duration kIdleDoubt = std::chrono::milliseconds(500);
+    /** A server without an answer for this long is taken for cold. */
     static constexpr Duration kIdleReset = std::chrono::seconds(10);
 
     /** `rampEnabled` is false only in tests of the check on cold servers. */
--- a/tests/core/BackendSchedulerTest.cpp
+++ b/tests/core/BackendSchedulerTest.cpp
@@ -32,19 +32,20 @@
         return ServerPlace { &m_service, &m_service.groups[0], &only };
     }
     bool acceptsNewWork(const ServerId &) const override { return m_inService; }
+    Revision configurationVersion() const override { return m_version; }
+    Revision hostListVersion() const override { return {}; }
 
     IMPLEMENT_CONST_MOCK0(configuration);
-    IMPLEMENT_CONST_MOCK0(configurationVersion);
     IMPLEMENT_CONST_MOCK1(snapshots);
     IMPLEMENT_CONST_MOCK1(members);
     IMPLEMENT_CONST_MOCK1(memberListVersion);
     IMPLEMENT_CONST_MOCK0(hostList);
-    IMPLEMENT_CONST_MOCK0(hostListVersion);
     IMPLEMENT_CONST_MOCK0(quarantine);
     IMPLEMENT_CONST_MOCK0(versions);
 
     Service m_service;
     bool m_inService = true;
+    Revision m_version { 1 };
 };
 
 class FixedOwnership : public OwnershipView
@@ -243,6 +244,22 @@
     REQUIRE(fixture.lastOutcome() == PartOutcome::NotSent);
 }
 
+TEST_CASE("a server that returns to service starts at its cold limit", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.warmUp();
+    const auto tick = [&](StepContext &context) { fixture.m_scheduler.onTick(context); };
+    for (const bool inService : { false, true }) {
+        fixture.m_documents.m_inService = inService;
+        ++fixture.m_documents.m_version.value;
+        fixture.step(tick);
+    }
+    const std::size_t before = fixture.sends().size();
+    fixture.submit();
+    fixture.submit();
+    REQUIRE(fixture.sends().size() == before + 1);
+}
+
 TEST_CASE("a draining server gets nothing more", "[scheduler]")
 {
     Fixture fixture;
--- a/tests/core/ServerLimiterTest.cpp
+++ b/tests/core/ServerLimiterTest.cpp
@@ -49,7 +49,7 @@
             answerFast(limiter, MonotonicTime {}, 3 * ServerLimiter::kRampSuccesses);
     REQUIRE(limiter.limit(now, 10ms) == 3);
     REQUIRE(limiter.limit(now, 60ms) == 1);
-    REQUIRE(limiter.limit(now + ServerLimiter::kIdleReset + 1ms, 0ms) == 1);
+    REQUIRE(limiter.limit(now + ServerLimiter::kIdleDoubt + 1ms, 0ms) == 1);
 }
 
 TEST_CASE("without the ramp a cold server would get all its slots at once", "[limiter]")
