Keep the admission limit when servers are slow without overload

A refusal by one owner that another replica makes good no longer counts as overload, since cold servers refuse while a failure domain returns.

--- a/src/core/AdmissionControl.cpp
+++ b/src/core/AdmissionControl.cpp
@@ -96,16 +96,19 @@
     startWaiting(context, state);
 }
 
-void AdmissionControl::partEnded(StepContext &context, const ServiceId &service,
-                                 const PartSample &sample)
+void AdmissionControl::partAnswered(StepContext &context, const ServiceId &service,
+                                    Duration partTime)
 {
     const auto found = m_services.find(service);
-    if (found == m_services.end())
-        return;
-    if (sample.refusedForLoad)
+    if (found != m_services.end())
+        found->second.limit.addAnswer(partTime, context.now());
+}
+
+void AdmissionControl::partRefused(StepContext &context, const ServiceId &service)
+{
+    const auto found = m_services.find(service);
+    if (found != m_services.end())
         found->second.limit.addRefusal(context.now());
-    else if (sample.partTime > Duration::zero())
-        found->second.limit.addAnswer(sample.partTime, context.now());
 }
 
 std::optional<AdmissionControl::Decision> AdmissionControl::nextDecision(StepContext &context)
--- a/src/core/AdmissionControl.h
+++ b/src/core/AdmissionControl.h
@@ -29,13 +29,6 @@
         Priority priority = Priority::Routine;
     };
 
-    /** How one attempt of a part ended, as a sign of load. */
-    struct PartSample
-    {
-        Duration partTime {}; ///< zero if there was no answer
-        bool refusedForLoad = false;
-    };
-
     AdmissionControl(const ReducerOptions &options, DocumentView &documents);
 
     /** Each admitted query must be reported by `finished`. */
@@ -46,7 +39,10 @@
     /** An admitted query ended after `inProgress`. */
     void finished(StepContext &context, const ServiceId &service, Priority priority,
                   Duration inProgress);
-    void partEnded(StepContext &context, const ServiceId &service, const PartSample &sample);
+    /** An attempt of a part was answered after `partTime`. */
+    void partAnswered(StepContext &context, const ServiceId &service, Duration partTime);
+    /** A part of an admitted query went unanswered because all owners refused it for load. */
+    void partRefused(StepContext &context, const ServiceId &service);
     /**
      * The next queued query that is now admitted or refused, if any. An admitted one that is gone
      * by now must be reported by `finished` all the same.
--- a/src/core/ConcurrencyLimit.cpp
+++ b/src/core/ConcurrencyLimit.cpp
@@ -16,6 +16,8 @@
 static constexpr double kSlowFactor = 1.5;
 static constexpr double kFastFactor = 1.25;
 static constexpr double kDecrease = 0.85;
+/** Decreases after which a queue would have drained. */
+static constexpr int kMaxSlowEpochs = 8;
 static constexpr double kIncreaseShare = 0.1;
 static constexpr double kIncreaseStep = 0.05;
 /** Keeps some work going, from which a recovery is noticed. */
@@ -24,6 +26,7 @@
 ConcurrencyLimit::ConcurrencyLimit(double initial, Duration warmPartTime)
     : m_value(initial)
     , m_warmPartTime(warmPartTime)
+    , m_bestCeiling(warmPartTime * kMaxBestFactor)
 {
 }
 
@@ -43,7 +46,7 @@
 Duration ConcurrencyLimit::bestPartTime() const
 {
     const Duration best = std::min(m_best, m_formerBest);
-    return std::clamp(best, m_warmPartTime, m_warmPartTime * kMaxBestFactor);
+    return std::clamp(best, m_warmPartTime, m_bestCeiling);
 }
 
 void ConcurrencyLimit::endEpochIfDue(MonotonicTime now)
@@ -70,12 +73,29 @@
     noteBest(average, now);
     const double ratio = static_cast<double>(average.count())
             / static_cast<double>(std::max(bestPartTime(), Duration(1)).count());
-    if (ratio > kSlowFactor)
-        m_value = std::max(kMinLimit, m_value * kDecrease);
-    else if (ratio < kFastFactor && m_inUse)
+    if (ratio > kSlowFactor) {
+        decreaseForLatency(average, now);
+        return;
+    }
+    m_slowEpochs = 0;
+    if (ratio < kFastFactor && m_inUse)
         m_value += m_value * kIncreaseShare + kIncreaseStep;
 }
 
+void ConcurrencyLimit::decreaseForLatency(Duration average, MonotonicTime now)
+{
+    if (++m_slowEpochs <= kMaxSlowEpochs) {
+        m_value = std::max(kMinLimit, m_value * kDecrease);
+        return;
+    }
+    // The parts stay slow at a quarter of the load: the servers are slow, not overloaded.
+    m_slowEpochs = 0;
+    m_best = average;
+    m_formerBest = average;
+    m_windowStart = now;
+    m_bestCeiling = std::max(m_bestCeiling, average);
+}
+
 void ConcurrencyLimit::noteBest(Duration average, MonotonicTime now)
 {
     if (now >= m_windowStart + kBestWindow) {
--- a/src/core/ConcurrencyLimit.h
+++ b/src/core/ConcurrencyLimit.h
@@ -28,6 +28,7 @@
     void endEpochIfDue(MonotonicTime now);
     void adjust(MonotonicTime now);
     void noteBest(Duration average, MonotonicTime now);
+    void decreaseForLatency(Duration average, MonotonicTime now);
 
     double m_value;
     Duration m_warmPartTime;
@@ -39,6 +40,8 @@
     Duration m_best = Duration::max();       ///< best average of the current window
     Duration m_formerBest = Duration::max(); ///< and of the one before
     MonotonicTime m_windowStart;
+    Duration m_bestCeiling;
+    int m_slowEpochs = 0; ///< in a row
 };
 
 } // namespace greengagestair
--- a/src/core/PartFlow.cpp
+++ b/src/core/PartFlow.cpp
@@ -200,7 +200,7 @@
     case SendResult::Sent:
         return;
     case SendResult::TooLate:
-        miss(query, part, PartReason::Expired);
+        miss(context, query, part, PartReason::Expired);
         return;
     case SendResult::NoReplica:
         restartOrMiss(context, query, part,
@@ -217,7 +217,7 @@
             query.parts[part].versionMissed || m_dispatcher.findGroup(query, part) == nullptr;
     if (mayHelp && query.isRepeatable() && !query.restarted && restart(context, query))
         return;
-    miss(query, part, reason);
+    miss(context, query, part, reason);
 }
 
 bool PartFlow::restart(StepContext &context, Query &query)
@@ -283,7 +283,7 @@
         hold(query, part);
         return;
     case Quarantine::Plan::Kind::Refuse:
-        miss(query, part, PartReason::Quarantined);
+        miss(context, query, part, PartReason::Quarantined);
         return;
     case Quarantine::Plan::Kind::Isolated: {
         const auto place = m_documents.findServer(plan.server);
@@ -291,7 +291,7 @@
                 && m_dispatcher.sendTo(context, query, part, *place->server, Purpose::Retry, true)
                         == SendResult::Sent;
         if (!sent)
-            miss(query, part, state.reason);
+            miss(context, query, part, state.reason);
         return;
     }
     case Quarantine::Plan::Kind::Canary:
@@ -369,11 +369,8 @@
         return nullptr;
     }
     const Attempt attempt = m_dispatcher.closeEnded(context, query, place->part, answer);
-    AdmissionControl::PartSample sample;
-    sample.refusedForLoad = isLoadRefusal(answer.reason);
     if (answer.outcome == PartOutcome::Answered)
-        sample.partTime = context.now() - attempt.sentAt;
-    m_admission.partEnded(context, query.service, sample);
+        m_admission.partAnswered(context, query.service, context.now() - attempt.sentAt);
 
     const bool wrongVersion = answer.outcome == PartOutcome::Answered
             && answer.version != query.snapshot->version && m_options.mechanisms.snapshotPinning;
@@ -462,7 +459,7 @@
         return;
     }
     query.mayHaveRun = outcome != PartOutcome::NotSent;
-    miss(query, 0, reason);
+    miss(context, query, 0, reason);
 }
 
 void PartFlow::retry(StepContext &context, Query &query, std::size_t part, PartOutcome outcome,
@@ -474,7 +471,7 @@
         if (isProbe)
             missUnsettled(context, query, reason);
         else
-            miss(query, part, reason);
+            miss(context, query, part, reason);
         return;
     }
     if (isProbe) {
@@ -498,13 +495,16 @@
         start(context, query);
 }
 
-void PartFlow::miss(Query &query, std::size_t part, PartReason reason)
+void PartFlow::miss(StepContext &context, Query &query, std::size_t part, PartReason reason)
 {
     QueryPart &state = query.parts[part];
     GREENGAGESTAIR_ASSERT(!state.isSettled() && state.attempts.empty());
     state.state = State::Missing;
     state.reason = reason;
     --query.unsettled;
+    // A refusal that another replica makes good is no sign of overload.
+    if (isLoadRefusal(reason))
+        m_admission.partRefused(context, query.service);
 }
 
 void PartFlow::missUnsettled(StepContext &context, Query &query, PartReason reason)
@@ -516,7 +516,7 @@
         cancelOpen(context, query, part);
         const bool keepReason =
                 state.reason != PartReason::None && reason != PartReason::Quarantined;
-        miss(query, part, keepReason ? state.reason : reason);
+        miss(context, query, part, keepReason ? state.reason : reason);
     }
 }
 
@@ -550,7 +550,7 @@
         cancelOpen(context, query, part);
         const PartReason unsent =
                 state.reason == PartReason::None ? PartReason::Expired : state.reason;
-        miss(query, part, open ? PartReason::TimedOut : unsent);
+        miss(context, query, part, open ? PartReason::TimedOut : unsent);
     }
 }
 
--- a/src/core/PartFlow.h
+++ b/src/core/PartFlow.h
@@ -69,7 +69,7 @@
     void retry(StepContext &context, Query &query, std::size_t part, PartOutcome outcome,
                PartReason reason);
     void retryProbe(StepContext &context, Query &query, PartReason reason);
-    void miss(Query &query, std::size_t part, PartReason reason);
+    void miss(StepContext &context, Query &query, std::size_t part, PartReason reason);
     void missUnsettled(StepContext &context, Query &query, PartReason reason);
     void cancelOpen(StepContext &context, Query &query, std::size_t part);
 
--- a/tests/core/AdmissionControlTest.cpp
+++ b/tests/core/AdmissionControlTest.cpp
@@ -31,10 +31,12 @@
             m_hosts.push_back(std::make_unique<AdmissionControl>(m_options, m_documents));
     }
 
-    Result run(double load)
+    /** `slowness` multiplies all part times from one second before the measurement. */
+    Result run(double load, int slowness = 1)
     {
         const double capacity = kReplicas * kSlots / 0.006;
         std::exponential_distribution<double> gap(load * capacity);
+        m_slowness = slowness;
         MonotonicTime arrival { 1s };
         while (arrival < kEnd) {
             arrival += Duration(static_cast<Duration::rep>(gap(m_random) * 1e6) + 1);
@@ -193,7 +195,8 @@
             const Part part = queue.front();
             queue.pop_front();
             ++server.busy;
-            const Duration time(4800 + static_cast<Duration::rep>(m_random() % 2400));
+            const Duration warm(4800 + static_cast<Duration::rep>(m_random() % 2400));
+            const Duration time = m_now + 1s < kMeasured ? warm : warm * m_slowness;
             at(m_now + time, [this, index, part] {
                 --m_servers[index].busy;
                 serve(index);
@@ -208,7 +211,10 @@
         request.refused = request.refused || refused;
         AdmissionControl &admission = *m_hosts[request.host];
         step([&](StepContext &context) {
-            admission.partEnded(context, m_service.name, { m_now - sent, refused });
+            if (refused)
+                admission.partRefused(context, m_service.name);
+            else
+                admission.partAnswered(context, m_service.name, m_now - sent);
         });
         if (--request.open > 0)
             return;
@@ -229,6 +235,7 @@
     }
 
     bool m_controlled;
+    int m_slowness = 1;
     ReducerOptions m_options;
     TestDocuments m_documents;
     Service m_service = EntryRoleFixture::makeService("lookup", Route::AllGroups);
@@ -270,6 +277,15 @@
     REQUIRE(uncontrolled.goodput < 0.5);
 }
 
+// Guards against a limit that falls ever further when all servers become slow.
+TEST_CASE("slow servers without overload keep their goodput", "[admission]")
+{
+    const auto normal = OverloadModel(true, 1).run(0.2);
+    const auto slow = OverloadModel(true, 1).run(0.2, 4);
+    CAPTURE(normal.goodput, slow.goodput);
+    REQUIRE(slow.goodput >= 0.9 * normal.goodput);
+}
+
 // Guards against routine queries that never run beside a steady stream of urgent ones.
 TEST_CASE("a routine query waits for at most seven urgent ones", "[admission]")
 {
