Keep longer away from servers that do not answer

A server that stays silent without refusing was tried again every 0.9 s at most. Any answer still ends the penalty at once.

--- a/src/core/ReplicaSelector.cpp
+++ b/src/core/ReplicaSelector.cpp
@@ -8,8 +8,8 @@
 static constexpr Duration kAvoidTime = std::chrono::milliseconds(250);
 /** Bounds the time for which a server that is back in service goes unnoticed. */
 static constexpr int kMaxAvoidDoublings = 3;
-static constexpr int kMaxSlowDoublings = 6;
-static constexpr Duration kMaxSlowPenalty = std::chrono::seconds(2);
+static constexpr int kMaxSlowDoublings = 9;
+static constexpr Duration kMaxSlowPenalty = std::chrono::seconds(5);
 
 ReplicaSelector::ReplicaSelector(FailureDomainId ownDomain)
     : m_ownDomain(std::move(ownDomain))
