--- a/tests/core/QuarantineTest.cpp
+++ b/tests/core/QuarantineTest.cpp
@@ -183,3 +183,36 @@
     REQUIRE(update.applyTo(second)->find("quarantined") != std::string::npos);
     REQUIRE(update.applyTo(second)->find("0000000000000002") == std::string::npos);
 }
+
+// Guards against unknown requests that fail because their first server is down.
+TEST_CASE("a canary that was not sent goes to the next server in order", "[quarantine]")
+{
+    EntryRoleFixture fixture;
+    const CallerId caller = fixture.ask();
+    std::set<ServerId> servers;
+    for (int attempt = 0; attempt < 4; ++attempt) {
+        const auto canary = fixture.takeSent();
+        REQUIRE(canary.size() == 1);
+        REQUIRE(servers.insert(canary[0].server).second);
+        if (attempt < 3)
+            fixture.fail(canary[0], PartOutcome::NotSent, PartReason::Unreachable);
+        else
+            fixture.succeed(canary[0]);
+    }
+    fixture.succeed(fixture.takeSent()[0]);
+    REQUIRE(fixture.answerTo(caller)->outcome == QueryOutcome::Complete);
+}
+
+TEST_CASE("without the platform a suspect part ends as missing", "[quarantine]")
+{
+    EntryRoleFixture fixture;
+    fixture.warmUp();
+    const CallerId caller = fixture.ask();
+    const auto parts = fixture.takeSent();
+    crash(fixture, parts[0]);
+    fixture.succeed(parts[1]);
+    fixture.advance(100ms);
+    REQUIRE(fixture.takeSent().empty());
+    REQUIRE(fixture.answerTo(caller)->outcome == QueryOutcome::Partial);
+    REQUIRE(fixture.answerTo(caller)->missing[0].reason == PartReason::ConnectionLost);
+}
