Claim before admission, and hold no place while the platform is awaited

Requests that may not be repeated held a place of their service while their claim or record waited for the platform. During an outage they would have kept repeatable requests of the same service out. The test asks 50 such requests whose claims stay open; a repeatable one is still sent at once. A claim's verdict is now wanted 1 ms before the deadline, so that it is told instead of an unknown end.

--- a/src/core/AdmissionControl.cpp
+++ b/src/core/AdmissionControl.cpp
@@ -49,20 +49,19 @@
 {
     const MonotonicTime now = context.now();
     ServiceState &state = m_services.try_emplace(service.name, service).first->second;
-    auto &queue = priority == Priority::Urgent ? state.urgent : state.routine;
-    const bool mustLetRoutineGo = priority == Priority::Urgent && routineIsDue(state);
-    if (queue.empty() && !mustLetRoutineGo && hasRoom(state, priority, now)) {
+    if (mayStart(state, priority, now)) {
         start(state, priority);
         return Verdict::Admitted;
     }
     state.limit.noteInUse();
-    const Duration bearable = std::min(kMaxWait, deadline - now - state.queryTime);
+    const Duration bearable = bearableWait(state, deadline, now);
     if (expectedWait(state, priority) > bearable) {
         context.counters.add("admission_refused_total");
         return Verdict::Refused;
     }
     const Sequence sequence = ++m_lastSequence;
     const MonotonicTime until = now + bearable;
+    auto &queue = priority == Priority::Urgent ? state.urgent : state.routine;
     queue.emplace(sequence, Waiting { query, until });
     m_places[query] = { service.name, &state, priority, sequence };
     m_expiries.emplace(until, query.value);
@@ -70,6 +69,16 @@
     return Verdict::Queued;
 }
 
+bool AdmissionControl::wouldRefuse(StepContext &context, const ServiceId &service,
+                                   Priority priority, MonotonicTime deadline)
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || mayStart(found->second, priority, context.now()))
+        return false;
+    return expectedWait(found->second, priority)
+            > bearableWait(found->second, deadline, context.now());
+}
+
 void AdmissionControl::withdraw(QueryId query)
 {
     if (m_places.contains(query))
@@ -164,6 +173,19 @@
     return state.urgentInRow >= kMaxUrgentInRow && !state.routine.empty();
 }
 
+bool AdmissionControl::mayStart(ServiceState &state, Priority priority, MonotonicTime now)
+{
+    const auto &queue = priority == Priority::Urgent ? state.urgent : state.routine;
+    const bool mustLetRoutineGo = priority == Priority::Urgent && routineIsDue(state);
+    return queue.empty() && !mustLetRoutineGo && hasRoom(state, priority, now);
+}
+
+Duration AdmissionControl::bearableWait(const ServiceState &state, MonotonicTime deadline,
+                                        MonotonicTime now)
+{
+    return std::min(kMaxWait, deadline - now - state.queryTime);
+}
+
 /** Urgent queries have slots of their own: routine ones in progress do not hold them up. */
 bool AdmissionControl::hasRoom(ServiceState &state, Priority priority, MonotonicTime now)
 {
--- a/src/core/AdmissionControl.h
+++ b/src/core/AdmissionControl.h
@@ -34,6 +34,9 @@
     /** Each admitted query must be reported by `finished`. */
     Verdict request(StepContext &context, const Service &service, Priority priority, QueryId query,
                     MonotonicTime deadline);
+    /** Whether `request` would refuse now; takes no place. */
+    bool wouldRefuse(StepContext &context, const ServiceId &service, Priority priority,
+                     MonotonicTime deadline);
     /** A queued query is no longer wanted; others are ignored. */
     void withdraw(QueryId query);
     /** An admitted query ended after `inProgress`. */
@@ -86,6 +89,9 @@
 
     static std::size_t slots(const ServiceState &state);
     static bool routineIsDue(const ServiceState &state);
+    static bool mayStart(ServiceState &state, Priority priority, MonotonicTime now);
+    static Duration bearableWait(const ServiceState &state, MonotonicTime deadline,
+                                 MonotonicTime now);
     static bool hasRoom(ServiceState &state, Priority priority, MonotonicTime now);
     static Duration expectedWait(const ServiceState &state, Priority priority);
     static void start(ServiceState &state, Priority priority);
--- a/src/core/Query.h
+++ b/src/core/Query.h
@@ -70,6 +70,7 @@
     Gate gate = Gate::Open;
     std::size_t probe = 0; ///< part that the gate waits for
     std::size_t probeRefusals = 0;
+    bool claimed = false; ///< this host holds the claim of a request that may not be repeated
     bool admitted = false;
     bool callerGone = false;
     bool restarted = false;
--- a/src/core/QueryEngine.cpp
+++ b/src/core/QueryEngine.cpp
@@ -15,6 +15,8 @@
 
 /** Taken off the caller's deadline, so that the answer reaches it in time. */
 static constexpr Duration kTransportAllowance = std::chrono::milliseconds(1);
+/** The verdict on a claim comes this long before the deadline, so that it can be answered. */
+static constexpr Duration kVerdictAllowance = std::chrono::milliseconds(1);
 /** Shortest deadline that is worth a fan-out. */
 static constexpr Duration kMinDeadline = std::chrono::milliseconds(1);
 /** Deadline of an outcome query: a read and a write of the platform, each repeated once. */
@@ -78,8 +80,9 @@
             return;
         inner.counters.add("callers_gone_total");
         query->callerGone = true;
-        const bool claimed = !query->isRepeatable() && query->phase != Query::Phase::Waiting;
-        if (!claimed)
+        if (query->phase == Query::Phase::Waiting)
+            refuse(inner, *query, QueryReason::None);
+        else if (query->isRepeatable())
             remove(inner, *query);
     });
 }
@@ -192,9 +195,9 @@
     query->admitted = decision->admitted;
     query->admittedAt = context.now();
     if (decision->admitted)
-        begin(context, *query);
+        start(context, *query);
     else
-        end(context, *query, QueryOutcome::NotRun, QueryReason::Overloaded);
+        refuse(context, *query, QueryReason::Overloaded);
     return true;
 }
 
@@ -226,15 +229,10 @@
     Query &added = m_table.add(std::move(query));
     m_table.wakeAt(added, added.deadline);
 
-    const auto verdict =
-            m_admission.request(context, service, added.priority, added.id, added.deadline);
-    if (verdict == AdmissionControl::Verdict::Refused) {
-        end(context, added, QueryOutcome::NotRun, QueryReason::Overloaded);
-    } else if (verdict == AdmissionControl::Verdict::Admitted) {
-        added.admitted = true;
-        added.admittedAt = context.now();
-        begin(context, added);
-    }
+    if (added.isRepeatable())
+        admit(context, added);
+    else
+        claim(context, added);
 }
 
 QueryReason QueryEngine::checkRequest(const CallerRequest &request) const
@@ -269,20 +267,24 @@
     context.emit(AnswerCaller { request.caller, std::move(answer) });
 }
 
-void QueryEngine::begin(StepContext &context, Query &query)
+/**
+ * Claims come before admission: while the platform is out, requests that wait for it must not take
+ * the place of repeatable ones.
+ */
+void QueryEngine::claim(StepContext &context, Query &query)
 {
-    if (query.isRepeatable()) {
-        start(context, query);
+    // A request that could not be sent anyway is refused without a record in the platform.
+    if (m_parts.selectSnapshot(query.service, context.now()) == nullptr) {
+        refuse(context, query, QueryReason::NoSnapshot);
         return;
     }
-    // A request that cannot be sent anyway is refused without a record in the platform.
-    const auto snapshot = m_parts.selectSnapshot(query.service, context.now());
-    if (snapshot == nullptr) {
-        end(context, query, QueryOutcome::NotRun, QueryReason::NoSnapshot);
+    if (m_admission.wouldRefuse(context, query.service, query.priority, query.deadline)) {
+        refuse(context, query, QueryReason::Overloaded);
         return;
     }
     query.phase = Query::Phase::Claiming;
-    m_claims.claim(context, query.service, *query.idempotencyKey, query.deadline,
+    m_claims.claim(context, query.service, *query.idempotencyKey,
+                   query.deadline - kVerdictAllowance,
                    [this, id = query.id, service = query.service,
                     key = *query.idempotencyKey](StepContext &outer, const ClaimResult &result) {
                        step(outer, [this, id, service, key, result](StepContext &inner) {
@@ -306,7 +308,8 @@
     GREENGAGESTAIR_ASSERT(query->phase == Query::Phase::Claiming);
     switch (result.verdict) {
     case ClaimResult::Verdict::Claimed:
-        start(context, *query);
+        query->claimed = true;
+        admit(context, *query);
         return;
     case ClaimResult::Verdict::Done: {
         CallerAnswer recorded;
@@ -327,6 +330,27 @@
     }
 }
 
+void QueryEngine::admit(StepContext &context, Query &query)
+{
+    query.phase = Query::Phase::Waiting;
+    const Configuration *configuration = m_documents.configuration();
+    const Service *service =
+            configuration == nullptr ? nullptr : configuration->findService(query.service);
+    if (service == nullptr) {
+        refuse(context, query, QueryReason::UnknownService);
+        return;
+    }
+    const auto verdict =
+            m_admission.request(context, *service, query.priority, query.id, query.deadline);
+    if (verdict == AdmissionControl::Verdict::Refused) {
+        refuse(context, query, QueryReason::Overloaded);
+    } else if (verdict == AdmissionControl::Verdict::Admitted) {
+        query.admitted = true;
+        query.admittedAt = context.now();
+        start(context, query);
+    }
+}
+
 void QueryEngine::takeOutcome(StepContext &context, CallerId caller, const ServiceId &service,
                               const ClaimResult &result)
 {
@@ -354,10 +378,8 @@
     if (snapshot == nullptr || !m_parts.makeParts(query, std::move(snapshot))) {
         query.parts.clear();
         query.unsettled = 0;
-        if (!query.isRepeatable())
-            m_claims.release(context, query.service, *query.idempotencyKey);
-        end(context, query, QueryOutcome::NotRun,
-            query.snapshot == nullptr ? QueryReason::NoSnapshot : QueryReason::BadRequest);
+        refuse(context, query,
+               query.snapshot == nullptr ? QueryReason::NoSnapshot : QueryReason::BadRequest);
         return;
     }
     m_parts.start(context, query);
@@ -372,7 +394,7 @@
     }
     switch (query.phase) {
     case Query::Phase::Waiting:
-        end(context, query, QueryOutcome::NotRun, QueryReason::DeadlinePassed);
+        refuse(context, query, QueryReason::DeadlinePassed);
         return;
     case Query::Phase::Claiming:
         // The claim's verdict is not known: an earlier request may have run.
@@ -434,6 +456,7 @@
     const bool answered = query.parts[0].state == QueryPart::State::Answered;
     if (answered && query.phase == Query::Phase::Running) {
         query.phase = Query::Phase::Recording;
+        leaveAdmission(context, query);
         m_claims.recordDone(context, query.service, *query.idempotencyKey, query.snapshot->version,
                             query.parts[0].body, query.deadline,
                             [this, id = query.id](StepContext &outer, bool) {
@@ -468,6 +491,14 @@
     context.emit(AnswerCaller { query.caller, std::move(answer) });
 }
 
+/** Ends a query of which nothing was sent. */
+void QueryEngine::refuse(StepContext &context, Query &query, QueryReason reason)
+{
+    if (query.claimed)
+        m_claims.release(context, query.service, *query.idempotencyKey);
+    end(context, query, QueryOutcome::NotRun, reason);
+}
+
 void QueryEngine::end(StepContext &context, Query &query, QueryOutcome outcome, QueryReason reason)
 {
     CallerAnswer refusal;
--- a/src/core/QueryEngine.h
+++ b/src/core/QueryEngine.h
@@ -48,7 +48,8 @@
     void takeRequest(StepContext &context, const CallerRequest &request);
     QueryReason checkRequest(const CallerRequest &request) const;
     void refuseRequest(StepContext &context, const CallerRequest &request, QueryReason reason);
-    void begin(StepContext &context, Query &query);
+    void claim(StepContext &context, Query &query);
+    void admit(StepContext &context, Query &query);
     void takeClaim(StepContext &context, QueryId id, const ServiceId &service,
                    const IdempotencyKey &key, const ClaimResult &result);
     void takeOutcome(StepContext &context, CallerId caller, const ServiceId &service,
@@ -61,6 +62,7 @@
     void finishIfSettled(StepContext &context, Query &query, bool deadlinePassed = false);
     void finishSingle(StepContext &context, Query &query, bool deadlinePassed);
     void answer(StepContext &context, Query &query, CallerAnswer answer);
+    void refuse(StepContext &context, Query &query, QueryReason reason);
     void end(StepContext &context, Query &query, QueryOutcome outcome, QueryReason reason);
     void remove(StepContext &context, Query &query);
     void leaveAdmission(StepContext &context, Query &query);
--- a/tests/core/QueryRetryTest.cpp
+++ b/tests/core/QueryRetryTest.cpp
@@ -237,6 +237,14 @@
         REQUIRE(fixture.takeSent().empty());
         REQUIRE(fixture.engine.idle());
     }
+    SECTION("takes no place of others while it waits for the platform")
+    {
+        ALLOW_CALL(fixture.claims, claim(_, _, _, _, _));
+        for (int request = 0; request < 50; ++request)
+            fixture.ask("book", "orders");
+        fixture.ask("find", "orders");
+        REQUIRE(fixture.takeSent().size() == 1);
+    }
     SECTION("is answered from an earlier claim")
     {
         finishClaim({ ClaimResult::Verdict::MayHaveRun, QueryReason::ClaimedElsewhere, {}, "" });
