--- a/src/core/CellView.cpp
+++ b/src/core/CellView.cpp
@@ -104,7 +104,7 @@
 MonotonicTime CellView::countGrants(const GrantCollector &others, const std::set<HostId> &gone,
                                     bool selfGrants) const
 {
-    if (!selfGrants || !listsSelf() || gone.contains(m_self))
+    if (!selfGrants || !listsSelf())
         return MonotonicTime::min();
     std::vector<MonotonicTime> ends;
     for (const Member &member : members()) {
--- a/src/core/DocumentSet.cpp
+++ b/src/core/DocumentSet.cpp
@@ -220,7 +220,9 @@
 void DocumentSet::indexHosts()
 {
     m_leaving.clear();
+    m_shown.clear();
     for (const ListedHost &host : m_hostList->hosts) {
+        m_shown.insert(host.name);
         if (host.state == ListedState::Leaving)
             m_leaving.insert(host.name);
     }
--- a/src/core/DocumentSet.h
+++ b/src/core/DocumentSet.h
@@ -50,6 +50,8 @@
     const MemberList *members(const FailureDomainId &domain) const;
     const std::map<FailureDomainId, MemberList> &allMembers() const { return m_members; }
     const HostList *hostList() const { return m_hostList ? &*m_hostList : nullptr; }
+    /** Whether the host list in force shows the host. */
+    bool isShown(const std::string &host) const { return m_shown.contains(host); }
     const QuarantineList &quarantine() const { return m_quarantine; }
     std::optional<ServerPlace> findServer(const ServerId &server) const;
     bool acceptsNewWork(const ServerId &server) const;
@@ -82,6 +84,7 @@
     QuarantineList m_quarantine;
     std::unordered_map<ServerId, ServerPlace> m_servers;
     std::unordered_set<FailureDomainId> m_domainsOutOfService;
+    std::unordered_set<std::string> m_shown;   ///< backend servers and entry hosts
     std::unordered_set<std::string> m_leaving; ///< backend servers and entry hosts
 };
 
--- a/src/core/DocumentStore.cpp
+++ b/src/core/DocumentStore.cpp
@@ -82,10 +82,11 @@
     return m_documents.memberListVersion(domain);
 }
 
-bool DocumentStore::memberListConfirmed(const FailureDomainId &domain) const
+std::optional<MonotonicTime>
+DocumentStore::memberListConfirmedAt(const FailureDomainId &domain) const
 {
     const auto found = m_followers.find(membersKey(domain));
-    return found != m_followers.end() && found->second.answered;
+    return found == m_followers.end() ? std::nullopt : found->second.confirmedAt;
 }
 
 const HostList *DocumentStore::hostList() const
@@ -228,7 +229,9 @@
     if (!m_followers.empty() && version == m_followedConfiguration)
         return;
     m_followedConfiguration = version;
-    const Follower due { .nextWatch = context.now(), .nextRead = context.now() };
+    Follower due;
+    due.nextWatch = context.now();
+    due.nextRead = context.now();
     for (const char *key : { kConfigurationKey, kHostsKey, kQuarantineKey })
         m_followers.try_emplace({ key }, due);
     m_followers.try_emplace(membersKey(m_options.failureDomain), due);
@@ -256,6 +259,7 @@
 void DocumentStore::startWatch(StepContext &context, const PlatformKey &key, Follower &follower)
 {
     follower.watching = true;
+    follower.watchStarted = context.now();
     const PlatformHandler handler = [this, key](StepContext &step,
                                                 const PlatformFinished &finished) {
         onWatched(step, key, finished);
@@ -271,6 +275,7 @@
 void DocumentStore::startRead(StepContext &context, const PlatformKey &key, Follower &follower)
 {
     follower.reading = true;
+    follower.readStarted = context.now();
     const PlatformHandler handler = [this, key](StepContext &step,
                                                 const PlatformFinished &finished) {
         onRead(step, key, finished);
@@ -287,7 +292,7 @@
     Follower &follower = m_followers[key];
     follower.watching = false;
     const Revision before = m_documents.seenVersion(key);
-    const bool answered = takeAnswer(context, key, follower, finished);
+    const bool answered = takeAnswer(context, key, follower, follower.watchStarted, finished);
     if (answered && documentKind(key) == DocumentKind::Hosts) {
         follower.nextWatch = context.now() + jittered(kHostsInterval, context.random);
         return;
@@ -309,8 +314,9 @@
 {
     Follower &follower = m_followers[key];
     follower.reading = false;
-    const bool answered = takeAnswer(context, key, follower, finished);
-    if (answered || follower.answered || m_documents.content(key)) {
+    const bool answered = takeAnswer(context, key, follower, follower.readStarted, finished);
+    const bool needed = key == membersKey(m_options.failureDomain) || !m_documents.content(key);
+    if (answered || (follower.answered && !needed)) {
         follower.nextRead = context.now() + jittered(slowReadInterval(), context.random);
         if (answered)
             follower.nextWatch = std::min(follower.nextWatch, context.now());
@@ -321,7 +327,7 @@
 }
 
 bool DocumentStore::takeAnswer(StepContext &context, const PlatformKey &key, Follower &follower,
-                               const PlatformFinished &finished)
+                               MonotonicTime started, const PlatformFinished &finished)
 {
     if (std::holds_alternative<PlatformFailure>(finished.result)) {
         ++follower.failures;
@@ -331,13 +337,31 @@
     follower.answered = true;
     if (!m_firstAnswer)
         m_firstAnswer = context.now();
-    if (const auto *found = std::get_if<KeyValue>(&finished.result))
+    bool confirmed = std::holds_alternative<KeyAbsent>(finished.result);
+    if (const auto *found = std::get_if<KeyValue>(&finished.result)) {
         take(context, key, found->revision, found->value, nullptr);
-    else if (const auto *hosts = std::get_if<HostListAnswer>(&finished.result))
+        confirmed = found->revision <= m_documents.version(key);
+    } else if (const auto *hosts = std::get_if<HostListAnswer>(&finished.result)) {
         take(context, key, hosts->revision, hosts->value, nullptr);
+    }
+    if (confirmed)
+        follower.confirmedAt = std::max(follower.confirmedAt.value_or(started), started);
     return true;
 }
 
+void DocumentStore::confirmMembers(StepContext &context)
+{
+    const MemberList *list = members(m_options.failureDomain);
+    if (!list)
+        return;
+    const bool allShown =
+            std::all_of(list->members.begin(), list->members.end(), [this](const Member &member) {
+                return m_documents.isShown(member.host.value);
+            });
+    if (!allShown)
+        m_followers[membersKey(m_options.failureDomain)].nextRead = context.now();
+}
+
 Duration DocumentStore::slowReadInterval() const
 {
     std::size_t hosts = 0;
@@ -411,6 +435,8 @@
         context.counters.add("documents_adopted_total");
         context.emit(LogStateChange { StateChangeKind::DocumentAdopted, key.value, version.value });
         spread(context, key, from);
+        if (documentKind(key) == DocumentKind::Hosts)
+            confirmMembers(context);
         return;
     }
 }
--- a/src/core/DocumentStore.h
+++ b/src/core/DocumentStore.h
@@ -37,7 +37,8 @@
     std::optional<ServerPlace> findServer(const ServerId &server) const override;
     bool acceptsNewWork(const ServerId &server) const override;
     std::vector<DocumentVersion> versions() const override;
-    bool memberListConfirmed(const FailureDomainId &domain) const override;
+    std::optional<MonotonicTime>
+    memberListConfirmedAt(const FailureDomainId &domain) const override;
 
     void change(StepContext &context, const PlatformKey &key, DocumentChange change,
                 Duration timeout, DocumentChangeDone done) override;
@@ -76,6 +77,10 @@
         bool answered = false;   ///< the platform has told its state since the start
         MonotonicTime nextWatch; ///< of a watch or, for the host list, a poll
         MonotonicTime nextRead;
+        MonotonicTime watchStarted;
+        MonotonicTime readStarted;
+        /** Start of the latest call by which the platform held no newer version. */
+        std::optional<MonotonicTime> confirmedAt;
         int failures = 0; ///< in a row
     };
     struct PeerState
@@ -94,7 +99,10 @@
     void onRead(StepContext &context, const PlatformKey &key, const PlatformFinished &finished);
     /** Takes what the platform told; false if the call failed. */
     bool takeAnswer(StepContext &context, const PlatformKey &key, Follower &follower,
-                    const PlatformFinished &finished);
+                    MonotonicTime started, const PlatformFinished &finished);
+    /** Reads the own member list if the host list does not show a member: whether it may be counted
+     * as gone depends on the list being current. */
+    void confirmMembers(StepContext &context);
     Duration slowReadInterval() const;
     /** Number of cell members heard recently that rank before this host for the key. */
     std::size_t watcherRank(const PlatformKey &key, MonotonicTime now) const;
--- a/src/core/HostPresence.cpp
+++ b/src/core/HostPresence.cpp
@@ -1,5 +1,7 @@
 #include "core/HostPresence.h"
 
+#include "core/MembershipTimes.h"
+
 #include <utility>
 
 namespace greengagestair {
@@ -9,30 +11,46 @@
 {
 }
 
-bool HostPresence::update(const MemberList *members, Revision memberListVersion)
+bool HostPresence::update(const MemberList *members, const FailureDomainId &domain,
+                          MonotonicTime now)
 {
-    const bool newHostList = m_documents.hostListVersion() != m_readVersion;
-    if (!newHostList && memberListVersion == m_comparedVersion)
+    const Revision version = m_documents.memberListVersion(domain);
+    if (m_documents.hostListVersion() != m_readVersion || version != m_comparedVersion) {
+        m_comparedVersion = version;
+        readHostList();
+        compare(members, now);
+    }
+    if (m_drops.empty() && m_gone.empty())
         return false;
-    m_comparedVersion = memberListVersion;
-    readHostList();
-    std::map<HostId, Revision> goneEntries;
+    const std::optional<MonotonicTime> confirmedAt = m_documents.memberListConfirmedAt(domain);
     std::set<HostId> gone;
+    for (const auto &[host, drop] : m_drops) {
+        const bool lapsed = now - drop.since >= kTakeoverSilence;
+        if (lapsed && confirmedAt && *confirmedAt >= drop.since)
+            gone.insert(host);
+    }
+    const bool changed = gone != m_gone;
+    m_gone = std::move(gone);
+    return changed;
+}
+
+void HostPresence::compare(const MemberList *members, MonotonicTime now)
+{
+    std::map<HostId, Drop> drops;
+    m_dropped.clear();
     if (members) {
         for (const Member &member : members->members) {
-            const auto before = m_goneEntries.find(member.host);
-            const bool wasGone = before != m_goneEntries.end() && before->second >= member.listedAt;
-            const bool dropped = m_readVersion > member.listedAt && !shows(member.host);
-            if (!wasGone && !dropped)
+            const auto before = m_drops.find(member.host);
+            const bool wasDropped =
+                    before != m_drops.end() && before->second.listedAt >= member.listedAt;
+            const bool isDropped = m_readVersion > member.listedAt && !shows(member.host);
+            if (!wasDropped && !isDropped)
                 continue;
-            goneEntries[member.host] = member.listedAt;
-            gone.insert(member.host);
+            drops[member.host] = wasDropped ? before->second : Drop { member.listedAt, now };
+            m_dropped.insert(member.host);
         }
     }
-    m_goneEntries = std::move(goneEntries);
-    const bool changed = gone != m_gone;
-    m_gone = std::move(gone);
-    return changed;
+    m_drops = std::move(drops);
 }
 
 void HostPresence::readHostList()
--- a/src/core/HostPresence.h
+++ b/src/core/HostPresence.h
@@ -12,10 +12,17 @@
 /**
  * Which members the platform has ended, told by its host list.
  *
- * A member is gone once a host list newer than the one that admitted it does not show it. It stays
- * gone until it is admitted anew, even if its name shows up again: members that still count it as
- * gone and members that count it as live must not form two majorities. This relies on the platform
- * to drop a host only after its process has ended, and on the host to be admitted anew after that.
+ * A member is dropped once a host list newer than the one that admitted it does not show it. It
+ * stays dropped until it is admitted anew, even if its name shows up again: members that still
+ * count it as gone and members that count it as live must not form two majorities.
+ *
+ * A dropped member is gone, so that majorities are counted without it, when two conditions hold:
+ * - kTakeoverSilence has passed, so that the statements it gave before its end have lapsed;
+ * - the member list was current after it was known to be dropped. Otherwise this host might be left
+ *   alone with a list whose other members are gone, while their successors serve under a newer one.
+ *
+ * This relies on the platform to drop a host only after its process has ended, and on a host that
+ * returns under its name to be admitted anew.
  */
 class HostPresence
 {
@@ -23,20 +30,29 @@
     explicit HostPresence(const DocumentView &documents);
 
     /** Compares the members with the host list in force; true if the set of gone ones changed. */
-    bool update(const MemberList *members, Revision memberListVersion);
+    bool update(const MemberList *members, const FailureDomainId &domain, MonotonicTime now);
 
+    const std::set<HostId> &dropped() const { return m_dropped; }
     const std::set<HostId> &gone() const { return m_gone; }
     /** Whether the host list in force shows the host. */
     bool shows(const HostId &host) const { return m_shown.contains(host.value); }
 
 private:
+    struct Drop
+    {
+        Revision listedAt; ///< of the entry that was dropped
+        MonotonicTime since;
+    };
+
     void readHostList();
+    void compare(const MemberList *members, MonotonicTime now);
 
     const DocumentView &m_documents;
     Revision m_readVersion;     ///< of the host list
     Revision m_comparedVersion; ///< of the member list
     std::unordered_set<std::string> m_shown;
-    std::map<HostId, Revision> m_goneEntries; ///< with the revision that admitted them
+    std::map<HostId, Drop> m_drops;
+    std::set<HostId> m_dropped;
     std::set<HostId> m_gone;
 };
 
--- a/src/core/Interfaces.h
+++ b/src/core/Interfaces.h
@@ -36,8 +36,14 @@
     /** Members of a cell; null if not known. */
     virtual const MemberList *members(const FailureDomainId &domain) const = 0;
     virtual Revision memberListVersion(const FailureDomainId &domain) const = 0;
-    /** Whether this process itself has read the member list from the platform since its start. */
-    virtual bool memberListConfirmed(const FailureDomainId &) const { return true; }
+    /**
+     * A time at which the member list held, or one before it, was the platform's current one: the
+     * start of the latest call that told so. Nothing if the platform has not told since the start.
+     */
+    virtual std::optional<MonotonicTime> memberListConfirmedAt(const FailureDomainId &) const
+    {
+        return MonotonicTime::max();
+    }
     /** The platform's host list; null if not known. */
     virtual const HostList *hostList() const = 0;
     virtual Revision hostListVersion() const = 0;
--- a/src/core/Membership.cpp
+++ b/src/core/Membership.cpp
@@ -111,7 +111,7 @@
 
 bool Membership::holdsCurrentGrants(MonotonicTime now) const
 {
-    return m_trusted && now < m_current.grantsUntil();
+    return selfGrants() && now < m_current.grantsUntil();
 }
 
 void Membership::onHeartbeat(StepContext &context, const PeerEnvelope &envelope,
@@ -128,9 +128,8 @@
     noteHeard(envelope, heartbeat.released, context.now());
     if (isOwnCell(heartbeat.failureDomain))
         noteListVersion(sender, heartbeat.memberListVersion);
-    const std::set<HostId> &gone = m_presence.gone();
-    const bool mayGrant = m_trusted && heartbeat.memberListVersion == m_current.version()
-            && m_current.listsSelf() && !gone.contains(sender) && !gone.contains(m_options.host);
+    const bool mayGrant = selfGrants() && heartbeat.memberListVersion == m_current.version()
+            && m_current.listsSelf() && !m_presence.dropped().contains(sender);
     const GrantState before = m_table.state(sender);
     HeartbeatAck ack;
     ack.sequence = heartbeat.sequence;
@@ -271,6 +270,11 @@
     return m_released || (m_leaving && m_ownerIdle);
 }
 
+bool Membership::selfGrants() const
+{
+    return m_trusted && !m_presence.dropped().contains(m_options.host);
+}
+
 bool Membership::ranksFirstAmongHeard(const ServerId &server) const
 {
     const std::vector<const Member *> higher = m_current.higherRanked(server);
@@ -294,10 +298,11 @@
 
 void Membership::update(StepContext &context)
 {
-    m_current.update(m_table, m_collector, m_presence.gone(), m_heardVersions, m_trusted,
+    m_currentGone = m_presence.gone();
+    m_current.update(m_table, m_collector, m_presence.gone(), m_heardVersions, selfGrants(),
                      context.now());
     if (m_previous) {
-        m_previous->update(m_table, m_collector, m_presence.gone(), m_heardVersions, m_trusted,
+        m_previous->update(m_table, m_collector, m_previousGone, m_heardVersions, selfGrants(),
                            context.now());
         if (context.now() >= m_previous->grantsUntil())
             m_previous.reset();
@@ -310,19 +315,24 @@
 {
     const MemberList *list = m_documents.members(m_options.failureDomain);
     const Revision version = m_documents.memberListVersion(m_options.failureDomain);
-    const bool goneChanged = m_presence.update(list, version);
-    if (list && version != m_current.version())
-        adoptList(context, *list);
+    const bool listChanged = list && version != m_current.version();
+    // Members that the new list lacks are known as dropped only before it is compared.
+    const std::set<HostId> dropped = listChanged ? m_presence.dropped() : std::set<HostId>();
+    const bool goneChanged = m_presence.update(list, m_options.failureDomain, context.now());
+    if (listChanged)
+        adoptList(context, *list, dropped);
     else if (goneChanged)
         update(context);
 }
 
-void Membership::adoptList(StepContext &context, const MemberList &list)
+void Membership::adoptList(StepContext &context, const MemberList &list,
+                           const std::set<HostId> &dropped)
 {
     const Revision version = m_documents.memberListVersion(m_options.failureDomain);
-    CellView next = m_current.next(version, list, m_presence.gone());
+    CellView next = m_current.next(version, list, dropped);
     m_current.retire(context.now());
     m_previous = std::move(m_current);
+    m_previousGone = m_currentGone;
     m_current = std::move(next);
     std::erase_if(m_heardVersions,
                   [this](const auto &heard) { return !m_current.find(heard.first); });
@@ -371,7 +381,7 @@
 {
     if (m_trusted || m_current.version().value == 0)
         return;
-    m_trusted = m_documents.memberListConfirmed(m_options.failureDomain) || heardEnoughMembers();
+    m_trusted = m_documents.memberListConfirmedAt(m_options.failureDomain) || heardEnoughMembers();
     if (m_trusted)
         update(context);
 }
@@ -479,14 +489,14 @@
     m_nextEdit = context.now() + jittered(kEditInterval, context.random);
     if (m_leaving || m_editor.isBusy())
         return;
-    const std::set<HostId> &gone = m_presence.gone();
     const Member *self = m_current.find(m_options.host);
-    const bool listed =
-            self && self->endpoint == m_options.peerEndpoint && !gone.contains(m_options.host);
+    const bool listed = self && self->endpoint == m_options.peerEndpoint
+            && !m_presence.dropped().contains(m_options.host);
     if (!listed) {
         askToJoin(context);
         return;
     }
+    const std::set<HostId> &gone = m_presence.gone();
     if (!gone.empty() && holdsCurrentGrants(context.now()))
         m_editor.remove(context, m_current.version(), *gone.begin());
 }
@@ -497,7 +507,7 @@
         return;
     std::vector<const Member *> others;
     for (const Member &member : m_current.members()) {
-        if (member.host != m_options.host && !m_presence.gone().contains(member.host))
+        if (member.host != m_options.host && !m_presence.dropped().contains(member.host))
             others.push_back(&member);
     }
     if (others.empty()) {
--- a/src/core/Membership.h
+++ b/src/core/Membership.h
@@ -58,12 +58,14 @@
     bool isOwnCell(const FailureDomainId &domain) const;
     /** Whether this incarnation has promised not to act, or is about to. */
     bool hasGivenUp() const;
+    /** Whether this process may grant to others and counts itself as granting. */
+    bool selfGrants() const;
     bool ranksFirstAmongHeard(const ServerId &server) const;
 
     void refresh(StepContext &context);
     void update(StepContext &context);
     void followDocuments(StepContext &context);
-    void adoptList(StepContext &context, const MemberList &list);
+    void adoptList(StepContext &context, const MemberList &list, const std::set<HostId> &dropped);
     void trackFailures(MonotonicTime now);
     void noteMajority(StepContext &context);
     void updateTrust(StepContext &context);
@@ -88,6 +90,8 @@
     CellView m_current;
     std::optional<CellView> m_previous; ///< its grants stay valid until they lapse
     HostPresence m_presence;
+    std::set<HostId> m_currentGone;  ///< as counted at the newest list
+    std::set<HostId> m_previousGone; ///< as counted when the previous list was replaced
     MemberListEditor m_editor;
     PeerContacts m_contacts;
     mutable std::map<FailureDomainId, std::pair<Revision, RendezvousRanking>> m_otherCells;
