Keep less memory per connection between entry hosts

An outgoing connection kept two buffers of up to 256 KB after a burst, and a decoder kept its last chunk until the next one came; with thousands of peers that exceeds the memory of a small host. Both now keep 4 KB at most when empty.

--- a/src/codec/FrameDecoder.cpp
+++ b/src/codec/FrameDecoder.cpp
@@ -8,7 +8,7 @@
 
 /** A buffer that grew beyond this is given back once it is empty: thousands of connections have one
  * each. */
-static constexpr std::size_t kKeptBufferBytes = 16'384;
+static constexpr std::size_t kKeptBufferBytes = 4096;
 
 static std::size_t readLength(const std::uint8_t *prefix)
 {
@@ -22,15 +22,23 @@
 {
     m_buffer.erase(m_buffer.begin(), m_buffer.begin() + static_cast<std::ptrdiff_t>(m_begin));
     m_begin = 0;
-    if (m_buffer.empty() && m_buffer.capacity() > kKeptBufferBytes)
-        m_buffer = FrameBytes();
     m_buffer.insert(m_buffer.end(), bytes.begin(), bytes.end());
 }
 
+void FrameDecoder::releaseWhenEmpty()
+{
+    if (bufferedBytes() > 0 || m_buffer.capacity() <= kKeptBufferBytes)
+        return;
+    m_buffer = FrameBytes();
+    m_begin = 0;
+}
+
 leaf::result<std::optional<PeerEnvelope>> FrameDecoder::next()
 {
-    if (bufferedBytes() < kFramePrefixBytes)
+    if (bufferedBytes() < kFramePrefixBytes) {
+        releaseWhenEmpty();
         return std::optional<PeerEnvelope>();
+    }
     const std::size_t length = readLength(m_buffer.data() + m_begin);
     if (length > kMaxFrameBytes)
         return leaf::new_error(FrameTooLarge { length });
--- a/src/codec/FrameDecoder.h
+++ b/src/codec/FrameDecoder.h
@@ -24,6 +24,8 @@
     std::size_t bufferedBytes() const { return m_buffer.size() - m_begin; }
 
 private:
+    void releaseWhenEmpty();
+
     FrameBytes m_buffer;
     std::size_t m_begin = 0; ///< of the first byte that was not consumed
 };
--- a/src/net/OutgoingPeer.cpp
+++ b/src/net/OutgoingPeer.cpp
@@ -33,8 +33,9 @@
 /** An unused connection is closed after this; cell members send several times a second. */
 static constexpr std::chrono::seconds kUnusedTimeout(60);
 
-/** A buffer that grew beyond this is given back once it is empty. */
-static constexpr std::size_t kKeptBufferBytes = 262'144;
+/** A buffer that grew beyond this is given back once it is empty: an entry host may have thousands
+ * of peers with two buffers each. */
+static constexpr std::size_t kKeptBufferBytes = 4096;
 
 static void setOptions(tcp::socket &socket)
 {
