Serialize ledger buckets without a tree of JSON values

Buckets are read and written on the thread that handles all events. In a trial with a full bucket (1,774 results of 256 bytes, 726 KB) on a busy machine, serializing took 6.9 to 7.6 ms and reading 6.3 to 7.3 ms; with the text appended directly and the parsed tree in one memory resource, 1.6 to 2.5 ms and 3.4 to 5.3 ms. The format is the same.

--- a/src/core/LedgerBucket.cpp
+++ b/src/core/LedgerBucket.cpp
@@ -74,39 +74,51 @@
     return entry;
 }
 
-static json::object writeEntry(const LedgerEntry &entry)
+/** Appends `,"name":value`. */
+static void appendNumber(std::string &text, std::string_view name, std::uint64_t value)
+{
+    text.append(",\"").append(name).append("\":").append(std::to_string(value));
+}
+
+/** Appends `,"name":"value"`. */
+static void appendText(std::string &text, std::string_view name, std::string_view value)
+{
+    text.append(",\"").append(name).append("\":").append(json::serialize(value));
+}
+
+static void appendEntry(std::string &text, const LedgerEntry &entry)
 {
     const auto time = std::chrono::floor<std::chrono::milliseconds>(entry.time.time_since_epoch());
-    json::object object;
-    object["id"] = entry.key.value;
-    object["state"] = nameOf(entry.state);
-    object["host"] = entry.token.host.value;
-    object["incarnation"] = entry.token.incarnation.value;
-    object["counter"] = entry.token.counter;
-    object["timeMs"] = time.count();
-    if (entry.state != LedgerState::Done)
-        return object;
-    object["snapshot"] = entry.snapshot.value;
-    if (entry.resultOmitted)
-        object["resultOmitted"] = true;
-    else
-        object["result"] = entry.body;
-    return object;
+    text.append("{\"id\":").append(json::serialize(std::string_view(entry.key.value)));
+    appendText(text, "state", nameOf(entry.state));
+    appendText(text, "host", entry.token.host.value);
+    appendNumber(text, "incarnation", entry.token.incarnation.value);
+    appendNumber(text, "counter", entry.token.counter);
+    appendNumber(text, "timeMs", static_cast<std::uint64_t>(time.count()));
+    if (entry.state == LedgerState::Done) {
+        appendNumber(text, "snapshot", entry.snapshot.value);
+        if (entry.resultOmitted)
+            text.append(",\"resultOmitted\":true");
+        else
+            appendText(text, "result", entry.body);
+    }
+    text.push_back('}');
 }
 
 /** Results are bytes as the backend server sent them, not always UTF-8. */
-static json::value parseText(const std::string &text)
+static json::value parseText(const std::string &text, json::storage_ptr storage)
 {
     json::parse_options options;
     options.allow_invalid_utf8 = true;
-    return json::parse(text, {}, options);
+    return json::parse(text, std::move(storage), options);
 }
 
 leaf::result<LedgerBucket> LedgerBucket::parse(const std::string &text)
 {
     LedgerBucket bucket;
     try {
-        const json::value value = parseText(text);
+        json::monotonic_resource storage;
+        const json::value value = parseText(text, &storage);
         for (const json::value &entry : value.as_object().at("entries").as_array())
             bucket.put(readEntry(entry.as_object()));
     } catch (const std::exception &) {
@@ -115,13 +127,18 @@
     return bucket;
 }
 
+/** Written without a tree of JSON values: a full bucket has thousands of entries, and it is written
+ * on the thread that handles all events. */
 std::string LedgerBucket::serialize() const
 {
-    json::array entries;
-    entries.reserve(m_entries.size());
-    for (const auto &[key, entry] : m_entries)
-        entries.push_back(writeEntry(entry));
-    return json::serialize(json::object { { "entries", std::move(entries) } });
+    std::string text = "{\"entries\":[";
+    text.reserve(m_bytes);
+    for (const auto &[key, entry] : m_entries) {
+        if (text.back() != '[')
+            text.push_back(',');
+        appendEntry(text, entry);
+    }
+    return text.append("]}");
 }
 
 const LedgerEntry *LedgerBucket::find(const IdempotencyKey &key) const
