Wait for settled cells in the benchmark and count missing key ranges by reason

Hosts are ready before their cells have agreed on owners (about 9 s on a busy machine), so the first seconds of load measured the start. The configuration in force is read from the document versions of the state dump.

--- a/bench/LoadGenerator.cpp
+++ b/bench/LoadGenerator.cpp
@@ -71,6 +71,7 @@
 {
     std::uint64_t sent = 0;
     std::map<std::string, std::uint64_t> outcomes; ///< by outcome and reason
+    std::map<std::string, std::uint64_t> missing;  ///< key ranges, by reason
     std::vector<double> completeMs;
     std::vector<double> answeredMs;
     std::uint64_t wrong = 0; ///< answers that contradict themselves or their request
@@ -110,6 +111,7 @@
              { "answeredMs", quantiles(results.answeredMs) },
              { "coverage", results.coverageSum / answered },
              { "leastCoverage", results.leastCoverage },
+             { "missing", json::value_from(results.missing) },
              { "wrong", results.wrong },
              { "lateUnlabelled", results.lateUnlabelled },
              { "mostLateMs", results.mostLateMs },
@@ -139,6 +141,8 @@
     const auto snapshot = answer.at("snapshot").to_number<std::int64_t>();
     const auto &parts = answer.at("parts").as_array();
     ++results.snapshots[snapshot];
+    for (const auto &range : coverage.at("missing").as_array())
+        ++results.missing[std::string(range.at("reason").as_string())];
     const bool consistent = parts.size() == covered
             && covered + coverage.at("missing").as_array().size() == total
             && (answer.at("outcome").as_string() == "complete") == (covered == total);
@@ -319,7 +323,7 @@
                     ++results.lateUnlabelled;
             }
             const auto *reason = answer.if_contains("reason");
-            if (reason && reason->is_string() && !reason->as_string().empty())
+            if (outcome != "complete" && reason && reason->is_string())
                 outcome += ":" + std::string(reason->as_string());
             ++results.outcomes[outcome];
         } catch (const std::exception &) {
--- a/tools/local_cluster.py
+++ b/tools/local_cluster.py
@@ -18,6 +18,7 @@
 import greengagestair_config as declarations  # noqa: E402
 
 READY_TIMEOUT = 20.0  # seconds
+SETTLE_TIMEOUT = 40.0  # seconds; cells form one member at a time after the hosts are ready
 STOP_TIMEOUT = 15.0  # seconds; above stopTimeoutMs of the settings below
 PORT_STEP = 100
 # Lookups cost 6 ms per new connection, ledgers and profiles 1 ms (docs/design.md section 2).
@@ -195,6 +196,13 @@
         if status != 204:
             raise RuntimeError(f"platform command {name} {fields}: {status} {text}")
 
+    def configuration_version(self, host):
+        """Version of the configuration that a host holds; 0 if it has none."""
+        state = json.loads(call(self.caller_endpoint(host), "GET", "/state")[2])
+        versions = [document["version"] for document in state["documents"]["documents"]
+                    if document["key"] == "configuration"]
+        return versions[0] if versions else 0
+
     def report(self):
         return json.loads(call(self.backend_control, "GET", "/control/report")[2])
 
@@ -222,6 +230,16 @@
             endpoint = self.caller_endpoint(host)
             self.wait_until(lambda: self.answers(endpoint, "/healthz"), host)
 
+    def wait_settled(self, service):
+        """Waits until every host completes a lookup: the cells have agreed on all owners."""
+        def completes(endpoint):
+            text = call(endpoint, "POST", f"/v1/services/{service}/lookup", '{"key": "settle"}')[2]
+            return json.loads(text)["outcome"] == "complete"
+
+        for endpoint in self.caller_endpoints():
+            self.wait_until(lambda: completes(endpoint), f"complete answers of {endpoint}",
+                            SETTLE_TIMEOUT)
+
     def start(self):
         self.start_stand_ins()
         self.start_hosts()
