--- a/src/core/PartFlow.cpp
+++ b/src/core/PartFlow.cpp
@@ -502,8 +502,9 @@
     state.state = State::Missing;
     state.reason = reason;
     --query.unsettled;
-    // A refusal that another replica makes good is no sign of overload.
-    if (isLoadRefusal(reason))
+    // A refusal that another replica makes good is no sign of overload, nor is a part that waited
+    // for a slow canary.
+    if (isLoadRefusal(reason) && !state.tried.empty())
         m_admission.partRefused(context, query.service);
 }
 
--- a/src/core/QueryEngine.cpp
+++ b/src/core/QueryEngine.cpp
@@ -178,6 +178,7 @@
     }
     while (applyNextDecision(context)) { }
     m_table.dropStaleTimers();
+    context.counters.set("queries_in_progress", m_table.size());
 }
 
 bool QueryEngine::applyNextDecision(StepContext &context)
