Read the member list again if a read is under way when a host is dropped

A read that began before the drop was known does not confirm the list, and the next one came only 10 s later.

--- a/src/core/DocumentStore.cpp
+++ b/src/core/DocumentStore.cpp
@@ -315,6 +315,10 @@
     Follower &follower = m_followers[key];
     follower.reading = false;
     const bool answered = takeAnswer(context, key, follower, follower.readStarted, finished);
+    if (std::exchange(follower.readAgain, false)) {
+        follower.nextRead = context.now();
+        return;
+    }
     const bool needed = key == membersKey(m_options.failureDomain) || !m_documents.content(key);
     if (answered || (follower.answered && !needed)) {
         follower.nextRead = context.now() + jittered(slowReadInterval(), context.random);
@@ -359,7 +363,13 @@
                 return m_documents.isShown(member.host.value);
             });
     if (!allShown)
-        m_followers[membersKey(m_options.failureDomain)].nextRead = context.now();
+        readNow(context, m_followers[membersKey(m_options.failureDomain)]);
+}
+
+void DocumentStore::readNow(StepContext &context, Follower &follower)
+{
+    follower.readAgain = follower.reading;
+    follower.nextRead = context.now();
 }
 
 Duration DocumentStore::slowReadInterval() const
--- a/src/core/DocumentStore.h
+++ b/src/core/DocumentStore.h
@@ -74,6 +74,7 @@
     {
         bool watching = false;
         bool reading = false;
+        bool readAgain = false;  ///< at the end of the read under way
         bool answered = false;   ///< the platform has told its state since the start
         MonotonicTime nextWatch; ///< of a watch or, for the host list, a poll
         MonotonicTime nextRead;
@@ -103,6 +104,7 @@
     /** Reads the own member list if the host list does not show a member: whether it may be counted
      * as gone depends on the list being current. */
     void confirmMembers(StepContext &context);
+    static void readNow(StepContext &context, Follower &follower);
     Duration slowReadInterval() const;
     /** Number of cell members heard recently that rank before this host for the key. */
     std::size_t watcherRank(const PlatformKey &key, MonotonicTime now) const;
