--- a/tests/core/MembershipTest.cpp
+++ b/tests/core/MembershipTest.cpp
@@ -3,6 +3,7 @@
 #include "core/HostPresence.h"
 
 #include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
 
 #include <algorithm>
 #include <cstdlib>
@@ -425,3 +426,55 @@
     REQUIRE(cell.allServed());
     REQUIRE(cell.violations == 0);
 }
+
+TEST_CASE("grants of ended members lapse before majorities are counted without them",
+          "[membership]")
+{
+    CellSimulation cell(13);
+    startCell(cell, kFive);
+    const ServerId server = servedBy(cell, "shubra-1").at(0);
+    for (const std::string other : { "shubra-2", "shubra-3" }) {
+        cell.cut("shubra-1", other);
+        cell.cut(other, "shubra-1");
+    }
+    cell.cut("shubra-1", "platform");
+    cell.run(5s); // hosts 2 and 3 report host 1 as failed; hosts 4 and 5 grant it
+    REQUIRE(servedBy(cell, "shubra-1").size() > 0);
+    cell.kill("shubra-4");
+    cell.kill("shubra-5");
+    cell.platform.setHosts({ "shubra-1", "shubra-2", "shubra-3" });
+    cell.run(10s);
+    REQUIRE(cell.violations == 0);
+    REQUIRE(cell.actors(server).size() == 1);
+}
+
+class MockDocumentWriter : public DocumentWriter
+{
+public:
+    MAKE_MOCK5(change,
+               void(StepContext &, const PlatformKey &, DocumentChange, Duration,
+                    DocumentChangeDone),
+               override);
+};
+
+TEST_CASE("the member list is not changed at a version without a majority", "[membership]")
+{
+    CellSimulation cell(14);
+    startCell(cell, kThree);
+    CellSimulation::Node &node = cell.node("shubra-1");
+    const Revision version = node.documents.memberListVersion({ "shubra" });
+    const std::string list = cell.platform.get("members/shubra");
+    MockDocumentWriter writer;
+    DocumentChange change;
+    ALLOW_CALL(writer,
+               change(ANY(StepContext &), PlatformKey { "members/shubra" }, ANY(DocumentChange),
+                      ANY(Duration), ANY(DocumentChangeDone)))
+            .LR_SIDE_EFFECT(change = _3);
+    MemberListEditor editor(node.options, node.documents, writer);
+    const Member added { { "shubra-9" }, { "127.0.9.9", 7400 }, { 1 } };
+    cell.step("shubra-1", [&](StepContext &context) { editor.add(context, version, added); });
+    REQUIRE(parseMemberList({ "shubra" }, *change(list)).value().members.size() == 4);
+    cell.step("shubra-1",
+              [&](StepContext &context) { editor.add(context, { version.value - 1 }, added); });
+    REQUIRE_FALSE(change(list));
+}
