--- a/src/core/DocumentStore.cpp
+++ b/src/core/DocumentStore.cpp
@@ -134,7 +134,7 @@
             follow(context, key, follower);
     }
     forgetSilentPeers(context.now());
-    updateReadiness(context);
+    updateReadiness(context.now());
 }
 
 MonotonicTime DocumentStore::nextWakeUp() const
@@ -414,18 +414,16 @@
     }
 }
 
-void DocumentStore::updateReadiness(StepContext &context)
+void DocumentStore::updateReadiness(MonotonicTime now)
 {
     if (m_ready || !configuration() || !m_firstAnswer)
         return;
-    const bool waited = context.now() >= *m_firstAnswer + kReadyAfterFirstAnswer;
+    const bool waited = now >= *m_firstAnswer + kReadyAfterFirstAnswer;
     const bool platformAsked = m_followers[{ kConfigurationKey }].answered;
     const bool newest = m_documents.seenVersion({ kConfigurationKey }) >= m_newestReported;
     if (!waited && !(platformAsked && m_unheardSeeds.empty() && newest))
         return;
     m_ready = true;
-    context.emit(LogStateChange { StateChangeKind::Ready, m_options.host.value,
-                                  configurationVersion().value });
 }
 
 void DocumentStore::take(StepContext &context, const PlatformKey &key, Revision version,
--- a/src/core/DocumentStore.h
+++ b/src/core/DocumentStore.h
@@ -110,7 +110,7 @@
     std::size_t watcherRank(const PlatformKey &key, MonotonicTime now) const;
     bool isWatcher(const PlatformKey &key, MonotonicTime now) const;
 
-    void updateReadiness(StepContext &context);
+    void updateReadiness(MonotonicTime now);
 
     /** Adopts a newer version and spreads it; `from` is the peer that sent it, if any. */
     void take(StepContext &context, const PlatformKey &key, Revision version,
