Drop no member because of an empty host list

With an empty list every member saw itself and all others dropped, and no cell served. A list that shows hosts but none of a cell still stops that cell: its hosts may have been replaced.

--- a/src/core/HostPresence.cpp
+++ b/src/core/HostPresence.cpp
@@ -43,7 +43,8 @@
             const auto before = m_drops.find(member.host);
             const bool wasDropped =
                     before != m_drops.end() && before->second.listedAt >= member.listedAt;
-            const bool isDropped = m_readVersion > member.listedAt && !shows(member.host);
+            const bool isDropped =
+                    !m_shown.empty() && m_readVersion > member.listedAt && !shows(member.host);
             if (!wasDropped && !isDropped)
                 continue;
             drops[member.host] = wasDropped ? before->second : Drop { member.listedAt, now };
--- a/src/core/HostPresence.h
+++ b/src/core/HostPresence.h
@@ -21,6 +21,9 @@
  * - the member list was current after it was known to be dropped. Otherwise this host might be left
  *   alone with a list whose other members are gone, while their successors serve under a newer one.
  *
+ * An empty host list drops nobody: it is wrong, since this host runs, and with it no cell would
+ * serve.
+ *
  * This relies on the platform to drop a host only after its process has ended, and on a host that
  * returns under its name to be admitted anew.
  */
