--- a/src/core/DocumentStore.cpp
+++ b/src/core/DocumentStore.cpp
@@ -134,7 +134,7 @@
             follow(context, key, follower);
     }
     forgetSilentPeers(context.now());
-    updateReadiness(context);
+    updateReadiness(context.now());
 }
 
 MonotonicTime DocumentStore::nextWakeUp() const
@@ -315,6 +315,10 @@
     Follower &follower = m_followers[key];
     follower.reading = false;
     const bool answered = takeAnswer(context, key, follower, follower.readStarted, finished);
+    if (std::exchange(follower.readAgain, false)) {
+        follower.nextRead = context.now();
+        return;
+    }
     const bool needed = key == membersKey(m_options.failureDomain) || !m_documents.content(key);
     if (answered || (follower.answered && !needed)) {
         follower.nextRead = context.now() + jittered(slowReadInterval(), context.random);
@@ -359,7 +363,13 @@
                 return m_documents.isShown(member.host.value);
             });
     if (!allShown)
-        m_followers[membersKey(m_options.failureDomain)].nextRead = context.now();
+        readNow(context, m_followers[membersKey(m_options.failureDomain)]);
+}
+
+void DocumentStore::readNow(StepContext &context, Follower &follower)
+{
+    follower.readAgain = follower.reading;
+    follower.nextRead = context.now();
 }
 
 Duration DocumentStore::slowReadInterval() const
@@ -404,18 +414,16 @@
     }
 }
 
-void DocumentStore::updateReadiness(StepContext &context)
+void DocumentStore::updateReadiness(MonotonicTime now)
 {
     if (m_ready || !configuration() || !m_firstAnswer)
         return;
-    const bool waited = context.now() >= *m_firstAnswer + kReadyAfterFirstAnswer;
+    const bool waited = now >= *m_firstAnswer + kReadyAfterFirstAnswer;
     const bool platformAsked = m_followers[{ kConfigurationKey }].answered;
     const bool newest = m_documents.seenVersion({ kConfigurationKey }) >= m_newestReported;
     if (!waited && !(platformAsked && m_unheardSeeds.empty() && newest))
         return;
     m_ready = true;
-    context.emit(LogStateChange { StateChangeKind::Ready, m_options.host.value,
-                                  configurationVersion().value });
 }
 
 void DocumentStore::take(StepContext &context, const PlatformKey &key, Revision version,
