Write answers without Pistache's ResponseWriter

Cause: ResponseWriter::send returns a chained promise. Pistache resolves a chained promise without its lock (Chainer in async.h) while the event loop attaches the continuation, so a continuation could be lost or the list of continuations be read while it grows. Change: the answer is written with Transport::asyncWrite, whose promise is resolved under its lock, and writes are counted per connection.

--- a/src/net/HttpFrontEnd.cpp
+++ b/src/net/HttpFrontEnd.cpp
@@ -8,6 +8,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -36,7 +37,6 @@
 {
     std::weak_ptr<Pistache::Tcp::Peer> peer;
     Pistache::Tcp::Transport *transport = nullptr;
-    Pistache::Http::Handler *handler = nullptr;
     std::string received;               ///< bytes of the request that is being received
     SteadyClock::time_point lastChange; ///< start of the state that the timeouts apply to
     CallerId caller;                    ///< of the request in progress
@@ -44,11 +44,7 @@
     bool sentContinue = false;
     bool closesAfterAnswer = false;
     bool isClosing = false; ///< the last answer was sent; nothing more is read
-
-    Pistache::Http::ResponseWriter makeWriter() const
-    {
-        return { Pistache::Http::Version::Http11, transport, handler, peer };
-    }
+    std::atomic<int> writesInProgress = 0;
 };
 
 using ConnectionPointer = std::shared_ptr<Connection>;
@@ -57,7 +53,6 @@
 struct PendingRequest
 {
     ConnectionPointer connection;
-    Pistache::Http::ResponseWriter writer;
     SteadyClock::time_point receivedAt;
 };
 
@@ -93,6 +88,18 @@
     }
 }
 
+static std::string renderResponse(const HttpAnswer &answer, bool closes)
+{
+    const auto code = static_cast<Pistache::Http::Code>(answer.status);
+    std::string bytes = "HTTP/1.1 " + std::to_string(answer.status) + " ";
+    bytes += Pistache::Http::codeString(code);
+    bytes += "\r\nContent-Type: " + answer.contentType;
+    bytes += closes ? "\r\nConnection: close" : "\r\nConnection: keep-alive";
+    bytes += "\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
+    bytes += answer.body;
+    return bytes;
+}
+
 static void shutDown(const Connection &connection, int how)
 {
     if (const auto peer = connection.peer.lock())
@@ -112,8 +119,7 @@
     std::uint16_t port() const;
     std::vector<Counter> counters() const;
 
-    void onConnected(const PeerPointer &peer, Pistache::Tcp::Transport *transport,
-                     Pistache::Http::Handler *handler);
+    void onConnected(const PeerPointer &peer, Pistache::Tcp::Transport *transport);
     void onDisconnected(const PeerPointer &peer);
     void onReceived(std::string_view bytes, const PeerPointer &peer);
 
@@ -129,10 +135,10 @@
     CallerId addRequest(const ConnectionPointer &connection);
     void finishRequest(CallerId caller, const HttpAnswer &answer, bool closes);
     void refuse(const ConnectionPointer &connection, const HttpRefusal &refusal, bool closes);
-    void send(const ConnectionPointer &connection, Pistache::Http::ResponseWriter &writer,
-              const HttpAnswer &answer);
+    void send(const ConnectionPointer &connection, const HttpAnswer &answer);
     void sweepUntilStopped();
     void closeOverdue(SteadyClock::time_point now);
+    bool hasWrites() const;
     void flushWrites();
     void closeConnections();
     std::string requestId(CallerId caller) const;
@@ -155,7 +161,6 @@
     std::uint64_t m_refusals = 0;
     bool m_isStopping = false;
 
-    std::atomic<int> m_writesInProgress = 0;
     std::unique_ptr<Pistache::Http::Endpoint> m_endpoint;
     std::thread m_sweeper;
 };
@@ -168,11 +173,10 @@
 public:
     HTTP_PROTOTYPE(RequestHandler)
 
-    explicit RequestHandler(std::function<void(const PeerPointer &, Pistache::Tcp::Transport *,
-                                               Pistache::Http::Handler *)>
-                                    connected,
-                            std::function<void(std::string_view, const PeerPointer &)> received,
-                            std::function<void(const PeerPointer &)> disconnected)
+    explicit RequestHandler(
+            std::function<void(const PeerPointer &, Pistache::Tcp::Transport *)> connected,
+            std::function<void(std::string_view, const PeerPointer &)> received,
+            std::function<void(const PeerPointer &)> disconnected)
         : m_connected(std::move(connected))
         , m_received(std::move(received))
         , m_disconnected(std::move(disconnected))
@@ -192,7 +196,7 @@
     {
         peer->putData(ParserData,
                       std::make_shared<Pistache::Http::RequestParser>(getMaxRequestSize()));
-        m_connected(peer, transport(), this);
+        m_connected(peer, transport());
     }
 
     void onInput(const char *buffer, std::size_t length, const PeerPointer &peer) override
@@ -200,8 +204,7 @@
         m_received({ buffer, length }, peer);
     }
 
-    std::function<void(const PeerPointer &, Pistache::Tcp::Transport *, Pistache::Http::Handler *)>
-            m_connected;
+    std::function<void(const PeerPointer &, Pistache::Tcp::Transport *)> m_connected;
     std::function<void(std::string_view, const PeerPointer &)> m_received;
     std::function<void(const PeerPointer &)> m_disconnected;
 };
@@ -222,9 +225,8 @@
     using Pistache::Tcp::Options;
     const auto self = shared_from_this();
     auto handler = std::make_shared<RequestHandler>(
-            [self](const PeerPointer &peer, Pistache::Tcp::Transport *transport,
-                   Pistache::Http::Handler *handler) {
-                self->onConnected(peer, transport, handler);
+            [self](const PeerPointer &peer, Pistache::Tcp::Transport *transport) {
+                self->onConnected(peer, transport);
             },
             [self](std::string_view bytes, const PeerPointer &peer) {
                 self->onReceived(bytes, peer);
@@ -270,14 +272,12 @@
              { "http_refusals_total", m_refusals } };
 }
 
-void HttpFrontEnd::Server::onConnected(const PeerPointer &peer, Pistache::Tcp::Transport *transport,
-                                       Pistache::Http::Handler *handler)
+void HttpFrontEnd::Server::onConnected(const PeerPointer &peer, Pistache::Tcp::Transport *transport)
 {
     const Lock lock(m_mutex);
     auto connection = std::make_shared<Connection>();
     connection->peer = peer;
     connection->transport = transport;
-    connection->handler = handler;
     connection->lastChange = SteadyClock::now();
     m_connections.emplace(peer->getID(), connection);
     if (m_isStopping)
@@ -427,8 +427,7 @@
 {
     const CallerId caller { ++m_lastCaller };
     connection->caller = caller;
-    m_requests.emplace(caller,
-                       PendingRequest { connection, connection->makeWriter(), SteadyClock::now() });
+    m_requests.emplace(caller, PendingRequest { connection, SteadyClock::now() });
     return caller;
 }
 
@@ -455,10 +454,10 @@
     const auto found = m_requests.find(caller);
     if (found == m_requests.end())
         return;
-    PendingRequest pending = std::move(found->second);
+    const PendingRequest pending = std::move(found->second);
     m_requests.erase(found);
     pending.connection->closesAfterAnswer |= closes;
-    send(pending.connection, pending.writer, answer);
+    send(pending.connection, answer);
 }
 
 void HttpFrontEnd::Server::refuse(const ConnectionPointer &connection, const HttpRefusal &refusal,
@@ -466,38 +465,31 @@
 {
     ++m_refusals;
     connection->closesAfterAnswer |= closes;
-    auto writer = connection->makeWriter();
-    send(connection, writer, toAnswer(refusal));
+    send(connection, toAnswer(refusal));
 }
 
-void HttpFrontEnd::Server::send(const ConnectionPointer &connection,
-                                Pistache::Http::ResponseWriter &writer, const HttpAnswer &answer)
+void HttpFrontEnd::Server::send(const ConnectionPointer &connection, const HttpAnswer &answer)
 {
-    using Pistache::Http::ConnectionControl;
     const bool closes = connection->closesAfterAnswer;
     connection->isBusy = false;
     connection->isClosing = closes;
     connection->lastChange = SteadyClock::now();
-    writer.headers().add<Pistache::Http::Header::Connection>(closes ? ConnectionControl::Close
-                                                                    : ConnectionControl::KeepAlive);
-    const auto finished = [self = weak_from_this(), peer = connection->peer, closes] {
-        const auto server = self.lock();
-        if (server)
-            --server->m_writesInProgress;
-        const auto openPeer = peer.lock();
-        if (closes && openPeer)
-            ::shutdown(openPeer->fd(), SHUT_WR);
+    const auto peer = connection->peer.lock();
+    if (!peer)
+        return;
+    const auto finished = [connection, closes] {
+        --connection->writesInProgress;
+        if (closes)
+            shutDown(*connection, SHUT_WR);
     };
-    ++m_writesInProgress;
-    try {
-        writer.send(static_cast<Pistache::Http::Code>(answer.status), answer.body,
-                    Pistache::Http::Mime::MediaType::fromString(answer.contentType))
-                .then([finished](ssize_t) { finished(); },
-                      [finished](const std::exception_ptr &) { finished(); });
-    } catch (const std::exception &) {
-        // The caller closed its connection; onDisconnected reports it.
-        --m_writesInProgress;
-    }
+    std::string bytes = renderResponse(answer, closes);
+    const std::size_t length = bytes.size();
+    ++connection->writesInProgress;
+    // Not through Pistache's ResponseWriter: it returns a chained promise, which Pistache resolves
+    // without the promise's lock while this thread attaches the continuation.
+    connection->transport->asyncWrite(peer->fd(), Pistache::RawBuffer(std::move(bytes), length))
+            .then([finished](ssize_t) { finished(); },
+                  [finished](const std::exception_ptr &) { finished(); });
 }
 
 std::string HttpFrontEnd::Server::requestId(CallerId caller) const
@@ -533,10 +525,17 @@
     }
 }
 
+bool HttpFrontEnd::Server::hasWrites() const
+{
+    const Lock lock(m_mutex);
+    return std::any_of(m_connections.begin(), m_connections.end(),
+                       [](const auto &entry) { return entry.second->writesInProgress > 0; });
+}
+
 void HttpFrontEnd::Server::flushWrites()
 {
     const auto limit = SteadyClock::now() + kFlushTimeout;
-    while (m_writesInProgress > 0 && SteadyClock::now() < limit)
+    while (hasWrites() && SteadyClock::now() < limit)
         std::this_thread::sleep_for(kFlushPollInterval);
 }
 
