--- a/src/app/EventLoop.cpp
+++ b/src/app/EventLoop.cpp
@@ -31,6 +31,7 @@
 private:
     void drain();
     void step(const Event &event);
+    void refuse(const Event &event);
     void apply(const Effect &effect);
     void armWakeUp();
     void onWakeUp();
@@ -95,8 +96,10 @@
 
 void EventLoop::State::step(const Event &event)
 {
-    if (m_isFinished)
+    if (m_isFinished) {
+        refuse(event);
         return;
+    }
     if (std::holds_alternative<StopRequested>(event))
         armStopLimit();
     const Instant instant = currentInstant();
@@ -109,6 +112,23 @@
         apply(effect);
 }
 
+/** Answers a caller whose event the reducer never saw, since it had finished its stop. */
+void EventLoop::State::refuse(const Event &event)
+{
+    CallerAnswer answer;
+    answer.reason = QueryReason::Stopping;
+    if (const auto *request = std::get_if<CallerRequest>(&event)) {
+        answer.outcome = QueryOutcome::NotRun;
+        answer.service = request->service;
+        m_adapters->callers.answer({ request->caller, answer });
+    } else if (const auto *query = std::get_if<OutcomeQuery>(&event)) {
+        // The request that is asked about may have run earlier.
+        answer.outcome = QueryOutcome::MayHaveRun;
+        answer.service = query->service;
+        m_adapters->callers.answer({ query->caller, answer });
+    }
+}
+
 void EventLoop::State::apply(const Effect &effect)
 {
     // Ordered by frequency.
@@ -180,6 +200,7 @@
     // The first tick lets the reducer start its heartbeats and watches.
     post(Tick {});
     m_context.run();
+    drain();
     // Callers first, so that they hear the answers of the last step before anything else ends.
     adapters.callers.stop();
     adapters.backends.stop();
--- a/tests/app/EventLoopTest.cpp
+++ b/tests/app/EventLoopTest.cpp
@@ -179,6 +179,23 @@
     REQUIRE(fixture.callers.answers.size() == kRequests * kThreads);
 }
 
+TEST_CASE("requests that arrive at the end of a stop are refused as not run", "[loop]")
+{
+    Fixture fixture;
+    fixture.loop.post(StopRequested {});
+    for (std::uint64_t caller = 1; caller <= 5; ++caller)
+        fixture.loop.post(request(caller));
+    fixture.loop.post(OutcomeQuery { { 6 }, { "s" }, { "1796342400-a" } });
+    REQUIRE(fixture.run() == LoopEnd::Stopped);
+    REQUIRE(fixture.callers.answers.size() == 6);
+    for (const AnswerCaller &answer : fixture.callers.answers) {
+        REQUIRE(answer.answer.reason == QueryReason::Stopping);
+        const bool isQuery = answer.caller.value == 6;
+        REQUIRE(answer.answer.outcome
+                == (isQuery ? QueryOutcome::MayHaveRun : QueryOutcome::NotRun));
+    }
+}
+
 TEST_CASE("the reducer is woken without any event from outside", "[loop]")
 {
     Fixture fixture;
