--- a/bench/LoadGenerator.cpp
+++ b/bench/LoadGenerator.cpp
@@ -8,8 +8,9 @@
 //  "distinctBodies": 200, "order": false}]}
 //
 // `rate` is in requests per second. Bodies are drawn from a Zipf-like set; 0 distinct bodies means
-// that every body differs. Latency counts from the planned time of a request, so that a late
-// generator does not hide slow answers.
+// that every body differs; the others are first sent once to every target. The line "start" on
+// stderr marks the beginning of the load. Latency counts from the planned time of a request, so
+// that a late generator does not hide slow answers.
 
 #include "standins/HttpConnection.h"
 
@@ -190,25 +191,28 @@
         }
     }
 
-    asio::awaitable<void> run()
+    /** Sends each body of the set once to every target, so that its signature is known there. */
+    asio::awaitable<void> prime(std::string target)
     {
-        std::exponential_distribution<double> gap(m_rate);
-        asio::steady_timer timer(m_context);
-        m_start = Clock::now();
-        auto planned = m_start;
-        const auto end =
-                m_start + std::chrono::duration_cast<Clock::duration>(m_warmup + m_duration);
-        while (true) {
-            planned += std::chrono::duration_cast<Clock::duration>(Seconds(gap(m_random)));
-            if (planned >= end)
-                break;
-            auto arrival = makeArrival(planned);
-            if (planned > Clock::now()) {
-                timer.expires_at(planned);
-                co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        const auto connection =
+                std::make_shared<HttpConnection>(m_context, standins::parseEndpoint(target));
+        for (const auto &requestClass : m_classes) {
+            for (int i = 0; i < requestClass.distinctBodies; ++i) {
+                ++m_arrivals;
+                HttpRequest request { "POST", "/v1/services/" + requestClass.path, {}, {} };
+                request.body = json::serialize(json::object { { "key", "k" + std::to_string(i) } });
+                co_await connection->exchange(std::move(request));
             }
-            m_waiting.push_back(std::move(arrival));
-            startNext();
+        }
+        if (--m_priming == 0)
+            asio::co_spawn(m_context, run(), asio::detached);
+    }
+
+    void start(const json::array &targets)
+    {
+        m_priming = targets.size();
+        for (const auto &target : targets) {
+            asio::co_spawn(m_context, prime(std::string(target.as_string())), asio::detached);
         }
     }
 
@@ -233,6 +237,29 @@
     }
 
 private:
+    asio::awaitable<void> run()
+    {
+        std::exponential_distribution<double> gap(m_rate);
+        asio::steady_timer timer(m_context);
+        m_start = Clock::now();
+        std::cerr << "start" << std::endl;
+        auto planned = m_start;
+        const auto end =
+                m_start + std::chrono::duration_cast<Clock::duration>(m_warmup + m_duration);
+        while (true) {
+            planned += std::chrono::duration_cast<Clock::duration>(Seconds(gap(m_random)));
+            if (planned >= end)
+                break;
+            auto arrival = makeArrival(planned);
+            if (planned > Clock::now()) {
+                timer.expires_at(planned);
+                co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            }
+            m_waiting.push_back(std::move(arrival));
+            startNext();
+        }
+    }
+
     Arrival makeArrival(Clock::time_point planned)
     {
         Arrival arrival;
@@ -345,6 +372,7 @@
     std::deque<std::shared_ptr<HttpConnection>> m_idle;
     std::deque<Arrival> m_waiting;
     std::uint64_t m_arrivals = 0;
+    std::size_t m_priming = 0; ///< targets that have not got every body yet
     Clock::time_point m_start;
     Milliseconds m_mostBehind { 0 };
 };
@@ -363,7 +391,7 @@
         const auto plan = boost::json::parse(content.str()).as_object();
         boost::asio::io_context context(1);
         greengagestair::bench::LoadGenerator generator(context, plan);
-        boost::asio::co_spawn(context, generator.run(), boost::asio::detached);
+        generator.start(plan.at("targets").as_array());
         context.run();
         std::cout << generator.report() << '\n';
     } catch (const std::exception &error) {
