--- a/src/core/AdmissionControl.cpp
+++ b/src/core/AdmissionControl.cpp
@@ -49,20 +49,19 @@
 {
     const MonotonicTime now = context.now();
     ServiceState &state = m_services.try_emplace(service.name, service).first->second;
-    auto &queue = priority == Priority::Urgent ? state.urgent : state.routine;
-    const bool mustLetRoutineGo = priority == Priority::Urgent && routineIsDue(state);
-    if (queue.empty() && !mustLetRoutineGo && hasRoom(state, priority, now)) {
+    if (mayStart(state, priority, now)) {
         start(state, priority);
         return Verdict::Admitted;
     }
     state.limit.noteInUse();
-    const Duration bearable = std::min(kMaxWait, deadline - now - state.queryTime);
+    const Duration bearable = bearableWait(state, deadline, now);
     if (expectedWait(state, priority) > bearable) {
         context.counters.add("admission_refused_total");
         return Verdict::Refused;
     }
     const Sequence sequence = ++m_lastSequence;
     const MonotonicTime until = now + bearable;
+    auto &queue = priority == Priority::Urgent ? state.urgent : state.routine;
     queue.emplace(sequence, Waiting { query, until });
     m_places[query] = { service.name, &state, priority, sequence };
     m_expiries.emplace(until, query.value);
@@ -70,6 +69,16 @@
     return Verdict::Queued;
 }
 
+bool AdmissionControl::wouldRefuse(StepContext &context, const ServiceId &service,
+                                   Priority priority, MonotonicTime deadline)
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || mayStart(found->second, priority, context.now()))
+        return false;
+    return expectedWait(found->second, priority)
+            > bearableWait(found->second, deadline, context.now());
+}
+
 void AdmissionControl::withdraw(QueryId query)
 {
     if (m_places.contains(query))
@@ -96,16 +105,19 @@
     startWaiting(context, state);
 }
 
-void AdmissionControl::partEnded(StepContext &context, const ServiceId &service,
-                                 const PartSample &sample)
+void AdmissionControl::partAnswered(StepContext &context, const ServiceId &service,
+                                    Duration partTime)
 {
     const auto found = m_services.find(service);
-    if (found == m_services.end())
-        return;
-    if (sample.refusedForLoad)
+    if (found != m_services.end())
+        found->second.limit.addAnswer(partTime, context.now());
+}
+
+void AdmissionControl::partRefused(StepContext &context, const ServiceId &service)
+{
+    const auto found = m_services.find(service);
+    if (found != m_services.end())
         found->second.limit.addRefusal(context.now());
-    else if (sample.partTime > Duration::zero())
-        found->second.limit.addAnswer(sample.partTime, context.now());
 }
 
 std::optional<AdmissionControl::Decision> AdmissionControl::nextDecision(StepContext &context)
@@ -161,6 +173,19 @@
     return state.urgentInRow >= kMaxUrgentInRow && !state.routine.empty();
 }
 
+bool AdmissionControl::mayStart(ServiceState &state, Priority priority, MonotonicTime now)
+{
+    const auto &queue = priority == Priority::Urgent ? state.urgent : state.routine;
+    const bool mustLetRoutineGo = priority == Priority::Urgent && routineIsDue(state);
+    return queue.empty() && !mustLetRoutineGo && hasRoom(state, priority, now);
+}
+
+Duration AdmissionControl::bearableWait(const ServiceState &state, MonotonicTime deadline,
+                                        MonotonicTime now)
+{
+    return std::min(kMaxWait, deadline - now - state.queryTime);
+}
+
 /** Urgent queries have slots of their own: routine ones in progress do not hold them up. */
 bool AdmissionControl::hasRoom(ServiceState &state, Priority priority, MonotonicTime now)
 {
--- a/src/core/AdmissionControl.h
+++ b/src/core/AdmissionControl.h
@@ -29,24 +29,23 @@
         Priority priority = Priority::Routine;
     };
 
-    /** How one attempt of a part ended, as a sign of load. */
-    struct PartSample
-    {
-        Duration partTime {}; ///< zero if there was no answer
-        bool refusedForLoad = false;
-    };
-
     AdmissionControl(const ReducerOptions &options, DocumentView &documents);
 
     /** Each admitted query must be reported by `finished`. */
     Verdict request(StepContext &context, const Service &service, Priority priority, QueryId query,
                     MonotonicTime deadline);
+    /** Whether `request` would refuse now; takes no place. */
+    bool wouldRefuse(StepContext &context, const ServiceId &service, Priority priority,
+                     MonotonicTime deadline);
     /** A queued query is no longer wanted; others are ignored. */
     void withdraw(QueryId query);
     /** An admitted query ended after `inProgress`. */
     void finished(StepContext &context, const ServiceId &service, Priority priority,
                   Duration inProgress);
-    void partEnded(StepContext &context, const ServiceId &service, const PartSample &sample);
+    /** An attempt of a part was answered after `partTime`. */
+    void partAnswered(StepContext &context, const ServiceId &service, Duration partTime);
+    /** A part of an admitted query went unanswered because all owners refused it for load. */
+    void partRefused(StepContext &context, const ServiceId &service);
     /**
      * The next queued query that is now admitted or refused, if any. An admitted one that is gone
      * by now must be reported by `finished` all the same.
@@ -90,6 +89,9 @@
 
     static std::size_t slots(const ServiceState &state);
     static bool routineIsDue(const ServiceState &state);
+    static bool mayStart(ServiceState &state, Priority priority, MonotonicTime now);
+    static Duration bearableWait(const ServiceState &state, MonotonicTime deadline,
+                                 MonotonicTime now);
     static bool hasRoom(ServiceState &state, Priority priority, MonotonicTime now);
     static Duration expectedWait(const ServiceState &state, Priority priority);
     static void start(ServiceState &state, Priority priority);
