Tell all entry hosts of a backend server lost with a signature in flight

Cause: with the platform out, the loss was known only to the owner and the entry host that saw it. Randomised runs with a failure domain taken out, or a host cut off, then lost a third server to one crashing request. Ruled out: writing more often, since the store is what is missing.

--- a/include/greengagestair/Messages.h
+++ b/include/greengagestair/Messages.h
@@ -154,9 +154,18 @@
     bool operator==(const PartAnswer &) const = default;
 };
 
+/** A backend server was lost with a part of this signature in flight, as its owner saw it. */
+struct SignatureLoss
+{
+    Signature signature;
+    ServerId server;
+
+    bool operator==(const SignatureLoss &) const = default;
+};
+
 /** Any message between entry hosts. */
 using PeerMessage = std::variant<Heartbeat, HeartbeatAck, JoinRequest, DocumentRequest,
-                                 DocumentPush, PartRequest, PartCancel, PartAnswer>;
+                                 DocumentPush, PartRequest, PartCancel, PartAnswer, SignatureLoss>;
 
 /** A message with its sender. */
 struct PeerEnvelope
--- a/src/codec/FrameCodec.cpp
+++ b/src/codec/FrameCodec.cpp
@@ -116,6 +116,12 @@
             .Union();
 }
 
+static Offset<void> writePayload(FlatBufferBuilder &builder, const SignatureLoss &message)
+{
+    const auto server = writeString(builder, message.server);
+    return wire::CreateSignatureLoss(builder, message.signature.value, server).Union();
+}
+
 static Offset<void> writePayload(FlatBufferBuilder &builder, const PartCancel &message)
 {
     return wire::CreatePartCancel(builder, message.part.value).Union();
@@ -329,6 +335,11 @@
     return message;
 }
 
+static PeerMessage readPayload(FieldReader &reader, const wire::SignatureLoss &wire)
+{
+    return SignatureLoss { Signature { wire.signature() }, reader.name<ServerId>(wire.server()) };
+}
+
 static PeerMessage readPayload(FieldReader &, const wire::PartCancel &wire)
 {
     return PartCancel { PartId { wire.part() } };
@@ -372,6 +383,8 @@
         return readIfPresent(reader, envelope.payload_as_DocumentPush());
     case wire::Payload::PartRequest:
         return readIfPresent(reader, envelope.payload_as_PartRequest());
+    case wire::Payload::SignatureLoss:
+        return readIfPresent(reader, envelope.payload_as_SignatureLoss());
     case wire::Payload::PartCancel:
         return readIfPresent(reader, envelope.payload_as_PartCancel());
     case wire::Payload::PartAnswer:
--- a/src/codec/Peer_generated.h
+++ b/src/codec/Peer_generated.h
@@ -46,6 +46,9 @@
 struct PartAnswer;
 struct PartAnswerBuilder;
 
+struct SignatureLoss;
+struct SignatureLossBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -233,11 +236,12 @@
   PartRequest = 6,
   PartCancel = 7,
   PartAnswer = 8,
+  SignatureLoss = 9,
   MIN = NONE,
-  MAX = PartAnswer
+  MAX = SignatureLoss
 };
 
-inline const Payload (&EnumValuesPayload())[9] {
+inline const Payload (&EnumValuesPayload())[10] {
   static const Payload values[] = {
     Payload::NONE,
     Payload::Heartbeat,
@@ -247,13 +251,14 @@
     Payload::DocumentPush,
     Payload::PartRequest,
     Payload::PartCancel,
-    Payload::PartAnswer
+    Payload::PartAnswer,
+    Payload::SignatureLoss
   };
   return values;
 }
 
 inline const char * const *EnumNamesPayload() {
-  static const char * const names[10] = {
+  static const char * const names[11] = {
     "NONE",
     "Heartbeat",
     "HeartbeatAck",
@@ -263,13 +268,14 @@
     "PartRequest",
     "PartCancel",
     "PartAnswer",
+    "SignatureLoss",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePayload(Payload e) {
-  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::PartAnswer)) return "";
+  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::SignatureLoss)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPayload()[index];
 }
@@ -310,6 +316,10 @@
   static const Payload enum_value = Payload::PartAnswer;
 };
 
+template<> struct PayloadTraits<greengagestair::wire::SignatureLoss> {
+  static const Payload enum_value = Payload::SignatureLoss;
+};
+
 bool VerifyPayload(flatbuffers::Verifier &verifier, const void *obj, Payload type);
 bool VerifyPayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Payload> *types);
 
@@ -1254,6 +1264,69 @@
       body__);
 }
 
+struct SignatureLoss FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SignatureLossBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SIGNATURE = 4,
+    VT_SERVER = 6
+  };
+  uint64_t signature() const {
+    return GetField<uint64_t>(VT_SIGNATURE, 0);
+  }
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SIGNATURE, 8) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           verifier.EndTable();
+  }
+};
+
+struct SignatureLossBuilder {
+  typedef SignatureLoss Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_signature(uint64_t signature) {
+    fbb_.AddElement<uint64_t>(SignatureLoss::VT_SIGNATURE, signature, 0);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(SignatureLoss::VT_SERVER, server);
+  }
+  explicit SignatureLossBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SignatureLoss> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SignatureLoss>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SignatureLoss> CreateSignatureLoss(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t signature = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0) {
+  SignatureLossBuilder builder_(_fbb);
+  builder_.add_signature(signature);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<SignatureLoss> CreateSignatureLossDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t signature = 0,
+    const char *server = nullptr) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return greengagestair::wire::CreateSignatureLoss(
+      _fbb,
+      signature,
+      server__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1311,6 +1384,9 @@
   const greengagestair::wire::PartAnswer *payload_as_PartAnswer() const {
     return payload_type() == greengagestair::wire::Payload::PartAnswer ? static_cast<const greengagestair::wire::PartAnswer *>(payload()) : nullptr;
   }
+  const greengagestair::wire::SignatureLoss *payload_as_SignatureLoss() const {
+    return payload_type() == greengagestair::wire::Payload::SignatureLoss ? static_cast<const greengagestair::wire::SignatureLoss *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL_VERSION, 4) &&
@@ -1359,6 +1435,10 @@
   return payload_as_PartAnswer();
 }
 
+template<> inline const greengagestair::wire::SignatureLoss *Envelope::payload_as<greengagestair::wire::SignatureLoss>() const {
+  return payload_as_SignatureLoss();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1474,6 +1554,10 @@
       auto ptr = reinterpret_cast<const greengagestair::wire::PartAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Payload::SignatureLoss: {
+      auto ptr = reinterpret_cast<const greengagestair::wire::SignatureLoss *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/core/Quarantine.cpp
+++ b/src/core/Quarantine.cpp
@@ -95,6 +95,31 @@
     addLoss(context, signature, server, context.now() + kEntryHostWriteDelay);
 }
 
+void Quarantine::peerReportedLoss(StepContext &context, const SignatureLoss &loss)
+{
+    addLoss(context, loss.signature, loss.server, context.now() + kEntryHostWriteDelay);
+}
+
+/**
+ * While the platform is out the document cannot show a loss, and the owner that knows of it may be
+ * replaced. Losses are rare, so every known member is told.
+ */
+void Quarantine::tellPeers(StepContext &context, const SignatureLoss &loss) const
+{
+    const Configuration *configuration = m_documents.configuration();
+    if (configuration == nullptr)
+        return;
+    for (const FailureDomain &domain : configuration->failureDomains) {
+        const MemberList *list = m_documents.members(domain.name);
+        if (list == nullptr)
+            continue;
+        for (const Member &member : list->members) {
+            if (member.host != m_options.host)
+                context.emit(SendToPeer { member.host, member.endpoint, loss });
+        }
+    }
+}
+
 void Quarantine::partRefused(StepContext &context, Signature signature)
 {
     if (!m_options.mechanisms.quarantine || findEntry(signature) != nullptr)
@@ -159,8 +184,12 @@
 void Quarantine::serverLost(StepContext &context, const ServerId &server,
                             const std::vector<Signature> &inFlight)
 {
-    for (const Signature signature : inFlight)
+    if (!m_options.mechanisms.quarantine)
+        return;
+    for (const Signature signature : inFlight) {
         addLoss(context, signature, server, context.now());
+        tellPeers(context, { signature, server });
+    }
     writeDue(context);
 }
 
--- a/src/core/Quarantine.h
+++ b/src/core/Quarantine.h
@@ -48,6 +48,8 @@
     void partAnswered(Signature signature, IndexVersion version);
     /** Entry role: a server was lost with a part of this signature in flight. */
     void partLost(StepContext &context, Signature signature, const ServerId &server);
+    /** Another owner lost a server; holds the signature back until the document shows the loss. */
+    void peerReportedLoss(StepContext &context, const SignatureLoss &loss);
     /** Entry role: an owner refused a part because a loss is not yet in the document. */
     void partRefused(StepContext &context, Signature signature);
     /** Changes whenever plans may have changed. */
@@ -97,6 +99,7 @@
                             const std::vector<ServerId> &tried) const;
     void addLoss(StepContext &context, Signature signature, const ServerId &server,
                  MonotonicTime writeAt);
+    void tellPeers(StepContext &context, const SignatureLoss &loss) const;
     void adoptDocument(StepContext &context);
     void dropShownLosses();
     void dropExpiredLosses(MonotonicTime now);
--- a/src/core/Reducer.cpp
+++ b/src/core/Reducer.cpp
@@ -69,6 +69,7 @@
     void receive(StepContext &context, const PeerEnvelope &envelope, const PartRequest &message);
     void receive(StepContext &context, const PeerEnvelope &envelope, const PartCancel &message);
     void receive(StepContext &context, const PeerEnvelope &envelope, const PartAnswer &message);
+    void receive(StepContext &context, const PeerEnvelope &envelope, const SignatureLoss &message);
 
     void deliverLocalMessages(StepContext &context);
     void tickModules(StepContext &context);
@@ -238,6 +239,12 @@
     m_queries.onPartAnswer(context, envelope.sender, message);
 }
 
+void Reducer::State::receive(StepContext &context, const PeerEnvelope &,
+                             const SignatureLoss &message)
+{
+    m_quarantine.peerReportedLoss(context, message);
+}
+
 void Reducer::State::sendPart(StepContext &context, const Member &owner, PartRequest request)
 {
     if (owner.host == m_options.host)
--- a/src/net/Description.h
+++ b/src/net/Description.h
@@ -42,6 +42,7 @@
                       (part, server, service, operation, group, version, signature, priority, age,
                        deadline, repeatable, canary, isolated, body))
 BOOST_DESCRIBE_STRUCT(PartCancel, (), (part))
+BOOST_DESCRIBE_STRUCT(SignatureLoss, (), (signature, server))
 BOOST_DESCRIBE_STRUCT(PartAnswer, (),
                       (part, outcome, reason, version, heldVersions, expectedWait, body))
 BOOST_DESCRIBE_STRUCT(PeerEnvelope, (), (sender, incarnation, endpoint, message))
