Bound the closing of connections at a stop by 0.2 s

In a trial, three hosts stopped one after another under callers that connect all the time took 2.3 s together, because the front end waited up to 1 s for a moment without connections. Closing new connections at once instead of refusing them was tried and dropped: callers saw 73 broken connections instead of 6.

--- a/src/net/HttpFrontEnd.cpp
+++ b/src/net/HttpFrontEnd.cpp
@@ -24,6 +24,8 @@
 /** Time for the last answers to leave the process at a stop. */
 static constexpr std::chrono::milliseconds kFlushTimeout(1000);
 static constexpr std::chrono::milliseconds kFlushPollInterval(5);
+/** Callers that connect all the time would otherwise keep the process from ending. */
+static constexpr std::chrono::milliseconds kCloseTimeout(200);
 /** A caller that is still sending gets this long to read its refusal before it sees a reset. */
 static constexpr std::chrono::seconds kLingerTimeout(2);
 /** Pistache's own timeouts would cut off requests that wait for their answer. */
@@ -541,12 +543,13 @@
 
 void HttpFrontEnd::Server::closeConnections()
 {
-    const auto limit = SteadyClock::now() + kFlushTimeout;
+    const auto limit = SteadyClock::now() + kCloseTimeout;
     {
         const Lock lock(m_mutex);
         for (const auto &[id, connection] : m_connections)
             shutDown(*connection, SHUT_RDWR);
     }
+    // Callers that connect from now on are refused until the listening socket closes.
     while (SteadyClock::now() < limit) {
         {
             const Lock lock(m_mutex);
