--- a/tools/local_cluster.py
+++ b/tools/local_cluster.py
@@ -52,6 +52,11 @@
     raise RuntimeError("no free block of ports")
 
 
+def stop_cleanly_on_signals():
+    """Turns SIGTERM into SystemExit, so that a cluster in use is stopped."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
+
+
 class Cluster:
     """One installation ("cairo" or "lagos"); `arm` is "full" (our entry hosts) or "direct"."""
 
