Suspect only requests on trial when a backend server is lost

Ruled out: counting the losses of one fan-out as one, which still blocks popular requests until an isolated run. A request that crashes every server is never answered, so only canary and isolated attempts count now.

--- a/src/core/BackendScheduler.cpp
+++ b/src/core/BackendScheduler.cpp
@@ -395,21 +395,28 @@
     context.emit(LogStateChange { kind, name.value });
 }
 
-/** The whole set of parts in flight is reported once, at the first lost connection. */
+/**
+ * The signatures on trial are reported once, at the first lost connection. One that was answered
+ * before from this snapshot does not crash servers: when ten replicas were killed at once, counting
+ * it too quarantined most of the innocent requests.
+ */
 void BackendScheduler::reportLoss(StepContext &context, const ServerId &name, Server &server,
                                   Send &send)
 {
     if (send.lossReported)
         return;
-    std::vector<Signature> inFlight;
+    std::vector<Signature> onTrial;
     for (const auto &[startedAt, id] : server.inFlight) {
         Send &other = m_sends.at(id);
         other.lossReported = true;
-        inFlight.push_back(other.request.signature);
+        if (isTrial(other.request))
+            onTrial.push_back(other.request.signature);
     }
     context.counters.add("servers_lost_total");
-    context.emit(LogStateChange { StateChangeKind::ServerLost, name.value, inFlight.size() });
-    m_gate.serverLost(context, name, inFlight);
+    context.emit(
+            LogStateChange { StateChangeKind::ServerLost, name.value, server.inFlight.size() });
+    if (!onTrial.empty())
+        m_gate.serverLost(context, name, onTrial);
 }
 
 /** Refuses what can no longer be sent from here and starts what can. */
--- a/src/core/Interfaces.h
+++ b/src/core/Interfaces.h
@@ -171,9 +171,9 @@
 {
 public:
     virtual ~ServerLossListener() = default;
-    /** The server closed or reset its connections with these parts in flight. */
+    /** The server closed or reset its connections with canary or isolated parts in flight. */
     virtual void serverLost(StepContext &context, const ServerId &server,
-                            const std::vector<Signature> &inFlight) = 0;
+                            const std::vector<Signature> &onTrial) = 0;
     /** A canary or isolated part of this signature was answered. */
     virtual void signatureAnswered(StepContext &context, Signature signature) = 0;
 };
--- a/src/core/PartFlow.cpp
+++ b/src/core/PartFlow.cpp
@@ -440,7 +440,8 @@
             outcome == PartOutcome::ServerLost || outcome == PartOutcome::MayHaveRun;
     query.mayHaveRun = query.mayHaveRun || mayHaveRun;
     state.versionMissed = state.versionMissed || outcome == PartOutcome::VersionNotHeld;
-    if (outcome == PartOutcome::ServerLost)
+    const bool onTrial = query.gate != Query::Gate::Open && part == query.probe;
+    if (outcome == PartOutcome::ServerLost && onTrial)
         m_quarantine.partLost(context, query.signature, server);
     else if (reason == PartReason::Quarantined)
         m_quarantine.partRefused(context, query.signature);
@@ -478,7 +479,7 @@
     }
     if (isProbe) {
         retryProbe(context, query, reason);
-    } else if (outcome == PartOutcome::ServerLost || reason == PartReason::Quarantined) {
+    } else if (reason == PartReason::Quarantined) {
         replanPart(context, query, part);
     } else {
         query.parts[part].state = State::Unsent;
--- a/src/core/Quarantine.cpp
+++ b/src/core/Quarantine.cpp
@@ -10,7 +10,6 @@
 namespace greengagestair {
 
 static constexpr std::size_t kKnownGoodCapacity = 16384;
-static constexpr std::size_t kAnsweredHereCapacity = 16384;
 static constexpr Duration kWriteTimeout = std::chrono::seconds(2);
 static constexpr Duration kWriteRetryDelay = std::chrono::milliseconds(500);
 /** The owner records a loss at once. The entry host does so only if the owner seems to be gone. */
@@ -54,7 +53,6 @@
     , m_documents(documents)
     , m_writer(writer)
     , m_knownGood(kKnownGoodCapacity)
-    , m_answeredHere(kAnsweredHereCapacity)
 {
 }
 
@@ -145,42 +143,6 @@
             && (isPending(signature) || lostServers(signature).size() >= kMaxLostServers);
 }
 
-Quarantine::StartVerdict Quarantine::mayStart(Signature signature, const ServerId &server) const
-{
-    if (!m_options.mechanisms.quarantine)
-        return StartVerdict::Start;
-    if (isBlocked(signature))
-        return StartVerdict::Refuse;
-    const auto running = m_running.find(signature);
-    if (running == m_running.end())
-        return StartVerdict::Start;
-    if (isSuspect(signature))
-        return StartVerdict::Wait;
-    const bool unknown = !m_answeredHere.contains(signature.value);
-    return unknown && contains(running->second, server) ? StartVerdict::Wait : StartVerdict::Start;
-}
-
-void Quarantine::attemptStarted(Signature signature, const ServerId &server)
-{
-    if (m_options.mechanisms.quarantine)
-        m_running[signature].push_back(server);
-}
-
-void Quarantine::attemptEnded(Signature signature, const ServerId &server, bool answered)
-{
-    const auto running = m_running.find(signature);
-    if (running == m_running.end())
-        return;
-    std::vector<ServerId> &servers = running->second;
-    const auto found = std::find(servers.begin(), servers.end(), server);
-    if (found != servers.end())
-        servers.erase(found);
-    if (servers.empty())
-        m_running.erase(running);
-    if (answered)
-        m_answeredHere.add(signature.value);
-}
-
 void Quarantine::serverLost(StepContext &context, const ServerId &server,
                             const std::vector<Signature> &inFlight)
 {
@@ -197,7 +159,6 @@
 {
     if (!m_options.mechanisms.quarantine)
         return;
-    m_answeredHere.add(signature.value);
     const bool mayClear = isSuspect(signature) && !isPending(signature) && !isBlocked(signature);
     if (!mayClear)
         return;
@@ -245,7 +206,6 @@
     result["entries"] = std::move(entries);
     result["losses"] = std::move(losses);
     result["knownGood"] = m_knownGood.size();
-    result["signaturesRunning"] = m_running.size();
     result["clearing"] = m_toClear.size();
     if (m_wakeUpAt != kNever)
         result["wakeUpInUs"] = (m_wakeUpAt - now).count();
--- a/src/core/Quarantine.h
+++ b/src/core/Quarantine.h
@@ -15,7 +15,7 @@
 
 /**
  * Keeps a request that crashes backend servers from reaching more than two of them. Serves both
- * roles: the entry role asks how a signature may be sent, the owner role whether it may start, and
+ * roles: the entry role asks how a signature may be sent, the owner role whether it may run, and
  * reports lost servers.
  */
 class Quarantine : public SignatureGate
@@ -36,9 +36,6 @@
         ServerId server; ///< empty if no candidate accepts work
     };
 
-    /** Whether the owner may start an attempt. */
-    enum class StartVerdict { Start, Wait, Refuse };
-
     Quarantine(const ReducerOptions &options, DocumentView &documents, DocumentWriter &writer);
 
     /** Plans for a request to the given groups; servers in `tried` are passed over. */
@@ -57,16 +54,6 @@
 
     /** Owner role: the signature gets no attempt now; its parts are refused as `quarantined`. */
     bool isBlocked(Signature signature) const;
-    /**
-     * Owner role: `Wait` while an attempt of a signature that was never answered here is in flight
-     * on the server, or one of a suspect signature on any server of this host.
-     */
-    StartVerdict mayStart(Signature signature, const ServerId &server) const;
-    /** Owner role: an attempt was sent to the server. */
-    void attemptStarted(Signature signature, const ServerId &server);
-    /** Owner role: it ended. Waiting parts of the signature should be looked at again. */
-    void attemptEnded(Signature signature, const ServerId &server, bool answered);
-
     void serverLost(StepContext &context, const ServerId &server,
                     const std::vector<Signature> &inFlight) override;
     void signatureAnswered(StepContext &context, Signature signature) override;
@@ -111,13 +98,11 @@
     const ReducerOptions &m_options;
     DocumentView &m_documents;
     DocumentWriter &m_writer;
-    RecentSet m_knownGood;    ///< signature and version, answered for queries of this host
-    RecentSet m_answeredHere; ///< signatures, answered by servers of this host
+    RecentSet m_knownGood; ///< signature and version, answered for queries of this host
     std::unordered_map<Signature, QuarantineEntry> m_entries; ///< of the document
     std::uint64_t m_documentHash = 0;
     std::map<std::uint64_t, LocalLoss> m_losses; ///< by signature
     std::set<std::uint64_t> m_toClear;           ///< signatures
-    std::unordered_map<Signature, std::vector<ServerId>> m_running;
     bool m_writing = false;
     MonotonicTime m_nextWriteAt;
     MonotonicTime m_wakeUpAt = kNever;
