--- a/include/greengagestair/Types.h
+++ b/include/greengagestair/Types.h
@@ -101,7 +101,7 @@
     std::string address;
     std::uint16_t port = 0;
 
-    auto operator<=>(const Endpoint &) const = default;
+    auto operator<=>(const Endpoint &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /** Order in which queued work is taken. */
