Let a host without a usable configuration sleep between its attempts

Cause: reducer-cost with a configuration that every host refuses showed 10,000 events/s for each host: DocumentStore went on asking for a wake-up that had passed, the end of its waiting time for readiness. Ruled out: the other modules, whose wake-ups were later than now. The time counts only once a configuration is held.

--- a/src/core/DocumentStore.cpp
+++ b/src/core/DocumentStore.cpp
@@ -140,7 +140,7 @@
 MonotonicTime DocumentStore::nextWakeUp() const
 {
     MonotonicTime next = m_changes.nextWakeUp();
-    if (!m_ready && m_firstAnswer)
+    if (!m_ready && m_firstAnswer && configuration())
         next = std::min(next, *m_firstAnswer + kReadyAfterFirstAnswer);
     if (m_stopping)
         return next;
