--- a/tests/app/SettingsTest.cpp
+++ b/tests/app/SettingsTest.cpp
@@ -3,6 +3,9 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
 
+#include <optional>
+#include <random>
+
 using namespace greengagestair;
 
 static const std::string kGood = R"({
@@ -88,3 +91,39 @@
             [](SettingsUnreadable) { return true; }, [] { return false; });
     REQUIRE(isUnreadable);
 }
+
+// Guards against a parser that crashes, or accepts a file without the required settings.
+TEST_CASE("mutated settings are read or refused", "[settings][fuzz]")
+{
+    static constexpr int kInputs = 5000;
+    std::mt19937_64 random(1);
+    int accepted = 0;
+    for (int input = 0; input < kInputs; ++input) {
+        std::string text = kGood;
+        const auto mutations = 1 + random() % 4;
+        for (std::uint64_t mutation = 0; mutation < mutations && !text.empty(); ++mutation) {
+            const auto position = static_cast<std::size_t>(random() % text.size());
+            if (random() % 3 == 0)
+                text.erase(position, 1 + random() % 20);
+            else
+                text[position] = static_cast<char>(random() % 256);
+        }
+        const auto settings = boost::leaf::try_handle_all(
+                [&]() -> boost::leaf::result<std::optional<Settings>> {
+                    BOOST_LEAF_AUTO(parsed, parseSettings(text, "host.json"));
+                    return std::optional(parsed);
+                },
+                [](const SettingsProblem &problem) {
+                    REQUIRE_FALSE(problem.expected.empty());
+                    return std::optional<Settings>();
+                },
+                [] { return std::optional<Settings>(); });
+        if (!settings)
+            continue;
+        ++accepted;
+        REQUIRE_FALSE(settings->host.empty());
+        REQUIRE_FALSE(settings->platform.empty());
+    }
+    REQUIRE(accepted > 0);
+    REQUIRE(accepted < kInputs);
+}
