Name the quarantine's parameter after what it holds

Only canary and isolated parts are reported since the change of the suspects; the parameter still said that all parts in flight are. An unused member of a test fixture goes too.

--- a/src/core/Quarantine.cpp
+++ b/src/core/Quarantine.cpp
@@ -144,11 +144,11 @@
 }
 
 void Quarantine::serverLost(StepContext &context, const ServerId &server,
-                            const std::vector<Signature> &inFlight)
+                            const std::vector<Signature> &onTrial)
 {
     if (!m_options.mechanisms.quarantine)
         return;
-    for (const Signature signature : inFlight) {
+    for (const Signature signature : onTrial) {
         addLoss(context, signature, server, context.now());
         tellPeers(context, { signature, server });
     }
--- a/src/core/Quarantine.h
+++ b/src/core/Quarantine.h
@@ -55,7 +55,7 @@
     /** Owner role: the signature gets no attempt now; its parts are refused as `quarantined`. */
     bool isBlocked(Signature signature) const;
     void serverLost(StepContext &context, const ServerId &server,
-                    const std::vector<Signature> &inFlight) override;
+                    const std::vector<Signature> &onTrial) override;
     void signatureAnswered(StepContext &context, Signature signature) override;
     bool mayRun(Signature signature, bool isolated) const override;
 
--- a/tests/core/BackendSchedulerTest.cpp
+++ b/tests/core/BackendSchedulerTest.cpp
@@ -162,7 +162,6 @@
     PartOutcome lastOutcome() const { return m_router.m_answers.back().outcome; }
 
     ReducerOptions m_options;
-    trompeloeil::sequence m_unused;
     FixedDocuments m_documents;
     FixedOwnership m_ownership;
     RecordingRouter m_router;
