--- a/include/greengagestair/Types.h
+++ b/include/greengagestair/Types.h
@@ -88,6 +88,10 @@
 using SendId = Number<struct SendTag>;
 /** One call to the platform; unique per process. */
 using CallId = Number<struct CallTag>;
+/** One request of a gateway to a backend server; unique per process. */
+using AttemptId = Number<struct AttemptIdTag>;
+/** One request of a caller in a gateway; unique per process. */
+using ExchangeId = Number<struct ExchangeIdTag>;
 /** Version of a service's index. */
 using IndexVersion = Number<struct IndexVersionTag>;
 /** Revision of a platform key; also the version of the document it holds. 0 means absent. */
--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -162,6 +162,14 @@
         BOOST_LEAF_AUTO(file, taker.take("settings"));
         return Command(ServeCommand { file });
     }
+    if (name == "gateway") {
+        BOOST_LEAF_AUTO(file, taker.take("settings"));
+        return Command(GatewayCommand { file });
+    }
+    if (name == "check-gateway-settings") {
+        BOOST_LEAF_AUTO(file, taker.take("settings"));
+        return Command(CheckGatewaySettingsCommand { file });
+    }
     if (name == "check-settings") {
         BOOST_LEAF_AUTO(file, taker.take("settings"));
         return Command(CheckSettingsCommand { file });
@@ -197,7 +205,9 @@
     return R"(Usage: greengagestair SUBCOMMAND [OPTION]...
 
   serve --settings FILE                     run an entry host
-  check-settings --settings FILE            check a settings file
+  gateway --settings FILE                   run a gateway on the users' platform
+  check-settings --settings FILE            check the settings file of an entry host
+  check-gateway-settings --settings FILE    check the settings file of a gateway
   config show --platform HOST:PORT          print the configuration in the platform
   config diff FILE --platform HOST:PORT     compare a declaration with the platform's
   config apply FILE --platform HOST:PORT    check a declaration and put it in force
--- a/src/app/CommandLine.h
+++ b/src/app/CommandLine.h
@@ -16,6 +16,18 @@
     std::string settingsFile;
 };
 
+/** `gateway --settings FILE` */
+struct GatewayCommand
+{
+    std::string settingsFile;
+};
+
+/** `check-gateway-settings --settings FILE` */
+struct CheckGatewaySettingsCommand
+{
+    std::string settingsFile;
+};
+
 /** `check-settings --settings FILE` */
 struct CheckSettingsCommand
 {
@@ -66,7 +78,7 @@
 };
 
 using Command =
-        std::variant<ServeCommand, CheckSettingsCommand, ConfigShowCommand, ConfigDiffCommand,
+        std::variant<ServeCommand, GatewayCommand, CheckGatewaySettingsCommand, CheckSettingsCommand, ConfigShowCommand, ConfigDiffCommand,
                      ConfigApplyCommand, DumpCommand, ReplayCommand, HelpCommand, VersionCommand>;
 
 /** The command line cannot be understood. */
--- a/src/app/Commands.cpp
+++ b/src/app/Commands.cpp
@@ -1,6 +1,7 @@
 #include "app/Commands.h"
 
 #include "app/ConfigCommands.h"
+#include "app/GatewayCommands.h"
 #include "app/HttpExchange.h"
 #include "app/Replay.h"
 #include "app/Serve.h"
@@ -42,6 +43,16 @@
     return withSettings(command.settingsFile, serve);
 }
 
+static ExitCode run(const GatewayCommand &command)
+{
+    return runGateway(command.settingsFile);
+}
+
+static ExitCode run(const CheckGatewaySettingsCommand &command)
+{
+    return checkGatewaySettings(command.settingsFile);
+}
+
 static ExitCode run(const CheckSettingsCommand &command)
 {
     return withSettings(command.settingsFile, [&](const Settings &) {
--- /dev/null
+++ b/src/app/GatewayCommands.cpp
@@ -0,0 +1,62 @@
+#include "app/GatewayCommands.h"
+
+#include "app/GatewayServer.h"
+#include "platform/Headers.h"
+#include "platform/StoreClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <iostream>
+
+namespace greengagestair {
+
+template <typename Function>
+static ExitCode withSettings(const std::string &file, Function function)
+{
+    return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<ExitCode> {
+                BOOST_LEAF_AUTO(settings, readGatewaySettings(file));
+                return function(settings);
+            },
+            [](const SettingsProblem &problem) {
+                std::cerr << problem.file << ": " << problem.path << ": expected "
+                          << problem.expected << "\n";
+                return ExitCode::BadSettings;
+            },
+            [](const HttpListenFailed &failure) {
+                std::cerr << toText(failure.endpoint) << ": " << failure.detail << "\n";
+                return ExitCode::Failed;
+            },
+            [] {
+                std::cerr << "the gateway could not be started\n";
+                return ExitCode::Failed;
+            });
+}
+
+ExitCode runGateway(const std::string &settingsFile)
+{
+    return withSettings(settingsFile, [&](const GatewaySettings &settings)
+                                              -> boost::leaf::result<ExitCode> {
+        boost::asio::io_context context(1);
+        platform::StoreClient store(settings.store, [&context](std::function<void()> function) {
+            boost::asio::post(context, std::move(function));
+        });
+        GatewayServer server(context, settings, settingsFile, platform::headerNames(), store);
+        BOOST_LEAF_CHECK(server.start());
+        context.run();
+        store.stop();
+        return ExitCode::Success;
+    });
+}
+
+ExitCode checkGatewaySettings(const std::string &settingsFile)
+{
+    return withSettings(settingsFile, [&](const GatewaySettings &) -> ExitCode {
+        std::cout << settingsFile << ": correct\n";
+        return ExitCode::Success;
+    });
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/app/GatewayCommands.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "app/ExitCode.h"
+
+#include <string>
+
+namespace greengagestair {
+
+/** Runs a gateway until it is told to stop. */
+ExitCode runGateway(const std::string &settingsFile);
+
+/** Checks the settings file of a gateway and reports the first fault. */
+ExitCode checkGatewaySettings(const std::string &settingsFile);
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/app/GatewayServer.cpp
@@ -0,0 +1,257 @@
+#include "app/GatewayServer.h"
+
+#include "app/EventLoop.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <unistd.h>
+
+#include <csignal>
+
+namespace greengagestair {
+
+/** Requests in progress are answered at the latest this long before the process is killed. */
+static constexpr Duration kStopMargin = std::chrono::milliseconds(700);
+/** The platform needs two missed readiness checks, one a second, to send callers elsewhere. */
+static constexpr Duration kLeastStopTime = std::chrono::milliseconds(3200);
+static constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
+
+GatewayPages::GatewayPages(Page page, Send send)
+    : m_page(std::move(page))
+    , m_send(std::move(send))
+{
+}
+
+void GatewayPages::onRequest(ExchangeId exchange, HttpServerRequest request)
+{
+    m_send(exchange, m_page(request.target));
+}
+
+static MonotonicTime now()
+{
+    return EventLoop::currentInstant().now;
+}
+
+GatewayServer::GatewayServer(boost::asio::io_context &context, GatewaySettings settings,
+                             std::string settingsFile, const HeaderNames &names,
+                             RegistryStore &store)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_settingsFile(std::move(settingsFile))
+    , m_log(STDOUT_FILENO, m_settings.host.value)
+    , m_gateway(m_settings.options)
+    , m_frontEnd(names, [this](GatewayEvent event) { post(std::move(event)); })
+    , m_callers(context, m_frontEnd)
+    , m_readinessPages([this](std::string_view) { return readinessPage(); },
+                       [this](ExchangeId exchange, HttpServerResponse response) {
+                           m_readiness.reply(exchange, std::move(response));
+                       })
+    , m_readiness(context, m_readinessPages)
+    , m_adminPages([this](std::string_view path) { return adminPage(path); },
+                   [this](ExchangeId exchange, HttpServerResponse response) {
+                       m_admin.reply(exchange, std::move(response));
+                   })
+    , m_admin(context, m_adminPages)
+    , m_backends(context, names,
+                 [this](AttemptId attempt, AttemptResult result) {
+                     post(AttemptEnded { attempt, std::move(result) });
+                 })
+    , m_store(store)
+    , m_announcer(m_settings.host, store, [this](const LogDecision &decision) { log(decision); })
+    , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+    , m_timer(context)
+    , m_stopTimer(context)
+{
+    std::uint64_t seed = static_cast<std::uint64_t>(
+            EventLoop::currentInstant().wall.time_since_epoch().count());
+    for (const Feed feed : { Feed::Operators, Feed::Servers, Feed::Hosts }) {
+        m_followers.push_back(std::make_unique<StoreFollower>(
+                feed, m_store, [this](GatewayEvent event) { post(std::move(event)); },
+                [this](const LogDecision &decision) { log(decision); }, ++seed));
+    }
+}
+
+boost::leaf::result<void> GatewayServer::start()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    BOOST_LEAF_CHECK(m_readiness.listen(m_settings.readinessEndpoint));
+    BOOST_LEAF_CHECK(m_admin.listen(m_settings.adminEndpoint));
+    BOOST_LEAF_CHECK(m_callers.listen(m_settings.callerEndpoint));
+    awaitSignals();
+    log({ LogWeight::State,
+          "started",
+          { { "callerEndpoint", toText(m_settings.callerEndpoint) },
+            { "failureDomain", m_settings.options.selector.failureDomain.value },
+            { "store", toText(m_settings.store) } } });
+    onTimer();
+    return {};
+}
+
+void GatewayServer::post(GatewayEvent event)
+{
+    m_events.push_back(std::move(event));
+    if (!m_isDraining)
+        drain();
+}
+
+void GatewayServer::drain()
+{
+    m_isDraining = true;
+    while (!m_events.empty()) {
+        const GatewayEvent event = std::move(m_events.front());
+        m_events.pop_front();
+        apply(m_gateway.handle(event, now()));
+        if (std::holds_alternative<ConfigurationRead>(event))
+            updateLimits();
+    }
+    m_isDraining = false;
+    armTimer();
+}
+
+void GatewayServer::updateLimits()
+{
+    if (const RoutingConfiguration *configuration = m_gateway.configuration())
+        m_callers.setLimits(configuration->limits);
+}
+
+void GatewayServer::apply(GatewayEffects effects)
+{
+    for (const GatewayEffect &effect : effects)
+        std::visit([this](const auto &typed) { applyEffect(typed); }, effect);
+}
+
+void GatewayServer::applyEffect(const StartAttempt &effect)
+{
+    m_backends.start(effect);
+}
+
+void GatewayServer::applyEffect(const ReleaseAttempt &effect)
+{
+    m_backends.release(effect);
+}
+
+void GatewayServer::applyEffect(const ReplyToCaller &effect)
+{
+    m_latencies[effect.outcome].add(effect.elapsed);
+    m_callers.reply(effect.exchange, m_frontEnd.render(effect.reply));
+}
+
+void GatewayServer::applyEffect(const ForgetServer &effect)
+{
+    m_backends.forget(effect.server);
+}
+
+void GatewayServer::applyEffect(const LogDecision &effect)
+{
+    log(effect);
+}
+
+void GatewayServer::log(const LogDecision &decision)
+{
+    m_log.write(decision, EventLoop::currentInstant());
+}
+
+void GatewayServer::armTimer()
+{
+    std::optional<MonotonicTime> next = m_gateway.nextWakeUp();
+    const auto consider = [&next](const std::optional<MonotonicTime> &other) {
+        if (other && (!next || *other < *next))
+            next = other;
+    };
+    for (const auto &follower : m_followers)
+        consider(follower->nextWakeUp());
+    consider(m_announcer.nextWakeUp());
+    // An earlier wake-up than needed is harmless and cheaper than a new timer each time.
+    if (!next || (m_timerAt && *m_timerAt <= *next))
+        return;
+    m_timerAt = next;
+    m_timer.expires_after(std::max(*next - now(), Duration(0)));
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (error)
+            return;
+        m_timerAt.reset();
+        onTimer();
+    });
+}
+
+void GatewayServer::onTimer()
+{
+    const MonotonicTime time = now();
+    if (!m_isStopping) {
+        for (const auto &follower : m_followers)
+            follower->advance(time);
+        m_announcer.advance(time);
+    }
+    m_log.flush();
+    post(TimeAdvanced {});
+}
+
+void GatewayServer::awaitSignals()
+{
+    m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            reload();
+        else
+            stop();
+        awaitSignals();
+    });
+}
+
+void GatewayServer::reload()
+{
+    boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void> {
+                BOOST_LEAF_AUTO(settings, readGatewaySettings(m_settingsFile));
+                m_settings.stopTimeout = settings.stopTimeout;
+                m_settings.options = settings.options;
+                post(LimitsChanged { settings.options });
+                log({ LogWeight::State, "reloaded", { { "file", m_settingsFile } } });
+                return {};
+            },
+            [&](const SettingsProblem &problem) {
+                log({ LogWeight::State,
+                      "reloadFailed",
+                      { { "path", problem.path }, { "expected", problem.expected } } });
+            },
+            [&] { log({ LogWeight::State, "reloadFailed", {} }); });
+}
+
+void GatewayServer::stop()
+{
+    if (m_isStopping)
+        return;
+    m_isStopping = true;
+    m_stopSince = now();
+    m_stopAt = m_stopSince + m_settings.stopTimeout - kStopMargin;
+    post(GatewayStopRequested {});
+    m_callers.beginClosing();
+    m_announcer.leave();
+    checkStop();
+}
+
+void GatewayServer::checkStop()
+{
+    const MonotonicTime time = now();
+    const bool isDone = m_gateway.isIdle() && m_callers.connections() == 0;
+    const bool mayEnd = time - m_stopSince >= std::min(kLeastStopTime, m_settings.stopTimeout / 2);
+    if ((mayEnd && isDone) || time >= m_stopAt) {
+        m_callers.closeIdle();
+        log({ LogWeight::State,
+              "stopped",
+              { { "connections", std::to_string(m_callers.connections()) } } });
+        m_log.flush();
+        m_context.stop();
+        return;
+    }
+    m_stopTimer.expires_after(kStopCheckInterval);
+    m_stopTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            checkStop();
+    });
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/app/GatewayServer.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "app/GatewayFrontEnd.h"
+#include "app/GatewaySettings.h"
+#include "app/JsonLineLog.h"
+#include "app/LatencyHistogram.h"
+#include "gateway/Gateway.h"
+#include "gateway/HostAnnouncer.h"
+#include "gateway/StoreFollower.h"
+#include "http/BackendPool.h"
+#include "http/HttpServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf/result.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace greengagestair {
+
+/** Answers GET requests of operators and of the platform's readiness checks. */
+class GatewayPages : public HttpServerHandler
+{
+public:
+    using Page = std::function<HttpServerResponse(std::string_view path)>;
+    /** Sends a response on the server that the request came from. */
+    using Send = std::function<void(ExchangeId exchange, HttpServerResponse response)>;
+
+    GatewayPages(Page page, Send send);
+    void onRequest(ExchangeId exchange, HttpServerRequest request) override;
+    void onCallerLeft(ExchangeId /*exchange*/) override {}
+    void onBadRequest(int /*status*/) override {}
+
+private:
+    Page m_page;
+    Send m_send;
+};
+
+/** One gateway process: the reducer with its sockets, timers and signals, on one thread. */
+class GatewayServer
+{
+public:
+    GatewayServer(boost::asio::io_context &context, GatewaySettings settings,
+                  std::string settingsFile, const HeaderNames &names, RegistryStore &store);
+
+    /** Listens; fails with HttpListenFailed. */
+    boost::leaf::result<void> start();
+    /** Ends the event loop when the last request is answered or the stop timeout comes near. */
+    void stop();
+
+private:
+    void post(GatewayEvent event);
+    void drain();
+    void apply(GatewayEffects effects);
+    void applyEffect(const StartAttempt &effect);
+    void applyEffect(const ReleaseAttempt &effect);
+    void applyEffect(const ReplyToCaller &effect);
+    void applyEffect(const ForgetServer &effect);
+    void applyEffect(const LogDecision &effect);
+    void log(const LogDecision &decision);
+    void updateLimits();
+    void armTimer();
+    void onTimer();
+    void awaitSignals();
+    void reload();
+    void checkStop();
+    HttpServerResponse readinessPage() const;
+    HttpServerResponse adminPage(std::string_view path) const;
+    std::string metricsText() const;
+
+    boost::asio::io_context &m_context;
+    GatewaySettings m_settings;
+    std::string m_settingsFile;
+    JsonLineLog m_log;
+    Gateway m_gateway;
+    GatewayFrontEnd m_frontEnd;
+    HttpServer m_callers;
+    GatewayPages m_readinessPages;
+    HttpServer m_readiness;
+    GatewayPages m_adminPages;
+    HttpServer m_admin;
+    BackendPool m_backends;
+    RegistryStore &m_store;
+    std::vector<std::unique_ptr<StoreFollower>> m_followers;
+    HostAnnouncer m_announcer;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_stopTimer;
+    std::optional<MonotonicTime> m_timerAt;
+    std::deque<GatewayEvent> m_events;
+    bool m_isDraining = false;
+    bool m_isStopping = false;
+    std::map<std::string, LatencyHistogram> m_latencies; ///< by outcome
+    MonotonicTime m_stopAt;
+    MonotonicTime m_stopSince;
+};
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/app/GatewaySettings.cpp
@@ -0,0 +1,66 @@
+#include "app/GatewaySettings.h"
+
+#include "core/JsonReader.h"
+
+#include <boost/leaf/error.hpp>
+
+namespace greengagestair {
+
+using boost::leaf::result;
+
+static constexpr std::size_t kMaxEndpointLength = 64;
+static constexpr std::uint64_t kMaxStopTimeoutMs = 600'000;
+static constexpr std::uint64_t kMaxWindowMs = 600'000;
+static constexpr double kMaxRatio = 1;
+static constexpr double kMaxCount = 1'000'000;
+
+static Endpoint endpointOf(const JsonReader &reader, std::string_view key)
+{
+    const std::string text = reader.text(key, kMaxEndpointLength);
+    const auto endpoint = parseEndpoint(text);
+    if (endpoint)
+        return *endpoint;
+    reader.fault(DocumentErrorKind::BadText, key, "an address such as 127.0.0.1:8080");
+    return {};
+}
+
+static RepeatLimits repeatLimitsOf(const JsonReader &reader)
+{
+    RepeatLimits limits;
+    limits.ratio = reader.decimal("repeatRatio", 0, kMaxRatio);
+    limits.window = reader.milliseconds("repeatWindowMs", 100, kMaxWindowMs);
+    limits.slack = reader.decimal("repeatSlack", 0, kMaxCount);
+    return limits;
+}
+
+result<GatewaySettings> parseGatewaySettings(std::string_view text, const std::string &file)
+{
+    BOOST_LEAF_AUTO(json, parseSettingsJson(text, file));
+    FaultRecorder faults;
+    const JsonReader reader(json, "$", faults);
+    reader.allowKeys({ "host", "failureDomain", "callerEndpoint", "readinessEndpoint",
+                       "adminEndpoint", "store", "stopTimeoutMs", "repeatRatio", "repeatWindowMs",
+                       "repeatSlack", "coldFactor", "coldSlack" });
+    GatewaySettings settings;
+    settings.host.value = reader.name("host");
+    settings.callerEndpoint = endpointOf(reader, "callerEndpoint");
+    settings.readinessEndpoint = endpointOf(reader, "readinessEndpoint");
+    settings.adminEndpoint = endpointOf(reader, "adminEndpoint");
+    settings.store = endpointOf(reader, "store");
+    settings.stopTimeout = reader.milliseconds("stopTimeoutMs", 100, kMaxStopTimeoutMs);
+    settings.options.selector.failureDomain.value = reader.name("failureDomain");
+    settings.options.selector.coldFactor = reader.decimal("coldFactor", 0, kMaxCount);
+    settings.options.selector.coldSlack = reader.decimal("coldSlack", 0, kMaxCount);
+    settings.options.repeats = repeatLimitsOf(reader);
+    if (const auto &fault = faults.first())
+        return boost::leaf::new_error(SettingsProblem { file, fault->path, fault->expected });
+    return settings;
+}
+
+result<GatewaySettings> readGatewaySettings(const std::string &file)
+{
+    BOOST_LEAF_AUTO(text, readFile(file));
+    return parseGatewaySettings(text, file);
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/app/GatewaySettings.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "app/Settings.h"
+#include "gateway/Gateway.h"
+
+namespace greengagestair {
+
+/** Settings of a gateway. docs/settings.md lists keys, ranges and defaults. */
+struct GatewaySettings
+{
+    HostId host;
+    Endpoint callerEndpoint;
+    Endpoint readinessEndpoint;
+    Endpoint adminEndpoint;
+    Endpoint store;                                   ///< the platform's key-value store
+    Duration stopTimeout = std::chrono::seconds(6);   ///< from SIGTERM to SIGKILL
+    GatewayOptions options;
+};
+
+/** Parses the text of a settings file; fails with SettingsProblem. */
+boost::leaf::result<GatewaySettings> parseGatewaySettings(std::string_view text,
+                                                          const std::string &file);
+
+/** Reads and parses a settings file; fails with SettingsProblem. */
+boost::leaf::result<GatewaySettings> readGatewaySettings(const std::string &file);
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/app/JsonLineLog.cpp
@@ -0,0 +1,81 @@
+#include "app/JsonLineLog.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+
+namespace greengagestair {
+
+/** Lines a second for each weight: state changes, failed requests, details. */
+static constexpr std::array<double, 3> kLinesPerSecond = { 50, 50, 20 };
+/** Lines that may come at once, in seconds of the rate. */
+static constexpr double kBurstSeconds = 4;
+/** Bound on lines that wait for the descriptor, in bytes. */
+static constexpr std::size_t kMaxKeptBytes = 256 * 1024;
+
+JsonLineLog::JsonLineLog(int descriptor, std::string host)
+    : m_descriptor(descriptor)
+    , m_host(std::move(host))
+{
+    const int flags = fcntl(descriptor, F_GETFL);
+    if (flags >= 0)
+        fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+    for (std::size_t weight = 0; weight < m_allowances.size(); ++weight)
+        m_allowances[weight].lines = kLinesPerSecond[weight] * kBurstSeconds;
+}
+
+bool JsonLineLog::takeAllowance(LogWeight weight, MonotonicTime now)
+{
+    const auto index = static_cast<std::size_t>(weight);
+    Allowance &allowance = m_allowances.at(index);
+    const std::chrono::duration<double> elapsed = now - allowance.refilledAt;
+    const double most = kLinesPerSecond.at(index) * kBurstSeconds;
+    allowance.lines = std::min(
+            most, allowance.lines + std::max(elapsed.count(), 0.0) * kLinesPerSecond.at(index));
+    allowance.refilledAt = now;
+    if (allowance.lines < 1)
+        return false;
+    allowance.lines -= 1;
+    return true;
+}
+
+void JsonLineLog::write(const LogDecision &decision, Instant at)
+{
+    if (!takeAllowance(decision.weight, at.now)) {
+        ++m_counters.overRate;
+        return;
+    }
+    boost::json::object line;
+    line["timeMicros"] = at.wall.time_since_epoch().count();
+    line["host"] = m_host;
+    line["event"] = boost::json::string_view(decision.event.data(), decision.event.size());
+    for (const auto &[name, value] : decision.fields)
+        line[boost::json::string_view(name.data(), name.size())] = value;
+    const std::string text = boost::json::serialize(line) + "\n";
+    if (m_kept.size() + text.size() > kMaxKeptBytes) {
+        ++m_counters.overflow;
+        return;
+    }
+    ++m_counters.written;
+    m_kept += text;
+    flush();
+}
+
+void JsonLineLog::flush()
+{
+    while (!m_kept.empty()) {
+        const ssize_t written = ::write(m_descriptor, m_kept.data(), m_kept.size());
+        if (written < 0 && errno == EINTR)
+            continue;
+        if (written <= 0)
+            return; // Tried again with the next line or tick.
+        m_kept.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
+} // namespace greengagestair
--- a/src/app/Metrics.h
+++ b/src/app/Metrics.h
@@ -9,6 +9,12 @@
 
 namespace greengagestair {
 
+/**
+ * Appends counters in the Prometheus text format. Names may carry labels:
+ * `queries_total{outcome="complete"}`.
+ */
+void renderCounters(const std::vector<Counter> &counters, std::string &text);
+
 /** Latencies of the answers to callers, by outcome. Only for the thread of the event loop. */
 class Metrics : public AnswerObserver
 {
--- a/src/app/Settings.cpp
+++ b/src/app/Settings.cpp
@@ -248,7 +248,7 @@
     return "line " + std::to_string(line) + ", column " + std::to_string(column);
 }
 
-static result<boost::json::value> parseJson(std::string_view text, const std::string &file)
+result<boost::json::value> parseSettingsJson(std::string_view text, const std::string &file)
 {
     boost::json::parse_options options;
     options.allow_comments = true;
@@ -270,7 +270,7 @@
 
 result<Settings> parseSettings(std::string_view text, const std::string &file)
 {
-    BOOST_LEAF_AUTO(json, parseJson(text, file));
+    BOOST_LEAF_AUTO(json, parseSettingsJson(text, file));
     if (!json.is_object()) {
         return boost::leaf::new_error(SettingsProblem { file, "$", "a JSON object" },
                                       SettingsWrongType {});
--- a/src/app/Settings.h
+++ b/src/app/Settings.h
@@ -3,6 +3,7 @@
 #include "app/Log.h"
 #include "greengagestair/Types.h"
 
+#include <boost/json/value.hpp>
 #include <boost/leaf/result.hpp>
 
 #include <string>
@@ -70,6 +71,10 @@
 /** Reads and parses a settings file. */
 boost::leaf::result<Settings> readSettings(const std::string &file);
 
+/** Parses JSON with comments and trailing commas; fails with SettingsProblem. */
+boost::leaf::result<boost::json::value> parseSettingsJson(std::string_view text,
+                                                          const std::string &file);
+
 /** Reads a whole file; fails with SettingsUnreadable. */
 boost::leaf::result<std::string> readFile(const std::string &file);
 
--- a/src/core/JsonReader.cpp
+++ b/src/core/JsonReader.cpp
@@ -127,6 +127,24 @@
     return number;
 }
 
+double JsonReader::decimal(std::string_view key, double least, double most) const
+{
+    const boost::json::value *value = find(key);
+    if (!value)
+        return least;
+    const std::string expected =
+            "a number from " + std::to_string(least) + " to " + std::to_string(most);
+    if (!value->is_number()) {
+        fault(DocumentErrorKind::WrongType, key, expected);
+        return least;
+    }
+    const double number = value->to_number<double>();
+    if (number >= least && number <= most)
+        return number;
+    fault(DocumentErrorKind::OutOfRange, key, expected);
+    return least;
+}
+
 Duration JsonReader::milliseconds(std::string_view key, std::uint64_t least,
                                   std::uint64_t most) const
 {
--- a/src/core/JsonReader.h
+++ b/src/core/JsonReader.h
@@ -49,6 +49,8 @@
     /** IP address in text form. */
     std::string address(std::string_view key) const;
     std::uint64_t number(std::string_view key, std::uint64_t least, std::uint64_t most) const;
+    /** Number with or without a fraction. */
+    double decimal(std::string_view key, double least, double most) const;
     Duration milliseconds(std::string_view key, std::uint64_t least, std::uint64_t most) const;
     bool flag(std::string_view key) const;
     /** Index of the text among the allowed words; 0 after a fault. */
--- /dev/null
+++ b/src/gateway/BackendDirectory.cpp
@@ -0,0 +1,114 @@
+#include "gateway/BackendDirectory.h"
+
+#include <algorithm>
+
+namespace greengagestair {
+
+void BackendDirectory::put(const BackendRegistration &registration, MonotonicTime now)
+{
+    const auto found = m_servers.find(registration.server);
+    const bool isSameProcess = found != m_servers.end()
+            && found->second->registration.startedAt == registration.startedAt
+            && found->second->registration.service == registration.service
+            && found->second->registration.endpoint == registration.endpoint;
+    if (isSameProcess) {
+        Backend &known = *found->second;
+        // An unchanged entry that is read again does not make the server cold again.
+        if (known.registration.coldFor != registration.coldFor)
+            known.coldUntil = now + registration.coldFor;
+        known.registration = registration;
+        known.removeAt.reset();
+        return;
+    }
+    remove(registration.server);
+    auto backend = std::make_shared<Backend>();
+    backend->registration = registration;
+    backend->coldUntil = now + registration.coldFor;
+    m_servers[registration.server] = backend;
+    m_byService[registration.service].push_back(backend);
+}
+
+void BackendDirectory::detach(const Backend &backend)
+{
+    const auto service = m_byService.find(backend.registration.service);
+    if (service == m_byService.end())
+        return;
+    std::erase_if(service->second, [&](const auto &other) { return other.get() == &backend; });
+    if (service->second.empty())
+        m_byService.erase(service);
+}
+
+void BackendDirectory::remove(const ServerId &server)
+{
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end())
+        return;
+    detach(*found->second);
+    m_servers.erase(found);
+}
+
+void BackendDirectory::removeLater(const ServerId &server, MonotonicTime at)
+{
+    const auto found = m_servers.find(server);
+    if (found != m_servers.end() && !found->second->removeAt)
+        found->second->removeAt = at;
+}
+
+std::vector<ServerId> BackendDirectory::absentFrom(const std::set<ServerId> &listed) const
+{
+    std::vector<ServerId> absent;
+    for (const auto &[server, backend] : m_servers) {
+        if (!listed.contains(server))
+            absent.push_back(server);
+    }
+    return absent;
+}
+
+std::vector<ServerId> BackendDirectory::removeDue(MonotonicTime now)
+{
+    std::vector<ServerId> due;
+    for (const auto &[server, backend] : m_servers) {
+        if (backend->removeAt && *backend->removeAt <= now)
+            due.push_back(server);
+    }
+    for (const ServerId &server : due)
+        remove(server);
+    return due;
+}
+
+std::optional<MonotonicTime> BackendDirectory::nextRemoval() const
+{
+    std::optional<MonotonicTime> next;
+    for (const auto &[server, backend] : m_servers) {
+        if (backend->removeAt && (!next || *backend->removeAt < *next))
+            next = backend->removeAt;
+    }
+    return next;
+}
+
+void BackendDirectory::setEvacuated(std::set<FailureDomainId> failureDomains)
+{
+    m_evacuated = std::move(failureDomains);
+}
+
+const std::vector<std::shared_ptr<Backend>> &
+BackendDirectory::serversOf(const ServiceId &service) const
+{
+    static const std::vector<std::shared_ptr<Backend>> kNone;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? kNone : found->second;
+}
+
+bool BackendDirectory::isInService(const Backend &backend) const
+{
+    return !backend.registration.isDraining
+            && !m_evacuated.contains(backend.registration.failureDomain);
+}
+
+std::shared_ptr<Backend> BackendDirectory::find(const ServerId &server) const
+{
+    const auto found = m_servers.find(server);
+    return found == m_servers.end() ? nullptr : found->second;
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/BackendLoad.cpp
@@ -0,0 +1,119 @@
+#include "gateway/BackendLoad.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace greengagestair {
+
+/** Weight of one response time in the moving average. */
+static constexpr double kSampleWeight = 0.2;
+/** Time in which an average without new samples halves its distance to the fallback. */
+static constexpr std::chrono::duration<double> kAverageHalfLife(2.0);
+/** Expected extra time per recent failure. */
+static constexpr Duration kFailurePenalty = std::chrono::milliseconds(60);
+/** Failures weigh half as much after this time. */
+static constexpr std::chrono::duration<double> kPenaltyHalfLife(1.0);
+/** Bound on the weight of failures, so that a server is tried again after some seconds. */
+static constexpr double kMaxPenalty = 8;
+/** A refusal says that the server is full, which passes sooner than a fault. */
+static constexpr double kRefusalWeight = 0.3;
+
+static double halved(double value, Duration age, std::chrono::duration<double> halfLife)
+{
+    const std::chrono::duration<double> seconds = age;
+    return value * std::exp2(-seconds.count() / halfLife.count());
+}
+
+void BackendLoad::addStart(AttemptId attempt, MonotonicTime now)
+{
+    m_started.emplace(attempt, now);
+}
+
+std::optional<Duration> BackendLoad::takeAge(AttemptId attempt, MonotonicTime now)
+{
+    const auto found = m_started.find(attempt);
+    if (found == m_started.end())
+        return std::nullopt;
+    const Duration age = now - found->second;
+    m_started.erase(found);
+    return age;
+}
+
+void BackendLoad::addSample(Duration time, MonotonicTime now)
+{
+    if (!m_hasSample) {
+        m_average = time;
+    } else {
+        const double mixed = static_cast<double>(m_average.count()) * (1 - kSampleWeight)
+                + static_cast<double>(time.count()) * kSampleWeight;
+        m_average = Duration(static_cast<Duration::rep>(mixed));
+    }
+    m_hasSample = true;
+    m_lastSample = now;
+}
+
+double BackendLoad::penaltyAt(MonotonicTime now) const
+{
+    return halved(m_penalty, now - m_penaltyAt, kPenaltyHalfLife);
+}
+
+void BackendLoad::addPenalty(double weight, MonotonicTime now)
+{
+    m_penalty = std::min(penaltyAt(now) + weight, kMaxPenalty);
+    m_penaltyAt = now;
+}
+
+void BackendLoad::addAnswer(AttemptId attempt, MonotonicTime now)
+{
+    if (const auto age = takeAge(attempt, now))
+        addSample(*age, now);
+}
+
+void BackendLoad::addRefusal(AttemptId attempt, MonotonicTime now)
+{
+    if (takeAge(attempt, now))
+        addPenalty(kRefusalWeight, now);
+}
+
+void BackendLoad::addFailure(AttemptId attempt, MonotonicTime now)
+{
+    if (takeAge(attempt, now))
+        addPenalty(1, now);
+}
+
+void BackendLoad::addAbandoned(AttemptId attempt, MonotonicTime now)
+{
+    if (const auto age = takeAge(attempt, now); age && (!m_hasSample || *age > m_average))
+        addSample(*age, now);
+}
+
+Duration BackendLoad::expectedTime(Duration fallback, std::size_t slots, MonotonicTime now) const
+{
+    Duration expected = fallback;
+    if (m_hasSample) {
+        const double distance = static_cast<double>((m_average - fallback).count());
+        const double left = halved(distance, now - m_lastSample, kAverageHalfLife);
+        expected += Duration(static_cast<Duration::rep>(left));
+    }
+    for (const auto &[attempt, startedAt] : m_started)
+        expected = std::max(expected, now - startedAt);
+    const std::size_t capacity = std::max<std::size_t>(slots, 1);
+    expected += expected * static_cast<Duration::rep>(m_started.size())
+            / static_cast<Duration::rep>(capacity);
+    const double penalty = penaltyAt(now) * static_cast<double>(kFailurePenalty.count());
+    return expected + Duration(static_cast<Duration::rep>(penalty));
+}
+
+std::size_t BackendLoad::sentInLastSecond(MonotonicTime now)
+{
+    while (!m_coldStarts.empty() && now - m_coldStarts.front() >= std::chrono::seconds(1))
+        m_coldStarts.pop_front();
+    return m_coldStarts.size();
+}
+
+void BackendLoad::addColdStart(MonotonicTime now)
+{
+    m_coldStarts.push_back(now);
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/BackendSelector.cpp
@@ -0,0 +1,96 @@
+#include "gateway/BackendSelector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace greengagestair {
+
+/** What a request to another failure domain has to save to be worth its traffic. */
+static constexpr Duration kCrossDomainCost = std::chrono::milliseconds(4);
+/** A cold server is used when others are expected to take longer by this time. */
+static constexpr Duration kColdCost = std::chrono::milliseconds(15);
+/** A server whose registration has disappeared is probably gone. */
+static constexpr Duration kVanishedCost = std::chrono::milliseconds(40);
+/** Share of the connection limit that entry hosts use; the rest covers hosts that just joined. */
+static constexpr double kUsedConnectionShare = 0.9;
+
+BackendSelector::BackendSelector(SelectorOptions options, BackendDirectory &directory)
+    : m_options(std::move(options))
+    , m_directory(directory)
+{
+}
+
+void BackendSelector::setHostCount(std::size_t hosts)
+{
+    m_hosts = std::max<std::size_t>(hosts, 1);
+}
+
+std::size_t BackendSelector::connectionShare(const BackendService &service) const
+{
+    const double usable = static_cast<double>(service.connectionLimit) * kUsedConnectionShare;
+    const auto share = static_cast<std::size_t>(usable / static_cast<double>(m_hosts));
+    return std::max(share, m_options.connectionsPerServer);
+}
+
+bool BackendSelector::hasRoom(const BackendService &service, Backend &backend,
+                              MonotonicTime now) const
+{
+    if (backend.load.inFlight() >= connectionShare(service))
+        return false;
+    if (now >= backend.coldUntil || service.coldRequestsPerSecond <= 0)
+        return true;
+    const double allowed =
+            service.coldRequestsPerSecond * m_options.coldFactor + m_options.coldSlack;
+    const double share = std::floor(allowed / static_cast<double>(m_hosts));
+    return static_cast<double>(backend.load.sentInLastSecond(now)) < share;
+}
+
+Duration BackendSelector::cost(const Backend &backend, Duration typical, MonotonicTime now) const
+{
+    const BackendRegistration &registration = backend.registration;
+    Duration cost = backend.load.expectedTime(typical, registration.slots, now);
+    if (registration.failureDomain != m_options.failureDomain)
+        cost += kCrossDomainCost;
+    if (now < backend.coldUntil)
+        cost += kColdCost;
+    if (backend.removeAt)
+        cost += kVanishedCost;
+    return cost;
+}
+
+std::shared_ptr<Backend> BackendSelector::choose(const BackendService &service, Duration typical,
+                                                 const std::vector<ServerId> &tried,
+                                                 MonotonicTime now)
+{
+    std::shared_ptr<Backend> best;
+    Duration bestCost = Duration::max();
+    const auto &servers = m_directory.serversOf(service.name);
+    // Starting at another server each time spreads requests over servers of equal cost.
+    ++m_rotation;
+    for (std::size_t offset = 0; offset < servers.size(); ++offset) {
+        const auto &backend = servers[(offset + m_rotation) % servers.size()];
+        const ServerId &server = backend->registration.server;
+        const bool isTried = std::find(tried.begin(), tried.end(), server) != tried.end();
+        if (isTried || !m_directory.isInService(*backend) || !hasRoom(service, *backend, now))
+            continue;
+        const Duration expected = cost(*backend, typical, now);
+        if (expected < bestCost) {
+            bestCost = expected;
+            best = backend;
+        }
+    }
+    return best;
+}
+
+bool BackendSelector::hasServer(const BackendService &service,
+                                const std::vector<ServerId> &tried) const
+{
+    const auto &servers = m_directory.serversOf(service.name);
+    return std::any_of(servers.begin(), servers.end(), [&](const auto &backend) {
+        const ServerId &server = backend->registration.server;
+        return m_directory.isInService(*backend)
+                && std::find(tried.begin(), tried.end(), server) == tried.end();
+    });
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/BackendSelector.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "gateway/BackendDirectory.h"
+#include "gateway/GatewayOptions.h"
+#include "gateway/RoutingConfiguration.h"
+
+#include <memory>
+#include <vector>
+
+namespace greengagestair {
+
+/** Chooses the backend server of a service for one attempt. */
+class BackendSelector
+{
+public:
+    BackendSelector(SelectorOptions options, BackendDirectory &directory);
+
+    void setOptions(const SelectorOptions &options) { m_options = options; }
+    /** Live entry hosts, this one included; divides connections and cold starts. */
+    void setHostCount(std::size_t hosts);
+
+    /**
+     * The server that is expected to answer first, among those that are in service, have room and
+     * are not in `tried`; null if there is none. `typical` is the usual time of such a request.
+     */
+    std::shared_ptr<Backend> choose(const BackendService &service, Duration typical,
+                                    const std::vector<ServerId> &tried, MonotonicTime now);
+    /** True if a server of the service is in service, with or without room. */
+    bool hasServer(const BackendService &service, const std::vector<ServerId> &tried) const;
+
+private:
+    std::size_t connectionShare(const BackendService &service) const;
+    bool hasRoom(const BackendService &service, Backend &backend, MonotonicTime now) const;
+    Duration cost(const Backend &backend, Duration typical, MonotonicTime now) const;
+
+    SelectorOptions m_options;
+    BackendDirectory &m_directory;
+    std::size_t m_hosts = 1;
+    std::size_t m_rotation = 0;
+};
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/CrashGuard.cpp
@@ -0,0 +1,57 @@
+#include "gateway/CrashGuard.h"
+
+#include <algorithm>
+
+namespace greengagestair {
+
+/** Distinct servers lost to one signature before it is blocked. */
+static constexpr std::size_t kServersToBlock = 3;
+/** Distinct requests that lost servers before their signature is blocked. */
+static constexpr std::size_t kRequestsToBlock = 2;
+/** A signature is tried again after this time without a loss. */
+static constexpr Duration kBlockTime = std::chrono::seconds(60);
+/** Bound on remembered signatures; about 200 bytes each. */
+static constexpr std::size_t kMaxSignatures = 4096;
+
+template <typename Value>
+static void addDistinct(std::vector<Value> &values, const Value &value, std::size_t capacity)
+{
+    const bool isKnown = std::find(values.begin(), values.end(), value) != values.end();
+    if (!isKnown && values.size() < capacity)
+        values.push_back(value);
+}
+
+void CrashGuard::addLoss(Signature signature, const std::string &requestId, const ServerId &server,
+                         MonotonicTime now)
+{
+    const auto [entry, isNew] = m_losses.try_emplace(signature);
+    Losses &losses = entry->second;
+    losses.last = now;
+    addDistinct(losses.servers, server, kServersToBlock);
+    addDistinct(losses.requests, requestId, kRequestsToBlock);
+    if (!isNew)
+        return;
+    m_order.push_back(signature);
+    if (m_order.size() > kMaxSignatures) {
+        m_losses.erase(m_order.front());
+        m_order.pop_front();
+    }
+}
+
+void CrashGuard::addSuccess(Signature signature)
+{
+    if (const auto found = m_losses.find(signature); found != m_losses.end()) {
+        found->second.servers.clear();
+        found->second.requests.clear();
+    }
+}
+
+bool CrashGuard::isBlocked(Signature signature, MonotonicTime now) const
+{
+    const auto found = m_losses.find(signature);
+    return found != m_losses.end() && found->second.servers.size() >= kServersToBlock
+            && found->second.requests.size() >= kRequestsToBlock
+            && now - found->second.last < kBlockTime;
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/Gateway.cpp
@@ -0,0 +1,231 @@
+#include "gateway/Gateway.h"
+
+#include <algorithm>
+
+namespace greengagestair {
+
+/** Live servers whose registrations lapsed are registered again within this time. */
+static constexpr Duration kReturnTime = std::chrono::milliseconds(2000);
+/** Bound on the hosts among which the joint slack of repeats is divided. */
+static constexpr double kMinSlackShares = 12;
+
+/** A lower number of hosts is believed after this time; longer than an outage of the store. */
+static constexpr Duration kHostMemory = std::chrono::seconds(30);
+
+static RepeatLimits shareOf(RepeatLimits limits)
+{
+    limits.slack /= kMinSlackShares;
+    return limits;
+}
+
+Gateway::Gateway(const GatewayOptions &options)
+    : m_selector(options.selector, m_directory)
+    , m_flow(m_selector, m_directory, shareOf(options.repeats))
+{
+}
+
+GatewayEffects Gateway::handle(const GatewayEvent &event, MonotonicTime now)
+{
+    m_now = std::max(m_now, now);
+    m_effects.clear();
+    m_flow.beginStep(m_now, m_effects);
+    std::visit([&](const auto &typed) { on(typed); }, event);
+    return std::move(m_effects);
+}
+
+std::optional<MonotonicTime> Gateway::nextWakeUp() const
+{
+    std::optional<MonotonicTime> next = m_flow.nextWakeUp();
+    for (const auto &other : { m_directory.nextRemoval(), m_fewerHostsAt }) {
+        if (other && (!next || *other < *next))
+            next = other;
+    }
+    return next;
+}
+
+void Gateway::on(const CallerArrived &event)
+{
+    m_flow.start(event, m_configuration);
+}
+
+void Gateway::on(const CallerLeft &event)
+{
+    m_flow.leave(event.exchange);
+}
+
+void Gateway::on(const AttemptEnded &event)
+{
+    m_flow.endAttempt(event);
+}
+
+void Gateway::on(const ConfigurationRead &event)
+{
+    const std::uint64_t current = m_configuration ? m_configuration->version : 0;
+    const bool isNewer = !m_configuration || event.configuration->version > current;
+    if (!isNewer)
+        return;
+    m_configuration = event.configuration;
+    m_effects.push_back(
+            LogDecision { LogWeight::State,
+                          "configurationInForce",
+                          { { "version", std::to_string(m_configuration->version) },
+                            { "former", std::to_string(current) },
+                            { "routes", std::to_string(m_configuration->routes.size()) },
+                            { "services", std::to_string(m_configuration->services.size()) } } });
+}
+
+void Gateway::on(const EvacuationsRead &event)
+{
+    if (event.failureDomains == m_directory.evacuated())
+        return;
+    std::string names;
+    for (const FailureDomainId &failureDomain : event.failureDomains)
+        names += (names.empty() ? "" : " ") + failureDomain.value;
+    m_directory.setEvacuated(event.failureDomains);
+    m_effects.push_back(
+            LogDecision { LogWeight::State, "outOfService", { { "failureDomains", names } } });
+    m_flow.retryWaiting();
+}
+
+void Gateway::on(const RegistrationsRead &event)
+{
+    std::set<ServerId> listed;
+    for (const BackendRegistration &registration : event.registrations) {
+        listed.insert(registration.server);
+        m_directory.put(registration, m_now);
+    }
+    for (const ServerId &server : m_directory.absentFrom(listed))
+        removeLater(server);
+    m_effects.push_back(
+            LogDecision { LogWeight::State,
+                          "registrationsRead",
+                          { { "servers", std::to_string(event.registrations.size()) },
+                            { "known", std::to_string(m_directory.size()) } } });
+    m_flow.retryWaiting();
+}
+
+void Gateway::on(const RegistrationWritten &event)
+{
+    logRegistration(event.registration);
+    m_directory.put(event.registration, m_now);
+    m_flow.retryWaiting();
+}
+
+void Gateway::logRegistration(const BackendRegistration &registration)
+{
+    const auto known = m_directory.find(registration.server);
+    m_effects.push_back(LogDecision {
+            LogWeight::State,
+            known ? "serverChanged" : "serverRegistered",
+            { { "server", registration.server.value },
+              { "service", registration.service.value },
+              { "endpoint",
+                registration.endpoint.address + ":" + std::to_string(registration.endpoint.port) },
+              { "draining", registration.isDraining ? "true" : "false" },
+              { "coldMicros", std::to_string(registration.coldFor.count()) } } });
+}
+
+void Gateway::on(const RegistrationRemoved &event)
+{
+    removeLater(event.server);
+}
+
+void Gateway::removeLater(const ServerId &server)
+{
+    const auto backend = m_directory.find(server);
+    if (!backend || backend->removeAt)
+        return;
+    // A server that has reported that it is leaving does not come back.
+    const Duration delay = backend->registration.isDraining ? Duration(0) : kReturnTime;
+    m_directory.removeLater(server, m_now + delay);
+    m_effects.push_back(LogDecision {
+            LogWeight::State, "registrationGone", { { "server", server.value } } });
+}
+
+void Gateway::on(const HostsCounted &event)
+{
+    m_countedHosts = event.hosts;
+    if (event.hosts >= m_hosts)
+        return setHosts(event.hosts);
+    // Presence also lapses while hosts are cut off from the store; they still send requests.
+    if (!m_fewerHostsAt)
+        m_fewerHostsAt = m_now + kHostMemory;
+}
+
+void Gateway::setHosts(std::size_t hosts)
+{
+    m_fewerHostsAt.reset();
+    if (hosts == m_hosts)
+        return;
+    m_hosts = hosts;
+    m_selector.setHostCount(hosts);
+    m_effects.push_back(LogDecision {
+            LogWeight::State, "hostsCounted", { { "hosts", std::to_string(hosts) } } });
+}
+
+void Gateway::on(const LimitsChanged &event)
+{
+    m_selector.setOptions(event.options.selector);
+    m_flow.setRepeatLimits(shareOf(event.options.repeats));
+}
+
+void Gateway::on(const GatewayStopRequested & /*event*/)
+{
+    m_isStopping = true;
+    m_effects.push_back(LogDecision { LogWeight::State, "stopping", {} });
+}
+
+void Gateway::on(const TimeAdvanced & /*event*/)
+{
+    if (m_fewerHostsAt && *m_fewerHostsAt <= m_now)
+        setHosts(m_countedHosts);
+    for (const ServerId &server : m_directory.removeDue(m_now)) {
+        m_effects.push_back(LogDecision {
+                LogWeight::State, "serverRemoved", { { "server", server.value } } });
+        m_effects.push_back(ForgetServer { server });
+    }
+    m_flow.advance();
+    m_flow.retryWaiting();
+}
+
+std::vector<Counter> Gateway::counters() const
+{
+    std::vector<Counter> counters = m_flow.counters().all();
+    counters.push_back({ "configuration_version", m_configuration ? m_configuration->version : 0 });
+    counters.push_back({ "registered_servers", m_directory.size() });
+    counters.push_back({ "requests_in_progress", m_flow.exchanges() });
+    counters.push_back({ "attempts_in_progress", m_flow.attempts() });
+    counters.push_back({ "entry_hosts", m_hosts });
+    return counters;
+}
+
+boost::json::object Gateway::dump(MonotonicTime now) const
+{
+    boost::json::array servers;
+    for (const auto &[server, backend] : m_directory.servers()) {
+        const BackendRegistration &registration = backend->registration;
+        servers.push_back(
+                { { "server", server.value },
+                  { "service", registration.service.value },
+                  { "failureDomain", registration.failureDomain.value },
+                  { "inService", m_directory.isInService(*backend) },
+                  { "cold", now < backend->coldUntil },
+                  { "registered", !backend->removeAt.has_value() },
+                  { "inFlight", backend->load.inFlight() },
+                  { "expectedMicros",
+                    backend->load.expectedTime(Duration(0), registration.slots, now).count() } });
+    }
+    boost::json::array outOfService;
+    for (const FailureDomainId &failureDomain : m_directory.evacuated())
+        outOfService.push_back(boost::json::string(failureDomain.value));
+    return { { "ready", isReady() },
+             { "stopping", m_isStopping },
+             { "configuration", m_configuration ? m_configuration->version : 0 },
+             { "requestsInProgress", m_flow.exchanges() },
+             { "attemptsInProgress", m_flow.attempts() },
+             { "entryHosts", m_hosts },
+             { "outOfService", outOfService },
+             { "servers", servers } };
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/Gateway.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "core/CounterSet.h"
+#include "gateway/BackendDirectory.h"
+#include "gateway/BackendSelector.h"
+#include "gateway/GatewayEffect.h"
+#include "gateway/GatewayEvent.h"
+#include "gateway/RequestFlow.h"
+
+#include <boost/json/object.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace greengagestair {
+
+/**
+ * Passes callers' requests on to backend servers: the reducer of one entry host. It reads no clock
+ * and does no input or output; each event yields effects that are to be carried out in order.
+ */
+class Gateway
+{
+public:
+    explicit Gateway(const GatewayOptions &options);
+
+    GatewayEffects handle(const GatewayEvent &event, MonotonicTime now);
+    /** When TimeAdvanced is wanted next; null if nothing waits. */
+    std::optional<MonotonicTime> nextWakeUp() const;
+
+    /** True while new callers should be sent here. */
+    bool isReady() const { return m_configuration && !m_isStopping; }
+    /** True if no request of a caller is in progress. */
+    bool isIdle() const { return m_flow.isIdle(); }
+    const RoutingConfiguration *configuration() const { return m_configuration.get(); }
+    const BackendDirectory &directory() const { return m_directory; }
+
+    std::vector<Counter> counters() const;
+    boost::json::object dump(MonotonicTime now) const;
+
+private:
+    void on(const CallerArrived &event);
+    void on(const CallerLeft &event);
+    void on(const AttemptEnded &event);
+    void on(const ConfigurationRead &event);
+    void on(const EvacuationsRead &event);
+    void on(const RegistrationsRead &event);
+    void on(const RegistrationWritten &event);
+    void on(const RegistrationRemoved &event);
+    void on(const HostsCounted &event);
+    void on(const LimitsChanged &event);
+    void on(const GatewayStopRequested &event);
+    void on(const TimeAdvanced &event);
+
+    void setHosts(std::size_t hosts);
+    void removeLater(const ServerId &server);
+    void logRegistration(const BackendRegistration &registration);
+
+    BackendDirectory m_directory;
+    BackendSelector m_selector;
+    RequestFlow m_flow;
+    std::shared_ptr<const RoutingConfiguration> m_configuration;
+    std::size_t m_hosts = 1;
+    std::optional<MonotonicTime> m_fewerHostsAt; ///< when a lower count is believed
+    std::size_t m_countedHosts = 1;              ///< the last count
+    bool m_isStopping = false;
+    MonotonicTime m_now;
+    GatewayEffects m_effects;
+};
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/GatewayEffect.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "gateway/HttpMessage.h"
+#include "greengagestair/Types.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace greengagestair {
+
+/** Send a request to a backend server. Ends with exactly one AttemptEnded. */
+struct StartAttempt
+{
+    AttemptId attempt;
+    ServerId server;
+    Endpoint endpoint;
+    std::shared_ptr<const GatewayRequest> request;
+    Duration remaining {}; ///< time left for the response
+};
+
+/** The response is not needed any more; the connection is closed if it has not come by then. */
+struct ReleaseAttempt
+{
+    AttemptId attempt;
+    Duration linger {};
+};
+
+/** Answer a caller. */
+struct ReplyToCaller
+{
+    ExchangeId exchange;
+    Reply reply;
+    std::string outcome; ///< for logs and metrics
+    Duration elapsed {}; ///< since the request came
+};
+
+/** Close the idle connections to a server that has left. */
+struct ForgetServer
+{
+    ServerId server;
+};
+
+/** How much a log line matters when lines have to be dropped. */
+enum class LogWeight {
+    State,   ///< a change of what the process believes
+    Failure, ///< a request that was not served in full
+    Detail   ///< a decision about a request that was served
+};
+
+/** One decision, for the log. */
+struct LogDecision
+{
+    LogWeight weight = LogWeight::Detail;
+    std::string_view event;
+    std::vector<std::pair<std::string_view, std::string>> fields;
+};
+
+using GatewayEffect =
+        std::variant<StartAttempt, ReleaseAttempt, ReplyToCaller, ForgetServer, LogDecision>;
+using GatewayEffects = std::vector<GatewayEffect>;
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/GatewayEvent.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "gateway/BackendDirectory.h"
+#include "gateway/GatewayOptions.h"
+#include "gateway/HttpMessage.h"
+#include "gateway/RoutingConfiguration.h"
+
+#include <memory>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace greengagestair {
+
+/** A whole request came from a caller. */
+struct CallerArrived
+{
+    ExchangeId exchange;
+    std::shared_ptr<const GatewayRequest> request;
+};
+
+/** The caller closed its connection before it had an answer. */
+struct CallerLeft
+{
+    ExchangeId exchange;
+};
+
+/** An attempt ended, also one that was released before. */
+struct AttemptEnded
+{
+    AttemptId attempt;
+    AttemptResult result;
+};
+
+/** The operators' configuration was read. Older versions than the one in force are ignored. */
+struct ConfigurationRead
+{
+    std::shared_ptr<const RoutingConfiguration> configuration;
+};
+
+/** The failure domains that are taken out of service, all of them. */
+struct EvacuationsRead
+{
+    std::set<FailureDomainId> failureDomains;
+};
+
+/** All registrations were read; servers that are not among them have left. */
+struct RegistrationsRead
+{
+    std::vector<BackendRegistration> registrations;
+};
+
+/** One registration was written. */
+struct RegistrationWritten
+{
+    BackendRegistration registration;
+};
+
+/** One registration was removed or cannot be used any more. */
+struct RegistrationRemoved
+{
+    ServerId server;
+};
+
+/** The number of live entry hosts, this one included. */
+struct HostsCounted
+{
+    std::size_t hosts = 1;
+};
+
+/** The settings have changed. */
+struct LimitsChanged
+{
+    GatewayOptions options;
+};
+
+/** The process is to end. */
+struct GatewayStopRequested
+{
+};
+
+/** Time has passed. */
+struct TimeAdvanced
+{
+};
+
+using GatewayEvent = std::variant<CallerArrived, CallerLeft, AttemptEnded, ConfigurationRead,
+                                  EvacuationsRead, RegistrationsRead, RegistrationWritten,
+                                  RegistrationRemoved, HostsCounted, LimitsChanged, GatewayStopRequested,
+                                  TimeAdvanced>;
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/HostAnnouncer.cpp
@@ -0,0 +1,87 @@
+#include "gateway/HostAnnouncer.h"
+
+namespace greengagestair {
+
+/** A host that is lost counts for this time; its share of the bounds stays unused meanwhile. */
+static constexpr Duration kTimeToLive = std::chrono::seconds(15);
+/** Leaves time for two more renewals before the lease ends. */
+static constexpr Duration kRenewInterval = std::chrono::seconds(5);
+static constexpr Duration kRetryInterval = std::chrono::milliseconds(1500);
+
+HostAnnouncer::HostAnnouncer(HostId host, RegistryStore &store, OnLog onLog)
+    : m_host(std::move(host))
+    , m_store(store)
+    , m_onLog(std::move(onLog))
+{
+}
+
+std::optional<MonotonicTime> HostAnnouncer::nextWakeUp() const
+{
+    if (m_isCalling || m_hasLeft)
+        return std::nullopt;
+    return m_nextCallAt;
+}
+
+void HostAnnouncer::advance(MonotonicTime now)
+{
+    m_now = now;
+    if (m_isCalling || m_hasLeft || now < m_nextCallAt)
+        return;
+    m_isCalling = true;
+    if (!m_lease)
+        grant();
+    else if (!m_isAnnounced)
+        announce();
+    else
+        renew();
+}
+
+void HostAnnouncer::grant()
+{
+    m_store.grantLease(kTimeToLive, [this](const StoreResult<LeaseGrant> &result) {
+        if (const auto *failure = std::get_if<StoreFailure>(&result))
+            return onCallEnd(*failure, {});
+        m_lease = std::get<LeaseGrant>(result).lease;
+        m_isAnnounced = false;
+        onCallEnd(std::nullopt, {});
+    });
+}
+
+void HostAnnouncer::announce()
+{
+    m_store.announceHost(m_host, *m_lease, [this](const StoreResult<StoreDone> &result) {
+        if (const auto *failure = std::get_if<StoreFailure>(&result))
+            return onCallEnd(*failure, {});
+        m_isAnnounced = true;
+        m_onLog({ LogWeight::State, "hostAnnounced", { { "lease", std::to_string(*m_lease) } } });
+        onCallEnd(std::nullopt, kRenewInterval);
+    });
+}
+
+void HostAnnouncer::renew()
+{
+    m_store.renewLease(*m_lease, [this](const StoreResult<StoreDone> &result) {
+        const auto *failure = std::get_if<StoreFailure>(&result);
+        onCallEnd(failure ? std::optional(*failure) : std::nullopt, kRenewInterval);
+    });
+}
+
+void HostAnnouncer::onCallEnd(std::optional<StoreFailure> failure, Duration next)
+{
+    m_isCalling = false;
+    m_nextCallAt = m_now + (failure ? kRetryInterval : next);
+    if (failure != StoreFailure::LeaseEnded)
+        return;
+    m_onLog({ LogWeight::State, "leaseEnded", { { "host", m_host.value } } });
+    m_lease.reset();
+    m_isAnnounced = false;
+}
+
+void HostAnnouncer::leave()
+{
+    m_hasLeft = true;
+    if (m_lease)
+        m_store.endLease(*m_lease, [](const StoreResult<StoreDone> &) {});
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/HostAnnouncer.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "gateway/GatewayEffect.h"
+#include "gateway/RegistryStore.h"
+
+#include <functional>
+#include <optional>
+
+namespace greengagestair {
+
+/**
+ * Keeps this host's presence in the platform's store, under a lease, so that all hosts know among
+ * how many they divide the bounds that they share.
+ */
+class HostAnnouncer
+{
+public:
+    using OnLog = std::function<void(LogDecision decision)>;
+
+    HostAnnouncer(HostId host, RegistryStore &store, OnLog onLog);
+
+    /** Starts the next call if it is due. */
+    void advance(MonotonicTime now);
+    /** When advance() is wanted next; null while a call is in progress. */
+    std::optional<MonotonicTime> nextWakeUp() const;
+    /** Ends the presence, since the process stops. */
+    void leave();
+
+private:
+    void grant();
+    void announce();
+    void renew();
+    void onCallEnd(std::optional<StoreFailure> failure, Duration next);
+
+    HostId m_host;
+    RegistryStore &m_store;
+    OnLog m_onLog;
+    std::optional<std::uint64_t> m_lease;
+    bool m_isAnnounced = false;
+    bool m_isCalling = false;
+    bool m_hasLeft = false;
+    MonotonicTime m_now;
+    MonotonicTime m_nextCallAt;
+};
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/RecordMerger.cpp
@@ -0,0 +1,24 @@
+#include "gateway/RecordMerger.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace greengagestair {
+
+std::string mergeGreatestRecords(const std::vector<std::string_view> &parts, std::size_t count)
+{
+    std::vector<std::string_view> records;
+    for (const std::string_view part : parts) {
+        for (std::size_t at = 0; at + kRecordBytes <= part.size(); at += kRecordBytes)
+            records.push_back(part.substr(at, kRecordBytes));
+    }
+    const std::size_t kept = std::min(count, records.size());
+    const auto end = records.begin() + static_cast<std::ptrdiff_t>(kept);
+    std::partial_sort(records.begin(), end, records.end(), std::greater<>());
+    std::string merged;
+    merged.reserve(kept * kRecordBytes);
+    std::for_each(records.begin(), end, [&](std::string_view record) { merged += record; });
+    return merged;
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/RegistryStore.cpp
@@ -0,0 +1,33 @@
+#include "gateway/RegistryStore.h"
+
+namespace greengagestair {
+
+const char *toText(StoreFailure failure)
+{
+    switch (failure) {
+    case StoreFailure::Unreachable:
+        return "unreachable";
+    case StoreFailure::Refused:
+        return "refused";
+    case StoreFailure::HistoryDropped:
+        return "historyDropped";
+    case StoreFailure::LeaseEnded:
+        return "leaseEnded";
+    }
+    return "unknown";
+}
+
+const char *toText(Feed feed)
+{
+    switch (feed) {
+    case Feed::Operators:
+        return "operators";
+    case Feed::Servers:
+        return "servers";
+    case Feed::Hosts:
+        return "hosts";
+    }
+    return "unknown";
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/RegistryStore.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "gateway/BackendDirectory.h"
+#include "gateway/RoutingConfiguration.h"
+#include "greengagestair/Types.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace greengagestair {
+
+/** The parts of the platform's service that a gateway follows. */
+enum class Feed {
+    Operators, ///< configuration and failure domains out of service
+    Servers,   ///< registrations of backend servers
+    Hosts      ///< presence of the gateway's own entry hosts
+};
+
+/** The operators' routing configuration. */
+struct ConfigurationEntry
+{
+    std::shared_ptr<const RoutingConfiguration> configuration;
+};
+
+/** A failure domain that is taken out of service while the entry exists. */
+struct EvacuationEntry
+{
+    FailureDomainId failureDomain;
+};
+
+/** The registration of a backend server. */
+struct ServerEntry
+{
+    BackendRegistration registration;
+};
+
+/** The presence of an entry host. */
+struct HostEntry
+{
+    HostId host;
+};
+
+/** An entry that does not exist any more, or cannot be read. */
+struct AbsentEntry
+{
+    std::string problem; ///< what is wrong with an unreadable entry; empty if it was removed
+};
+
+using EntryValue =
+        std::variant<AbsentEntry, ConfigurationEntry, EvacuationEntry, ServerEntry, HostEntry>;
+
+/** One entry as it was written or removed. */
+struct FeedEntry
+{
+    std::string name; ///< unique within the feed
+    EntryValue value;
+};
+
+/** Entries of a feed, and the revision up to which they are complete. */
+struct FeedPage
+{
+    std::vector<FeedEntry> entries;
+    Revision revision;
+};
+
+/** Why a call to the store gave no result. */
+enum class StoreFailure {
+    Unreachable,    ///< no usable answer; nothing is known about its effect
+    Refused,        ///< the store did nothing
+    HistoryDropped, ///< changes since that revision cannot be had any more; read all entries
+    LeaseEnded      ///< the lease does not exist
+};
+
+const char *toText(StoreFailure failure);
+const char *toText(Feed feed);
+
+template <typename Value>
+using StoreResult = std::variant<Value, StoreFailure>;
+
+/** A lease as granted. */
+struct LeaseGrant
+{
+    std::uint64_t lease = 0;
+    Duration timeToLive {};
+};
+
+/** The store has done what was asked. */
+struct StoreDone
+{
+};
+
+/** The platform's store. Callbacks are called on the event loop, each exactly once. */
+class RegistryStore
+{
+public:
+    virtual ~RegistryStore() = default;
+
+    /** Reads all entries of a feed as of now. */
+    virtual void readAll(Feed feed, std::function<void(StoreResult<FeedPage>)> done) = 0;
+    /** Waits until entries change after `revision`; gives no entries after `wait`. */
+    virtual void awaitChanges(Feed feed, Revision revision, Duration wait,
+                              std::function<void(StoreResult<FeedPage>)> done)
+            = 0;
+    virtual void grantLease(Duration timeToLive,
+                            std::function<void(StoreResult<LeaseGrant>)> done)
+            = 0;
+    virtual void renewLease(std::uint64_t lease,
+                            std::function<void(StoreResult<StoreDone>)> done)
+            = 0;
+    /** Writes the presence of an entry host; it is removed when the lease ends. */
+    virtual void announceHost(const HostId &host, std::uint64_t lease,
+                              std::function<void(StoreResult<StoreDone>)> done)
+            = 0;
+    /** Ends a lease, and with it the presence written under it. */
+    virtual void endLease(std::uint64_t lease,
+                          std::function<void(StoreResult<StoreDone>)> done)
+            = 0;
+};
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/RepeatBudget.cpp
@@ -0,0 +1,58 @@
+#include "gateway/RepeatBudget.h"
+
+namespace greengagestair {
+
+/** Share of the ratio that is spent. The rest covers attempts that a restarted host forgot. */
+static constexpr double kUsedShare = 0.9;
+
+RepeatBudget::RepeatBudget(const RepeatLimits &limits)
+    : m_limits(limits)
+    , m_slotLength(limits.window / kSlots)
+{
+}
+
+void RepeatBudget::setLimits(const RepeatLimits &limits)
+{
+    m_limits = limits;
+}
+
+std::int64_t RepeatBudget::slotIndex(MonotonicTime now) const
+{
+    return now.time_since_epoch() / m_slotLength;
+}
+
+RepeatBudget::Slot &RepeatBudget::currentSlot(MonotonicTime now)
+{
+    const std::int64_t index = slotIndex(now);
+    Slot &slot = m_slots[static_cast<std::size_t>(index) % m_slots.size()];
+    if (slot.index != index)
+        slot = { index, 0, 0 };
+    return slot;
+}
+
+void RepeatBudget::addRequest(MonotonicTime now)
+{
+    ++currentSlot(now).requests;
+}
+
+bool RepeatBudget::takeRepeat(MonotonicTime now)
+{
+    Slot &current = currentSlot(now);
+    double requests = 0;
+    double repeats = 0;
+    // Requests count for one slot less than repeats, so that no alignment of the window matters.
+    for (const Slot &slot : m_slots) {
+        const std::int64_t age = current.index - slot.index;
+        if (slot.index < 0 || age > static_cast<std::int64_t>(kSlots))
+            continue;
+        repeats += slot.repeats;
+        if (age < static_cast<std::int64_t>(kSlots))
+            requests += slot.requests;
+    }
+    if (repeats + 1 > requests * m_limits.ratio * kUsedShare + m_limits.slack)
+        return false;
+    ++current.repeats;
+    return true;
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/RequestFlow.cpp
@@ -0,0 +1,402 @@
+#include "gateway/RequestFlow.h"
+
+#include "core/Assert.h"
+#include "core/Signature.h"
+
+#include <algorithm>
+
+namespace greengagestair {
+
+/** Time that the answer needs to reach the caller before its deadline. */
+static constexpr Duration kReplyMargin = std::chrono::milliseconds(8);
+/** Time between a caller's view of a request and this host's: one round trip and the queues. */
+static constexpr Duration kCallerRoundTrip = std::chrono::milliseconds(10);
+/** Share of the latency target for which a part may wait for a server with room. */
+static constexpr int kWaitDivisor = 4;
+/** Backend servers work on for this time at most after their caller has left. */
+static constexpr Duration kAbandonLinger = std::chrono::milliseconds(250);
+/** Time for which the loser of a hedge may still use its connection. */
+static constexpr Duration kLoserLinger = std::chrono::milliseconds(1500);
+/** Attempts of one part that may fail before a byte is sent. */
+static constexpr std::size_t kMaxUnsent = 3;
+/** Without samples, a part is expected to take this share of the latency target. */
+static constexpr int kInitialTimeDivisor = 10;
+
+RequestFlow::RequestFlow(BackendSelector &selector, const BackendDirectory &directory,
+                         const RepeatLimits &repeats)
+    : m_selector(selector)
+    , m_directory(directory)
+    , m_repeatLimits(repeats)
+{
+}
+
+void RequestFlow::setRepeatLimits(const RepeatLimits &limits)
+{
+    m_repeatLimits = limits;
+    for (auto &[service, budget] : m_budgets)
+        budget.setLimits(limits);
+}
+
+void RequestFlow::beginStep(MonotonicTime now, GatewayEffects &effects)
+{
+    m_now = now;
+    m_effects = &effects;
+}
+
+Exchange *RequestFlow::find(ExchangeId exchange)
+{
+    const auto found = m_exchanges.find(exchange);
+    return found == m_exchanges.end() ? nullptr : found->second.get();
+}
+
+RepeatBudget &RequestFlow::budgetOf(const ServiceId &service)
+{
+    return m_budgets.try_emplace(service, m_repeatLimits).first->second;
+}
+
+PartTimeEstimator &RequestFlow::timesOf(const GatewayRoute &route)
+{
+    return m_times[route.name];
+}
+
+Duration RequestFlow::typicalTime(const GatewayRoute &route)
+{
+    return timesOf(route).typicalPartTime(route.latencyTarget / kInitialTimeDivisor);
+}
+
+void RequestFlow::addTimer(MonotonicTime at, const Timer &timer)
+{
+    m_timers.emplace(at, timer);
+}
+
+std::optional<MonotonicTime> RequestFlow::nextWakeUp() const
+{
+    if (m_timers.empty())
+        return std::nullopt;
+    return m_timers.begin()->first;
+}
+
+void RequestFlow::advance()
+{
+    while (!m_timers.empty() && m_timers.begin()->first <= m_now) {
+        const Timer timer = m_timers.begin()->second;
+        m_timers.erase(m_timers.begin());
+        onTimer(timer);
+    }
+}
+
+void RequestFlow::onTimer(const Timer &timer)
+{
+    Exchange *exchange = find(timer.exchange);
+    if (!exchange)
+        return;
+    switch (timer.kind) {
+    case TimerKind::Deadline:
+        onDeadline(*exchange);
+        break;
+    case TimerKind::Cutoff:
+        concludeIfDone(*exchange);
+        break;
+    case TimerKind::Hedge:
+        onHedge(*exchange, timer.part);
+        break;
+    case TimerKind::WaitEnd:
+        if (exchange->parts[timer.part].isWaiting) {
+            settle(*exchange, timer.part);
+            concludeIfDone(*exchange);
+        }
+        break;
+    }
+}
+
+void RequestFlow::start(const CallerArrived &event,
+                        const std::shared_ptr<const RoutingConfiguration> &configuration)
+{
+    const GatewayRequest &request = *event.request;
+    m_counters.add("requests_total");
+    if (!configuration)
+        return refuse(event.exchange, request, RefusalReason::NoConfiguration);
+    const GatewayRoute *route = findRoute(*configuration, request.host, request.target);
+    if (!route)
+        return refuse(event.exchange, request, RefusalReason::NoRoute);
+    const Signature signature =
+            computeSignature({ request.host }, { request.method + request.target }, request.body);
+    if (m_guard.isBlocked(signature, m_now))
+        return refuse(event.exchange, request, RefusalReason::Quarantined);
+    auto owned = std::make_unique<Exchange>();
+    Exchange &exchange = *owned;
+    exchange.id = event.exchange;
+    exchange.request = event.request;
+    exchange.configuration = configuration;
+    exchange.route = route;
+    exchange.signature = signature;
+    exchange.arrivedAt = m_now;
+    const Duration callerTime = request.deadline.value_or(route->timeout) - kReplyMargin;
+    exchange.deadlineAt = m_now + std::max(std::min(callerTime, route->timeout), Duration(0));
+    exchange.cutoffAt = m_now + std::max(route->latencyTarget - kCallerRoundTrip, Duration(0));
+    m_exchanges.emplace(exchange.id, std::move(owned));
+    if (route->gather) {
+        exchange.parts.reserve(route->gather->services.size());
+        for (const ServiceId &service : route->gather->services)
+            addPart(exchange, service);
+        addTimer(exchange.cutoffAt, { TimerKind::Cutoff, exchange.id, 0 });
+    } else {
+        addPart(exchange, chooseTarget(*route));
+    }
+    addTimer(exchange.deadlineAt, { TimerKind::Deadline, exchange.id, 0 });
+    for (std::size_t index = 0; index < exchange.parts.size(); ++index)
+        startPart(exchange, index);
+    concludeIfDone(exchange);
+}
+
+bool RequestFlow::addPart(Exchange &exchange, const ServiceId &service)
+{
+    Part &part = exchange.parts.emplace_back();
+    const auto found = exchange.configuration->services.find(service);
+    if (found == exchange.configuration->services.end()) {
+        part.isSettled = true;
+        return false;
+    }
+    part.service = &found->second;
+    budgetOf(service).addRequest(m_now);
+    return true;
+}
+
+/** Smooth weighted round robin: the shares hold over any run of requests. */
+const ServiceId &RequestFlow::chooseTarget(const GatewayRoute &route)
+{
+    GREENGAGESTAIR_ASSERT(!route.targets.empty());
+    if (route.targets.size() == 1)
+        return route.targets.front().service;
+    std::vector<double> &credits = m_splitCredits[route.name];
+    credits.resize(route.targets.size(), 0);
+    double total = 0;
+    for (std::size_t i = 0; i < credits.size(); ++i) {
+        credits[i] += route.targets[i].weight;
+        total += route.targets[i].weight;
+    }
+    const auto best = std::max_element(credits.begin(), credits.end());
+    *best -= total;
+    return route.targets[static_cast<std::size_t>(best - credits.begin())].service;
+}
+
+void RequestFlow::startPart(Exchange &exchange, std::size_t index)
+{
+    Part &part = exchange.parts[index];
+    if (part.isSettled || send(exchange, index))
+        return;
+    if (m_selector.hasServer(*part.service, part.tried))
+        waitForRoom(exchange, index);
+    else
+        settle(exchange, index);
+}
+
+void RequestFlow::waitForRoom(Exchange &exchange, std::size_t index)
+{
+    Part &part = exchange.parts[index];
+    part.isWaiting = true;
+    m_counters.add("waits_total");
+    m_waiting.emplace(exchange.route->rank, std::pair(exchange.id, index));
+    const MonotonicTime end =
+            std::min(exchange.arrivedAt + exchange.route->latencyTarget / kWaitDivisor,
+                     exchange.deadlineAt);
+    addTimer(std::max(end, m_now), { TimerKind::WaitEnd, exchange.id, index });
+}
+
+void RequestFlow::retryWaiting()
+{
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
+        const auto [id, index] = entry->second;
+        Exchange *exchange = find(id);
+        const bool isOver = !exchange || !exchange->parts[index].isWaiting;
+        entry = isOver || send(*exchange, index) ? m_waiting.erase(entry) : std::next(entry);
+    }
+}
+
+bool RequestFlow::send(Exchange &exchange, std::size_t index)
+{
+    Part &part = exchange.parts[index];
+    const auto backend = m_selector.choose(*part.service, typicalTime(*exchange.route), part.tried,
+                                           m_now);
+    if (!backend)
+        return false;
+    part.isWaiting = false;
+    const AttemptId attempt { ++m_lastAttempt };
+    const BackendRegistration &registration = backend->registration;
+    part.open.push_back(attempt);
+    part.tried.push_back(registration.server);
+    ++part.sent;
+    backend->load.addStart(attempt, m_now);
+    if (m_now < backend->coldUntil)
+        backend->load.addColdStart(m_now);
+    m_attempts.emplace(attempt, AttemptRecord { exchange.id, index, backend, m_now });
+    m_counters.add("attempts_total");
+    m_effects->push_back(StartAttempt { attempt, registration.server, registration.endpoint,
+                                        exchange.request, exchange.deadlineAt - m_now });
+    if (exchange.route->repeatable && part.sent < exchange.route->maxAttempts) {
+        const Duration least = exchange.route->latencyTarget / kInitialTimeDivisor;
+        const Duration delay = timesOf(*exchange.route).hedgeDelay(least);
+        addTimer(m_now + delay, { TimerKind::Hedge, exchange.id, index });
+    }
+    return true;
+}
+
+void RequestFlow::onHedge(Exchange &exchange, std::size_t index)
+{
+    Part &part = exchange.parts[index];
+    const bool isUseful =
+            !part.isSettled && !part.open.empty() && part.sent < exchange.route->maxAttempts;
+    if (!isUseful)
+        return;
+    if (!m_selector.hasServer(*part.service, part.tried))
+        return;
+    if (!budgetOf(part.service->name).takeRepeat(m_now)) {
+        m_counters.add("hedges_refused_total");
+        return;
+    }
+    if (send(exchange, index))
+        m_counters.add("hedges_total");
+}
+
+void RequestFlow::sendAgain(Exchange &exchange, std::size_t index)
+{
+    Part &part = exchange.parts[index];
+    if (!part.open.empty())
+        return;
+    const bool isAllowed = part.sent < exchange.route->maxAttempts && part.unsent < kMaxUnsent
+            && !m_guard.isBlocked(exchange.signature, m_now)
+            && m_selector.hasServer(*part.service, part.tried);
+    const bool isFirstArrival = part.sent == 0;
+    if (isAllowed && (isFirstArrival || budgetOf(part.service->name).takeRepeat(m_now))
+        && send(exchange, index)) {
+        m_counters.add("retries_total");
+        return;
+    }
+    settle(exchange, index);
+}
+
+void RequestFlow::settle(Exchange &exchange, std::size_t index)
+{
+    Part &part = exchange.parts[index];
+    part.isSettled = true;
+    part.isWaiting = false;
+}
+
+void RequestFlow::leave(ExchangeId id)
+{
+    Exchange *exchange = find(id);
+    if (!exchange)
+        return;
+    m_counters.add("callers_left_total");
+    for (Part &part : exchange->parts)
+        releaseAttempts(part, kAbandonLinger);
+    m_exchanges.erase(id);
+}
+
+void RequestFlow::releaseAttempts(Part &part, Duration linger)
+{
+    for (const AttemptId attempt : part.open)
+        m_effects->push_back(ReleaseAttempt { attempt, linger });
+    part.open.clear();
+}
+
+void RequestFlow::recordLoad(const AttemptRecord &record, AttemptId attempt,
+                             const AttemptResult &result)
+{
+    BackendLoad &load = record.backend->load;
+    const auto *answer = std::get_if<BackendAnswer>(&result);
+    if (!answer) {
+        const bool isExpired = std::get<AttemptFailure>(result) == AttemptFailure::Expired;
+        return isExpired ? load.addAbandoned(attempt, m_now) : load.addFailure(attempt, m_now);
+    }
+    if (answer->notExecuted)
+        load.addRefusal(attempt, m_now);
+    else if (answer->status >= 500)
+        load.addFailure(attempt, m_now);
+    else
+        load.addAnswer(attempt, m_now);
+}
+
+void RequestFlow::endAttempt(const AttemptEnded &event)
+{
+    const auto found = m_attempts.find(event.attempt);
+    if (found == m_attempts.end())
+        return;
+    const AttemptRecord record = found->second;
+    m_attempts.erase(found);
+    recordLoad(record, event.attempt, event.result);
+    Exchange *exchange = find(record.exchange);
+    if (exchange) {
+        Part &part = exchange->parts[record.part];
+        const bool isWanted = std::erase(part.open, event.attempt) > 0;
+        if (isWanted && !part.isSettled) {
+            if (const auto *answer = std::get_if<BackendAnswer>(&event.result))
+                onAnswer(*exchange, record.part, record, *answer);
+            else
+                onFailure(*exchange, record.part, record, std::get<AttemptFailure>(event.result));
+            concludeIfDone(*exchange);
+        }
+    }
+    retryWaiting();
+}
+
+void RequestFlow::onAnswer(Exchange &exchange, std::size_t index, const AttemptRecord &record,
+                           BackendAnswer answer)
+{
+    Part &part = exchange.parts[index];
+    const bool isSuccess = answer.status >= 200 && answer.status < 300;
+    if (answer.notExecuted) {
+        m_counters.add("attempts_refused_total");
+        return sendAgain(exchange, index);
+    }
+    if (answer.signature.empty() && (isSuccess || answer.status >= 500))
+        return onFailure(exchange, index, record, AttemptFailure::Corrupt);
+    const bool isUsable = exchange.route->gather ? isSuccess : answer.status < 500;
+    if (isUsable) {
+        timesOf(*exchange.route).add(m_now - record.startedAt);
+        return acceptAnswer(exchange, index, std::move(answer));
+    }
+    m_counters.add("attempts_failed_total{failure=\"status\"}");
+    part.mayHaveRun = true;
+    part.failure = std::move(answer);
+    if (exchange.route->repeatable)
+        sendAgain(exchange, index);
+    else
+        settle(exchange, index);
+}
+
+void RequestFlow::acceptAnswer(Exchange &exchange, std::size_t index, BackendAnswer answer)
+{
+    Part &part = exchange.parts[index];
+    m_guard.addSuccess(exchange.signature);
+    part.answer = std::move(answer);
+    releaseAttempts(part, kLoserLinger);
+    settle(exchange, index);
+}
+
+void RequestFlow::onFailure(Exchange &exchange, std::size_t index, const AttemptRecord &record,
+                            AttemptFailure failure)
+{
+    Part &part = exchange.parts[index];
+    const ServerId &server = record.backend->registration.server;
+    m_counters.add(std::string("attempts_failed_total{failure=\"") + toText(failure) + "\"}");
+    m_effects->push_back(LogDecision { LogWeight::Detail,
+                                       "attemptFailed",
+                                       { { "requestId", exchange.request->requestId },
+                                         { "server", server.value },
+                                         { "failure", toText(failure) } } });
+    if (failure == AttemptFailure::NotSent) {
+        --part.sent;
+        ++part.unsent;
+        return sendAgain(exchange, index);
+    }
+    part.mayHaveRun = true;
+    if (failure == AttemptFailure::Lost)
+        m_guard.addLoss(exchange.signature, exchange.request->requestId, server, m_now);
+    if (exchange.route->repeatable)
+        sendAgain(exchange, index);
+    else
+        settle(exchange, index);
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/gateway/RequestReplies.cpp
@@ -0,0 +1,163 @@
+#include "gateway/RecordMerger.h"
+#include "gateway/RequestFlow.h"
+
+#include <algorithm>
+
+namespace greengagestair {
+
+/** When a caller is to come back if no server could take its request. */
+static constexpr Duration kRetryAfterBusy = std::chrono::milliseconds(50);
+/** When a caller is to come back to a host that has no configuration yet. */
+static constexpr Duration kRetryAfterStart = std::chrono::milliseconds(200);
+/** Backend servers work on for this time at most after the request was given up. */
+static constexpr Duration kGiveUpLinger = std::chrono::milliseconds(250);
+
+static constexpr const char *kForwarded = "forwarded";
+static constexpr const char *kComplete = "complete";
+
+void RequestFlow::concludeIfDone(Exchange &exchange)
+{
+    if (exchange.route->gather)
+        return concludeGather(exchange);
+    Part &part = exchange.parts.front();
+    if (!part.isSettled)
+        return;
+    if (part.answer)
+        finish(exchange, ForwardedReply { std::move(*part.answer) });
+    else
+        replyFailed(exchange);
+}
+
+void RequestFlow::concludeGather(Exchange &exchange)
+{
+    const std::size_t total = exchange.parts.size();
+    const std::size_t answered = answeredParts(exchange);
+    const std::size_t failed = failedParts(exchange);
+    if (!isEnough(exchange, total - failed))
+        return replyFailed(exchange);
+    const bool isComplete = answered + failed == total;
+    const bool isLate = m_now >= exchange.cutoffAt;
+    if (isEnough(exchange, answered) && (isComplete || isLate))
+        replyMerged(exchange);
+}
+
+void RequestFlow::replyMerged(Exchange &exchange)
+{
+    MergedReply reply;
+    std::vector<std::string_view> bodies;
+    for (Part &part : exchange.parts) {
+        if (!part.answer) {
+            ++reply.missingParts;
+            continue;
+        }
+        reply.signatures.push_back(part.answer->signature);
+        bodies.push_back(part.answer->body);
+    }
+    reply.records = mergeGreatestRecords(bodies, exchange.route->gather->topRecords);
+    finish(exchange, std::move(reply));
+}
+
+void RequestFlow::replyFailed(Exchange &exchange)
+{
+    Part &first = exchange.parts.front();
+    if (!exchange.route->gather && first.failure)
+        return finish(exchange, ForwardedReply { std::move(*first.failure) });
+    const bool mayHaveRun =
+            std::any_of(exchange.parts.begin(), exchange.parts.end(), [](const Part &part) {
+                return part.mayHaveRun || part.answer || !part.open.empty();
+            });
+    const bool wasSent = std::any_of(exchange.parts.begin(), exchange.parts.end(),
+                                     [](const Part &part) { return part.sent > 0; });
+    RefusedReply reply;
+    if (mayHaveRun)
+        reply.reason = RefusalReason::Failed;
+    else
+        reply.reason = wasSent ? RefusalReason::Shed : RefusalReason::NoBackend;
+    reply.retryAfter = mayHaveRun ? Duration(0) : kRetryAfterBusy;
+    finish(exchange, reply);
+}
+
+void RequestFlow::onDeadline(Exchange &exchange)
+{
+    if (exchange.route->gather && isEnough(exchange, answeredParts(exchange)))
+        return replyMerged(exchange);
+    const bool wasSent = std::any_of(
+            exchange.parts.begin(), exchange.parts.end(),
+            [](const Part &part) { return part.mayHaveRun || part.answer || !part.open.empty(); });
+    if (!wasSent)
+        return replyFailed(exchange);
+    finish(exchange, RefusedReply { RefusalReason::TimedOut, Duration(0) });
+}
+
+void RequestFlow::refuse(ExchangeId exchange, const GatewayRequest &request, RefusalReason reason)
+{
+    const Duration retryAfter = provesNotRun(reason) ? kRetryAfterStart : Duration(0);
+    m_counters.add(std::string("refusals_total{reason=\"") + toText(reason) + "\"}");
+    m_effects->push_back(LogDecision { LogWeight::Failure,
+                                       "refused",
+                                       { { "requestId", request.requestId },
+                                         { "host", request.host },
+                                         { "target", request.target },
+                                         { "reason", toText(reason) } } });
+    m_effects->push_back(ReplyToCaller {
+            exchange, RefusedReply { reason, retryAfter }, toText(reason), Duration(0) });
+}
+
+static std::string outcomeOf(const Reply &reply)
+{
+    if (const auto *refused = std::get_if<RefusedReply>(&reply))
+        return toText(refused->reason);
+    const auto *merged = std::get_if<MergedReply>(&reply);
+    if (!merged)
+        return kForwarded;
+    return merged->missingParts == 0 ? kComplete : "partial";
+}
+
+void RequestFlow::finish(Exchange &exchange, Reply reply)
+{
+    for (Part &part : exchange.parts)
+        releaseAttempts(part, kGiveUpLinger);
+    const std::string outcome = outcomeOf(reply);
+    logReply(exchange, reply, outcome);
+    m_effects->push_back(ReplyToCaller {
+            exchange.id, std::move(reply), outcome, m_now - exchange.arrivedAt });
+    m_exchanges.erase(exchange.id);
+}
+
+static std::string describeParts(const Exchange &exchange)
+{
+    std::string text;
+    for (const Part &part : exchange.parts) {
+        if (part.answer)
+            continue;
+        text += text.empty() ? "" : " ";
+        text += part.service ? part.service->name.value : "unknown";
+        text += part.isSettled ? ":failed" : ":open";
+        for (const ServerId &server : part.tried)
+            text += "," + server.value;
+    }
+    return text;
+}
+
+void RequestFlow::logReply(const Exchange &exchange, const Reply &reply,
+                           const std::string &outcome)
+{
+    LogDecision line;
+    m_counters.add("answers_total{outcome=\"" + outcome + "\"}");
+    const bool isServed = outcome == kForwarded || outcome == kComplete;
+    line.weight = isServed ? LogWeight::Detail : LogWeight::Failure;
+    line.event = "answered";
+    const auto elapsed = std::chrono::duration_cast<Duration>(m_now - exchange.arrivedAt);
+    line.fields = { { "requestId", exchange.request->requestId },
+                    { "route", exchange.route->name },
+                    { "outcome", outcome },
+                    { "configuration", std::to_string(exchange.configuration->version) },
+                    { "micros", std::to_string(elapsed.count()) } };
+    if (const auto *forwarded = std::get_if<ForwardedReply>(&reply))
+        line.fields.emplace_back("status", std::to_string(forwarded->answer.status));
+    if (!isServed)
+        line.fields.emplace_back("missing", describeParts(exchange));
+    m_effects->push_back(std::move(line));
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/http/BackendConnection.cpp
@@ -0,0 +1,267 @@
+#include "http/BackendConnection.h"
+
+#include "http/HttpFields.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace greengagestair {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+/** Bound on the body of one response, in bytes. */
+static constexpr std::uint64_t kMaxResponseBytes = 16 * 1024 * 1024;
+/** Bound on the header of one response, in bytes. */
+static constexpr std::uint32_t kMaxResponseHeader = 65'536;
+/** Share of a server's idle timeout for which a connection is kept. */
+static constexpr double kIdleShare = 0.8;
+
+BackendConnection::BackendConnection(BackendPool &client, ServerId server, Endpoint endpoint)
+    : m_client(client)
+    , m_server(std::move(server))
+    , m_endpoint(std::move(endpoint))
+{
+}
+
+void BackendConnection::open(const StartAttempt &attempt)
+{
+    m_attempt = attempt;
+    m_connecting = std::make_shared<TcpStream::Socket>(m_client.m_context);
+    error_code error;
+    const auto address = asio::ip::make_address(m_endpoint.address, error);
+    const asio::ip::tcp::endpoint remote(address, m_endpoint.port);
+    if (!error)
+        m_connecting->open(remote.protocol(), error);
+    const std::weak_ptr<BackendConnection> self = weak_from_this();
+    if (error) {
+        asio::post(m_client.m_context, [self] {
+            if (const auto connection = self.lock())
+                connection->abort(AttemptFailure::NotSent);
+        });
+        return;
+    }
+    m_connecting->async_connect(remote, [self, socket = m_connecting](const error_code &failed) {
+        const auto connection = self.lock();
+        if (!connection || connection->m_isClosed)
+            return;
+        if (failed)
+            connection->abort(AttemptFailure::NotSent);
+        else
+            connection->onConnected(std::move(*socket));
+    });
+}
+
+void BackendConnection::onConnected(TcpStream::Socket socket)
+{
+    m_connecting.reset();
+    configureSocket(socket);
+    startStream(std::move(socket));
+    send(*m_attempt);
+}
+
+void BackendConnection::startStream(TcpStream::Socket socket)
+{
+    m_stream = std::make_shared<TcpStream>(std::move(socket));
+    const std::weak_ptr<BackendConnection> self = weak_from_this();
+    m_stream->start(
+            [self](std::string_view bytes) {
+                if (const auto connection = self.lock())
+                    connection->onBytes(bytes);
+            },
+            [self](StreamEnd end) {
+                if (const auto connection = self.lock())
+                    connection->onEnd(end);
+            });
+}
+
+void BackendConnection::resetParser()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(kMaxResponseHeader);
+    m_parser->body_limit(kMaxResponseBytes);
+    if (m_attempt && m_attempt->request->method == "HEAD")
+        m_parser->skip(true);
+}
+
+std::string BackendConnection::serialize(const StartAttempt &attempt) const
+{
+    const GatewayRequest &request = *attempt.request;
+    const HeaderNames &names = m_client.m_names;
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(attempt.remaining).count();
+    std::string text;
+    text.reserve(512 + request.body.size());
+    text += request.method + " " + request.target + " HTTP/1.1\r\n";
+    for (const HeaderField &field : request.headers)
+        text += field.name + ": " + field.value + "\r\n";
+    text += names.deadline + ": " + std::to_string(std::max<long long>(left, 1)) + "\r\n";
+    text += names.expectedServer + ": " + m_server.value + "\r\n";
+    const bool mayLackBody = request.method == "GET" || request.method == "HEAD"
+            || request.method == "DELETE" || request.method == "OPTIONS";
+    if (!request.body.empty() || !mayLackBody)
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    text += "\r\n";
+    text += request.body;
+    return text;
+}
+
+void BackendConnection::send(const StartAttempt &attempt)
+{
+    m_attempt = attempt;
+    m_sentAt = Clock::now();
+    resetParser();
+    if (m_stream->write(serialize(attempt)))
+        return;
+    const std::weak_ptr<BackendConnection> self = weak_from_this();
+    asio::post(m_client.m_context, [self] {
+        if (const auto connection = self.lock())
+            connection->abort(AttemptFailure::NotSent);
+    });
+}
+
+void BackendConnection::onBytes(std::string_view bytes)
+{
+    if (!m_attempt) {
+        // Bytes that no request asked for: the connection cannot be trusted any more.
+        ++m_client.m_counters.strayResponses;
+        abort(AttemptFailure::Corrupt);
+        return;
+    }
+    m_pending += bytes;
+    parse();
+}
+
+void BackendConnection::parse()
+{
+    while (m_attempt && !m_pending.empty()) {
+        error_code error;
+        const std::size_t used = m_parser->put(asio::buffer(m_pending), error);
+        m_pending.erase(0, used);
+        if (error == http::error::need_more)
+            return;
+        if (error)
+            return abort(AttemptFailure::Corrupt);
+        if (m_parser->is_done())
+            onResponse();
+        else if (used == 0)
+            return;
+    }
+}
+
+void BackendConnection::onEnd(StreamEnd end)
+{
+    if (!m_attempt)
+        return abort(AttemptFailure::Lost);
+    const bool endsWithConnection = end == StreamEnd::Closed && m_parser->is_header_done()
+            && !m_parser->is_done() && m_parser->need_eof();
+    if (endsWithConnection) {
+        error_code error;
+        m_parser->put_eof(error);
+        if (!error && m_parser->is_done())
+            return onResponse();
+    }
+    abort(AttemptFailure::Lost);
+}
+
+/** True for a response to an earlier request of this connection. */
+bool BackendConnection::isStray() const
+{
+    const std::string_view echoed = m_parser->get()[m_client.m_names.requestId];
+    return !echoed.empty() && echoed != m_attempt->request->requestId;
+}
+
+void BackendConnection::onResponse()
+{
+    const unsigned status = m_parser->get().result_int();
+    const bool isInterim = status >= 100 && status < 200;
+    if (isInterim || isStray()) {
+        if (!isInterim)
+            ++m_client.m_counters.strayResponses;
+        const bool goesOn = m_parser->keep_alive();
+        resetParser();
+        if (!goesOn)
+            abort(AttemptFailure::Lost);
+        return;
+    }
+    noteIdleTimeout();
+    const bool isReusable =
+            m_parser->keep_alive() && m_pending.empty() && !m_stream->hasUnsent();
+    finish(takeAnswer(), isReusable);
+}
+
+void BackendConnection::noteIdleTimeout()
+{
+    const std::string_view value = m_parser->get()[http::field::keep_alive];
+    const std::size_t at = value.find("timeout=");
+    if (at == std::string_view::npos)
+        return;
+    const std::string_view digits = value.substr(at + std::string_view("timeout=").size());
+    int seconds = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec == std::errc())
+        m_idleTimeout = std::chrono::seconds(seconds);
+}
+
+BackendAnswer BackendConnection::takeAnswer()
+{
+    auto message = m_parser->release();
+    const HeaderNames &names = m_client.m_names;
+    BackendAnswer answer;
+    answer.status = static_cast<int>(message.result_int());
+    answer.reason = std::string(message.reason());
+    answer.signature = std::string(message[names.signature]);
+    constexpr int kMisdirected = 421;
+    answer.notExecuted = message.count(names.notExecuted) > 0 || answer.status == kMisdirected;
+    Headers headers;
+    for (const auto &field : message)
+        headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    answer.headers = endToEndFields(headers);
+    answer.body = std::move(message.body());
+    return answer;
+}
+
+void BackendConnection::finish(AttemptResult result, bool isReusable)
+{
+    const AttemptId attempt = m_attempt->attempt;
+    const auto self = shared_from_this();
+    m_attempt.reset();
+    if (isReusable) {
+        const Clock::time_point now = Clock::now();
+        if (m_idleTimeout.count() > 0) {
+            m_idleUntil = now
+                    + std::chrono::duration_cast<Clock::duration>(m_idleTimeout * kIdleShare);
+        }
+        m_client.keep(self);
+    } else {
+        m_isClosed = true;
+        m_stream->close();
+    }
+    m_client.endAttempt(attempt, std::move(result));
+}
+
+void BackendConnection::abort(AttemptFailure failure)
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    const auto self = shared_from_this();
+    error_code ignored; // Nothing can be done about a failed close.
+    if (m_connecting)
+        m_connecting->close(ignored);
+    if (m_stream)
+        m_stream->close();
+    if (!m_attempt)
+        return m_client.dropIdle(this);
+    const AttemptId attempt = m_attempt->attempt;
+    m_attempt.reset();
+    m_client.endAttempt(attempt, failure);
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/http/BackendPool.cpp
@@ -0,0 +1,166 @@
+#include "http/BackendPool.h"
+
+#include "http/BackendConnection.h"
+
+#include <algorithm>
+
+namespace greengagestair {
+
+/** A server that is reachable accepts a connection within a fraction of this time. */
+static constexpr std::chrono::milliseconds kConnectTimeout(400);
+/** Idle connections are checked for their end at this interval. */
+static constexpr std::chrono::milliseconds kIdleCheckInterval(500);
+
+BackendPool::BackendPool(boost::asio::io_context &context, HeaderNames names, OnEnded onEnded)
+    : m_context(context)
+    , m_names(std::move(names))
+    , m_onEnded(std::move(onEnded))
+    , m_timer(context)
+{
+}
+
+BackendPool::~BackendPool() = default;
+
+void BackendPool::start(const StartAttempt &attempt)
+{
+    ServerConnections &server = m_servers[attempt.server];
+    if (server.endpoint != attempt.endpoint) {
+        forget(attempt.server);
+        m_servers[attempt.server].endpoint = attempt.endpoint;
+    }
+    auto &idle = m_servers[attempt.server].idle;
+    if (!idle.empty()) {
+        const auto connection = idle.back();
+        idle.pop_back();
+        ++m_counters.reused;
+        m_active.emplace(attempt.attempt, connection);
+        connection->send(attempt);
+        return;
+    }
+    const auto connection =
+            std::make_shared<BackendConnection>(*this, attempt.server, attempt.endpoint);
+    ++m_counters.opened;
+    m_active.emplace(attempt.attempt, connection);
+    connection->open(attempt);
+    closeAt(Clock::now() + kConnectTimeout, { attempt.attempt, false });
+}
+
+void BackendPool::release(const ReleaseAttempt &attempt)
+{
+    if (m_active.contains(attempt.attempt))
+        closeAt(Clock::now() + attempt.linger, { attempt.attempt, true });
+}
+
+void BackendPool::forget(const ServerId &server)
+{
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end())
+        return;
+    const auto idle = std::move(found->second.idle);
+    m_servers.erase(found);
+    for (const auto &connection : idle)
+        connection->abort(AttemptFailure::NotSent);
+}
+
+void BackendPool::stop()
+{
+    m_timer.cancel();
+    while (!m_servers.empty())
+        forget(ServerId(m_servers.begin()->first));
+    while (!m_active.empty())
+        m_active.begin()->second->abort(AttemptFailure::Expired);
+}
+
+std::size_t BackendPool::idleConnections() const
+{
+    std::size_t count = 0;
+    for (const auto &[server, connections] : m_servers)
+        count += connections.idle.size();
+    return count;
+}
+
+void BackendPool::endAttempt(AttemptId attempt, AttemptResult result)
+{
+    m_active.erase(attempt);
+    m_onEnded(attempt, std::move(result));
+}
+
+void BackendPool::keep(const std::shared_ptr<BackendConnection> &connection)
+{
+    const auto found = m_servers.find(connection->server());
+    const bool isKnown =
+            found != m_servers.end() && found->second.endpoint == connection->endpoint();
+    if (!isKnown)
+        return connection->abort(AttemptFailure::NotSent);
+    found->second.idle.push_back(connection);
+    armTimer();
+}
+
+void BackendPool::dropIdle(const BackendConnection *connection)
+{
+    const auto found = m_servers.find(connection->server());
+    if (found == m_servers.end())
+        return;
+    std::erase_if(found->second.idle,
+                  [&](const auto &other) { return other.get() == connection; });
+}
+
+void BackendPool::closeAt(Clock::time_point at, const Closing &closing)
+{
+    m_closings.emplace(at, closing);
+    armTimer();
+}
+
+void BackendPool::armTimer()
+{
+    const Clock::time_point now = Clock::now();
+    if (m_idleCheckAt <= now)
+        m_idleCheckAt = now + kIdleCheckInterval;
+    Clock::time_point next = m_idleCheckAt;
+    if (!m_closings.empty())
+        next = std::min(next, m_closings.begin()->first);
+    if (next >= m_timerAt)
+        return;
+    m_timerAt = next;
+    m_timer.expires_at(next);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            onTimer();
+    });
+}
+
+void BackendPool::onTimer()
+{
+    m_timerAt = Clock::time_point::max();
+    const Clock::time_point now = Clock::now();
+    while (!m_closings.empty() && m_closings.begin()->first <= now) {
+        const Closing closing = m_closings.begin()->second;
+        m_closings.erase(m_closings.begin());
+        const auto found = m_active.find(closing.attempt);
+        if (found == m_active.end())
+            continue;
+        const auto connection = found->second;
+        if (!connection->isConnected())
+            connection->abort(AttemptFailure::NotSent);
+        else if (closing.isReleased)
+            connection->abort(AttemptFailure::Expired);
+    }
+    if (m_idleCheckAt <= now)
+        closeExpiredIdle(now);
+    armTimer();
+}
+
+void BackendPool::closeExpiredIdle(Clock::time_point now)
+{
+    std::vector<std::shared_ptr<BackendConnection>> expired;
+    for (const auto &[server, connections] : m_servers) {
+        for (const auto &connection : connections.idle) {
+            if (connection->idleUntil() <= now)
+                expired.push_back(connection);
+        }
+    }
+    for (const auto &connection : expired)
+        connection->abort(AttemptFailure::NotSent);
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/http/BackendPool.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "gateway/GatewayEffect.h"
+#include "http/HeaderNames.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace greengagestair {
+
+class BackendConnection;
+
+/** Counters of the connections to backend servers. */
+struct BackendPoolCounters
+{
+    std::uint64_t opened = 0;         ///< connections
+    std::uint64_t reused = 0;         ///< requests sent on a connection that was open
+    std::uint64_t strayResponses = 0; ///< responses to another request, dropped
+};
+
+/**
+ * Sends requests to backend servers over kept-open connections, one request at a time on each. Each
+ * attempt ends with one report, never from within start() or release().
+ */
+class BackendPool
+{
+public:
+    using OnEnded = std::function<void(AttemptId attempt, AttemptResult result)>;
+
+    BackendPool(boost::asio::io_context &context, HeaderNames names, OnEnded onEnded);
+    ~BackendPool();
+
+    void start(const StartAttempt &attempt);
+    /** Closes the connection of the attempt unless it has ended after `linger`. */
+    void release(const ReleaseAttempt &attempt);
+    /** Closes the idle connections to a server that has left. */
+    void forget(const ServerId &server);
+    /** Closes all connections. */
+    void stop();
+
+    const BackendPoolCounters &counters() const { return m_counters; }
+    std::size_t idleConnections() const;
+
+private:
+    friend class BackendConnection;
+    using Clock = std::chrono::steady_clock;
+
+    struct ServerConnections
+    {
+        Endpoint endpoint;
+        std::vector<std::shared_ptr<BackendConnection>> idle; ///< the last used one at the end
+    };
+
+    /** A connection that is to be closed: after its attempt was released, or while connecting. */
+    struct Closing
+    {
+        AttemptId attempt;
+        bool isReleased = false;
+    };
+
+    void endAttempt(AttemptId attempt, AttemptResult result);
+    void keep(const std::shared_ptr<BackendConnection> &connection);
+    void dropIdle(const BackendConnection *connection);
+    void closeAt(Clock::time_point at, const Closing &closing);
+    void armTimer();
+    void onTimer();
+    void closeExpiredIdle(Clock::time_point now);
+
+    boost::asio::io_context &m_context;
+    HeaderNames m_names;
+    OnEnded m_onEnded;
+    std::unordered_map<ServerId, ServerConnections> m_servers;
+    std::unordered_map<AttemptId, std::shared_ptr<BackendConnection>> m_active;
+    std::multimap<Clock::time_point, Closing> m_closings;
+    boost::asio::steady_timer m_timer;
+    Clock::time_point m_timerAt = Clock::time_point::max();
+    Clock::time_point m_idleCheckAt;
+    BackendPoolCounters m_counters;
+};
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/http/HttpFields.cpp
@@ -0,0 +1,68 @@
+#include "http/HttpFields.h"
+
+#include <algorithm>
+#include <array>
+
+namespace greengagestair {
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right)
+{
+    const auto lower = [](char c) {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    };
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
+                      [&](char a, char b) { return lower(a) == lower(b); });
+}
+
+bool isHopByHop(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 11> kNames = {
+        "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate",
+        "TE",         "Proxy-Authorization", "Trailer",        "Transfer-Encoding",
+        "Upgrade",    "Content-Length",    "Expect"
+    };
+    return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view known) {
+        return equalsIgnoringCase(known, name);
+    });
+}
+
+static std::string_view trimmed(std::string_view text)
+{
+    const std::size_t begin = text.find_first_not_of(" \t");
+    if (begin == std::string_view::npos)
+        return {};
+    return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
+}
+
+bool hasToken(std::string_view value, std::string_view token)
+{
+    while (!value.empty()) {
+        const std::size_t comma = value.find(',');
+        if (equalsIgnoringCase(trimmed(value.substr(0, comma)), token))
+            return true;
+        value = comma == std::string_view::npos ? std::string_view() : value.substr(comma + 1);
+    }
+    return false;
+}
+
+std::string_view fieldValue(const Headers &headers, std::string_view name)
+{
+    for (const HeaderField &field : headers) {
+        if (equalsIgnoringCase(field.name, name))
+            return field.value;
+    }
+    return {};
+}
+
+Headers endToEndFields(const Headers &headers)
+{
+    const std::string_view connection = fieldValue(headers, "Connection");
+    Headers kept;
+    for (const HeaderField &field : headers) {
+        if (!isHopByHop(field.name) && !hasToken(connection, field.name))
+            kept.push_back(field);
+    }
+    return kept;
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,147 @@
+#include "http/HttpServer.h"
+
+#include "http/HttpFields.h"
+#include "http/HttpServerConnection.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/leaf/error.hpp>
+
+#include <vector>
+
+namespace greengagestair {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/** Connections are checked for timeouts at this interval. */
+static constexpr std::chrono::milliseconds kSweepInterval(500);
+/** Pause after a failed accept, which mostly means that descriptors have run out. */
+static constexpr std::chrono::milliseconds kAcceptPause(50);
+/** Connections that wait to be accepted; many callers reconnect at once after a failover. */
+static constexpr int kBacklog = 1024;
+
+std::string_view HttpServerRequest::header(std::string_view name) const
+{
+    return fieldValue(headers, name);
+}
+
+HttpServer::HttpServer(asio::io_context &context, HttpServerHandler &handler)
+    : m_context(context)
+    , m_handler(handler)
+    , m_acceptor(context)
+    , m_sweepTimer(context)
+    , m_acceptTimer(context)
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+boost::leaf::result<void> HttpServer::listen(const Endpoint &endpoint)
+{
+    error_code error;
+    const auto address = asio::ip::make_address(endpoint.address, error);
+    const tcp::endpoint local(address, endpoint.port);
+    if (!error)
+        m_acceptor.open(local.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(local, error);
+    if (!error)
+        m_acceptor.listen(kBacklog, error);
+    if (error)
+        return boost::leaf::new_error(HttpListenFailed { endpoint, error.message() });
+    accept();
+    sweepLater();
+    return {};
+}
+
+Endpoint HttpServer::endpoint() const
+{
+    const auto local = m_acceptor.local_endpoint();
+    return { local.address().to_string(), local.port() };
+}
+
+void HttpServer::accept()
+{
+    m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !m_acceptor.is_open())
+            return;
+        if (error) {
+            m_acceptTimer.expires_after(kAcceptPause);
+            m_acceptTimer.async_wait([this](const error_code &stopped) {
+                if (!stopped)
+                    accept();
+            });
+            return;
+        }
+        configureSocket(socket);
+        const std::uint64_t id = ++m_lastConnection;
+        auto connection = std::make_shared<HttpServerConnection>(id, std::move(socket), *this);
+        m_connections.emplace(id, connection);
+        connection->start();
+        accept();
+    });
+}
+
+void HttpServer::sweepLater()
+{
+    m_sweepTimer.expires_after(kSweepInterval);
+    m_sweepTimer.async_wait([this](const error_code &error) {
+        if (error)
+            return;
+        std::vector<std::shared_ptr<HttpServerConnection>> connections;
+        connections.reserve(m_connections.size());
+        for (const auto &[id, connection] : m_connections)
+            connections.push_back(connection);
+        const auto now = std::chrono::steady_clock::now();
+        for (const auto &connection : connections)
+            connection->sweep(now);
+        sweepLater();
+    });
+}
+
+ExchangeId HttpServer::beginExchange(const std::shared_ptr<HttpServerConnection> &connection)
+{
+    const ExchangeId exchange { ++m_lastExchange };
+    m_exchanges.emplace(exchange, connection);
+    return exchange;
+}
+
+void HttpServer::reply(ExchangeId exchange, HttpServerResponse response)
+{
+    const auto found = m_exchanges.find(exchange);
+    if (found == m_exchanges.end())
+        return;
+    const auto connection = found->second.lock();
+    m_exchanges.erase(found);
+    if (connection)
+        connection->reply(response);
+}
+
+void HttpServer::beginClosing()
+{
+    m_isClosing = true;
+}
+
+void HttpServer::closeIdle()
+{
+    error_code ignored; // Nothing can be done about a failed close.
+    m_acceptor.close(ignored);
+    std::vector<std::shared_ptr<HttpServerConnection>> idle;
+    for (const auto &[id, connection] : m_connections) {
+        if (connection->isIdle())
+            idle.push_back(connection);
+    }
+    for (const auto &connection : idle)
+        connection->close();
+}
+
+void HttpServer::remove(std::uint64_t connection)
+{
+    m_connections.erase(connection);
+}
+
+} // namespace greengagestair
--- /dev/null
+++ b/src/http/HttpServerConnection.cpp
@@ -0,0 +1,222 @@
+#include "http/HttpServerConnection.h"
+
+#include "http/HttpFields.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace greengagestair {
+
+namespace http = boost::beast::http;
+using std::chrono::steady_clock;
+
+/** Time that a caller has to close its side after the last answer of a connection. */
+static constexpr std::chrono::seconds kCloseTime(1);
+/** Bytes of further requests that are read while one is in progress. */
+static constexpr std::size_t kMaxReadAhead = 65'536;
+/** Header fields of one request. */
+static constexpr std::size_t kMaxFieldCount = 128;
+
+HttpServerConnection::HttpServerConnection(std::uint64_t id, TcpStream::Socket socket,
+                                           HttpServer &server)
+    : m_id(id)
+    , m_server(server)
+    , m_stream(std::make_shared<TcpStream>(std::move(socket)))
+    , m_since(steady_clock::now())
+{
+    resetParser();
+}
+
+void HttpServerConnection::start()
+{
+    const std::weak_ptr<HttpServerConnection> self = weak_from_this();
+    m_stream->start(
+            [self](std::string_view bytes) {
+                if (const auto connection = self.lock())
+                    connection->onBytes(bytes);
+            },
+            [self](StreamEnd) {
+                if (const auto connection = self.lock())
+                    connection->onEnd();
+            });
+}
+
+void HttpServerConnection::resetParser()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(static_cast<std::uint32_t>(m_server.limits().maxHeaderBytes));
+    m_parser->body_limit(m_server.limits().maxBodyBytes);
+    m_saidContinue = false;
+}
+
+void HttpServerConnection::onBytes(std::string_view bytes)
+{
+    if (m_isClosing)
+        return; // Read and dropped, so that closing does not reset the answer.
+    if (m_pending.empty() && !m_exchange && !m_parser->got_some())
+        m_since = steady_clock::now();
+    m_pending += bytes;
+    if (m_exchange) {
+        if (m_pending.size() > kMaxReadAhead)
+            m_stream->setReading(false);
+        return;
+    }
+    parse();
+}
+
+static int statusOf(const boost::system::error_code &error)
+{
+    if (error == http::error::body_limit)
+        return 413;
+    if (error == http::error::header_limit)
+        return 431;
+    return 400;
+}
+
+void HttpServerConnection::parse()
+{
+    while (!m_pending.empty() && !m_parser->is_done()) {
+        boost::system::error_code error;
+        const std::size_t used = m_parser->put(boost::asio::buffer(m_pending), error);
+        m_pending.erase(0, used);
+        if (error == http::error::need_more) {
+            if (!m_parser->is_header_done()
+                && m_pending.size() > m_server.limits().maxHeaderBytes)
+                return refuse(431);
+            break;
+        }
+        if (error)
+            return refuse(statusOf(error));
+    }
+    if (m_parser->is_header_done() && isSmuggled())
+        return refuse(400);
+    if (m_parser->is_done())
+        return deliver();
+    if (m_parser->is_header_done() && !m_saidContinue) {
+        m_saidContinue = true;
+        if (equalsIgnoringCase(m_parser->get()[http::field::expect], "100-continue"))
+            m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+/** Framing that another parser could read in another way. */
+bool HttpServerConnection::isSmuggled() const
+{
+    const auto &message = m_parser->get();
+    const bool hasLength = message.count(http::field::content_length) > 0;
+    const bool hasCoding = message.count(http::field::transfer_encoding) > 0;
+    const bool hasOtherCoding =
+            hasCoding && !equalsIgnoringCase(message[http::field::transfer_encoding], "chunked");
+    return (hasLength && hasCoding) || hasOtherCoding
+            || message.count(http::field::content_length) > 1
+            || message.count(http::field::host) > 1
+            || static_cast<std::size_t>(std::distance(message.begin(), message.end()))
+            > kMaxFieldCount;
+}
+
+void HttpServerConnection::deliver()
+{
+    auto message = m_parser->release();
+    m_keepAlive = message.keep_alive();
+    m_isHead = message.method() == http::verb::head;
+    HttpServerRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message)
+        request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    request.body = std::move(message.body());
+    resetParser();
+    m_since = steady_clock::now();
+    const auto self = shared_from_this();
+    m_exchange = m_server.beginExchange(self);
+    m_server.m_handler.onRequest(*m_exchange, std::move(request));
+}
+
+void HttpServerConnection::reply(const HttpServerResponse &response)
+{
+    m_exchange.reset();
+    m_since = steady_clock::now();
+    const bool isLast = !m_keepAlive || m_server.isClosing();
+    std::string text = "HTTP/1.1 " + std::to_string(response.status) + " ";
+    if (response.reason.empty())
+        text += http::obsolete_reason(static_cast<http::status>(response.status));
+    else
+        text += response.reason;
+    text += "\r\n";
+    for (const HeaderField &field : response.headers)
+        text += field.name + ": " + field.value + "\r\n";
+    const bool hasBody = response.status >= 200 && response.status != 204 && response.status != 304;
+    if (hasBody)
+        text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
+    if (isLast)
+        text += "Connection: close\r\n";
+    text += "\r\n";
+    if (hasBody && !m_isHead)
+        text += response.body;
+    const bool isSent = m_stream->write(std::move(text));
+    if (!isSent)
+        return close();
+    if (isLast)
+        return finishConnection();
+    m_stream->setReading(true);
+    if (!m_pending.empty())
+        parse();
+}
+
+void HttpServerConnection::refuse(int status)
+{
+    m_server.m_handler.onBadRequest(status);
+    m_keepAlive = false;
+    m_isHead = false;
+    HttpServerResponse response;
+    response.status = status;
+    reply(response);
+}
+
+void HttpServerConnection::finishConnection()
+{
+    m_isClosing = true;
+    m_pending.clear();
+    m_stream->finishWriting();
+    m_stream->setReading(true);
+}
+
+void HttpServerConnection::onEnd()
+{
+    close();
+}
+
+void HttpServerConnection::close()
+{
+    const auto self = shared_from_this();
+    m_stream->close();
+    if (m_exchange) {
+        m_server.m_exchanges.erase(*m_exchange);
+        m_server.m_handler.onCallerLeft(*m_exchange);
+        m_exchange.reset();
+    }
+    m_server.remove(m_id);
+}
+
+void HttpServerConnection::sweep(steady_clock::time_point now)
+{
+    if (m_exchange)
+        return;
+    const auto age = now - m_since;
+    const bool isReading = !m_pending.empty() || m_parser->got_some();
+    if (m_isClosing) {
+        if (age > kCloseTime)
+            close();
+    } else if (isReading) {
+        const Duration limit = m_parser->is_header_done() ? m_server.limits().idleTimeout
+                                                          : m_server.limits().headerTimeout;
+        if (age > limit)
+            refuse(408);
+    } else if (age > m_server.limits().idleTimeout) {
+        close();
+    }
+}
+
+} // namespace greengagestair
--- a/src/net/HttpLoop.h
+++ b/src/net/HttpLoop.h
@@ -27,6 +27,8 @@
     std::string target;               ///< path and query, escaped
     std::vector<std::string> headers; ///< "Name: value"; control characters are replaced
     std::string body;
+    std::string contentType = "application/octet-stream"; ///< of the body
+    bool probesSilence = false;       ///< end the request if the peer's kernel falls silent
     MonotonicTime deadline;           ///< on the steady clock
     MonotonicTime notAfter;           ///< not to be started after this time
     Duration connectTimeout {};       ///< bound on making a connection
--- a/src/net/HttpTransfer.cpp
+++ b/src/net/HttpTransfer.cpp
@@ -9,6 +9,9 @@
 
 namespace greengagestair {
 
+/** Interval of keep-alive probes on connections that are to notice a silent peer. */
+static constexpr long kProbeSeconds = 1;
+
 /** Bound on the headers of one response. */
 static constexpr std::size_t kMaxHeaders = 64;
 
@@ -70,6 +73,11 @@
                          static_cast<curl_off_t>(m_request.body.size()));
         curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, m_request.method.c_str());
     }
+    if (m_request.probesSilence) {
+        curl_easy_setopt(handle, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(handle, CURLOPT_TCP_KEEPIDLE, kProbeSeconds);
+        curl_easy_setopt(handle, CURLOPT_TCP_KEEPINTVL, kProbeSeconds);
+    }
     setLimits(m_request.deadline - now);
     setHeaders();
     return true;
@@ -91,7 +99,7 @@
     // Without this, libcurl waits for "100 Continue" before a large body.
     m_request.headers.emplace_back("Expect:");
     if (m_request.method != "GET")
-        m_request.headers.emplace_back("Content-Type: application/octet-stream");
+        m_request.headers.push_back("Content-Type: " + m_request.contentType);
     for (std::string &header : m_request.headers) {
         replaceControlCharacters(header);
         curl_slist *longer = curl_slist_append(m_headers.get(), header.c_str());
