--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -238,6 +238,10 @@
     const MonotonicTime time = now();
     const bool isDone = m_gateway.isIdle() && m_callers.connections() == 0;
     const bool mayEnd = time - m_stopSince >= std::min(kLeastStopTime, m_settings.stopTimeout / 2);
+    // Callers that keep a connection have other hosts by now; a request that still comes would be
+    // cut off at the end.
+    if (mayEnd)
+        m_callers.closeIdle();
     if ((mayEnd && isDone) || time >= m_stopAt) {
         m_callers.closeIdle();
         log({ LogWeight::State,
--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -6,7 +6,7 @@
 namespace greengagestair {
 
 /** What a request to another failure domain has to save to be worth its traffic. */
-static constexpr Duration kCrossDomainCost = std::chrono::milliseconds(4);
+static constexpr Duration kCrossDomainCost = std::chrono::milliseconds(15);
 /** A cold server is used when others are expected to take longer by this time. */
 static constexpr Duration kColdCost = std::chrono::milliseconds(15);
 /** A server whose registration has disappeared is probably gone. */
--- a/src/gateway/RegistryStore.h
+++ b/src/gateway/RegistryStore.h
@@ -82,6 +82,12 @@
 template <typename Value>
 using StoreResult = std::variant<Value, StoreFailure>;
 
+/** How recent the answer of a read has to be. */
+enum class Freshness {
+    Current, ///< includes all that was accepted before the call
+    Cheap    ///< may be seconds old
+};
+
 /** A lease as granted. */
 struct LeaseGrant
 {
@@ -100,8 +106,10 @@
 public:
     virtual ~RegistryStore() = default;
 
-    /** Reads all entries of a feed as of now. */
-    virtual void readAll(Feed feed, std::function<void(StoreResult<FeedPage>)> done) = 0;
+    /** Reads all entries of a feed. */
+    virtual void readAll(Feed feed, Freshness freshness,
+                         std::function<void(StoreResult<FeedPage>)> done)
+            = 0;
     /** Waits until entries change after `revision`; gives no entries after `wait`. */
     virtual void awaitChanges(Feed feed, Revision revision, Duration wait,
                               std::function<void(StoreResult<FeedPage>)> done)
--- a/src/gateway/StoreFollower.cpp
+++ b/src/gateway/StoreFollower.cpp
@@ -4,12 +4,32 @@
 
 namespace greengagestair {
 
-/** A waiting call counts as one, so longer is cheaper; the store allows 30 s. */
-static constexpr Duration kWatchTime = std::chrono::seconds(20);
+/**
+ * A waiting call can miss changes, or its connection can fall silent, without a sign. A new call
+ * finds out; changes of the configuration have to be in force within 3 s.
+ */
+static constexpr Duration kWatchTime = std::chrono::milliseconds(1800);
+/** Changes of registrations come in groups; one call then brings several. */
+static constexpr Duration kServersInterval = std::chrono::milliseconds(300);
+/** The number of hosts changes slowly and is only used to divide bounds. */
+static constexpr Duration kHostsInterval = std::chrono::seconds(8);
 static constexpr Duration kFirstRetry = std::chrono::milliseconds(100);
 /** A configuration has to be in force 3 s after its acceptance. */
 static constexpr Duration kLongestRetry = std::chrono::milliseconds(800);
 
+static Duration intervalOf(Feed feed)
+{
+    switch (feed) {
+    case Feed::Operators:
+        break;
+    case Feed::Servers:
+        return kServersInterval;
+    case Feed::Hosts:
+        return kHostsInterval;
+    }
+    return {};
+}
+
 StoreFollower::StoreFollower(Feed feed, RegistryStore &store, OnEvent onEvent, OnLog onLog,
                              std::uint64_t randomSeed)
     : m_feed(feed)
@@ -33,8 +53,10 @@
     if (m_isCalling || now < m_nextCallAt)
         return;
     m_isCalling = true;
-    if (!m_revision) {
-        m_store.readAll(m_feed, [this](const StoreResult<FeedPage> &result) { onRead(result); });
+    if (!m_revision || m_feed == Feed::Hosts) {
+        const Freshness freshness =
+                m_feed == Feed::Hosts ? Freshness::Cheap : Freshness::Current;
+        m_store.readAll(m_feed, freshness, [this](const StoreResult<FeedPage> &result) { onRead(result); });
         return;
     }
     m_store.awaitChanges(m_feed, *m_revision, kWatchTime,
@@ -64,8 +86,6 @@
         publishChange(entry);
     if (m_feed == Feed::Operators && !page.entries.empty())
         publishEvacuations();
-    if (m_feed == Feed::Hosts && !page.entries.empty())
-        publishHosts();
 }
 
 void StoreFollower::onFailure(StoreFailure failure)
@@ -92,7 +112,7 @@
     if (m_failures > 1)
         m_onLog({ LogWeight::State, "storeRegained", { { "feed", toText(m_feed) } } });
     m_failures = 0;
-    m_nextCallAt = m_now;
+    m_nextCallAt = m_now + intervalOf(m_feed);
 }
 
 void StoreFollower::publishAll(const FeedPage &page)
