Follow the store with one watch and prefer servers of the own failure domain

One long response time of a paused server kept it out of use for seconds, and two connections a server were too few for bursts.

Change: one watch over all keys; averages count a single response time at most threefold; the hosts of a server's failure domain get most of its connections; no hedge before a fifth of the latency target; counters are logged each 10 s.

--- a/src/app/GatewayPages.cpp
+++ b/src/app/GatewayPages.cpp
@@ -6,6 +6,9 @@
 
 namespace greengagestair {
 
+/** The counters are also logged, for days of which only the log is left. */
+static constexpr std::chrono::seconds kCountersInterval(10);
+
 HttpServerResponse GatewayServer::readinessPage() const
 {
     HttpServerResponse response;
@@ -29,7 +32,7 @@
     return response;
 }
 
-std::string GatewayServer::metricsText() const
+std::vector<Counter> GatewayServer::counters() const
 {
     std::vector<Counter> counters = m_gateway.counters();
     const BackendPoolCounters &backends = m_backends.counters();
@@ -42,11 +45,31 @@
     counters.push_back({ "log_lines_total", log.written });
     counters.push_back({ "log_lines_dropped_total{reason=\"rate\"}", log.overRate });
     counters.push_back({ "log_lines_dropped_total{reason=\"overflow\"}", log.overflow });
+    return counters;
+}
+
+std::string GatewayServer::metricsText() const
+{
     std::string text = LatencyHistogram::heading();
     for (const auto &[outcome, histogram] : m_latencies)
         histogram.render(outcome, text);
-    renderCounters(counters, text);
+    renderCounters(counters(), text);
     return text;
 }
 
+void GatewayServer::logCountersLater()
+{
+    m_countersTimer.expires_after(kCountersInterval);
+    m_countersTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error)
+            return;
+        LogDecision line { LogWeight::State, "counters", {} };
+        const std::vector<Counter> all = counters();
+        for (const Counter &counter : all)
+            line.fields.emplace_back(counter.name, std::to_string(counter.value));
+        log(line);
+        logCountersLater();
+    });
+}
+
 } // namespace greengagestair
--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <random>
 
 namespace greengagestair {
 
@@ -58,19 +59,16 @@
                  [this](AttemptId attempt, AttemptResult result) {
                      post(AttemptEnded { attempt, std::move(result) });
                  })
-    , m_store(store)
-    , m_announcer(m_settings.host, store, [this](const LogDecision &decision) { log(decision); })
+    , m_follower(
+              store, m_settings.options.selector.failureDomain,
+              [this](GatewayEvent event) { post(std::move(event)); },
+              [this](const LogDecision &decision) { log(decision); }, std::random_device {}())
+    , m_announcer({ m_settings.host, m_settings.options.selector.failureDomain }, store, [this](const LogDecision &decision) { log(decision); })
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     , m_timer(context)
     , m_stopTimer(context)
+    , m_countersTimer(context)
 {
-    std::uint64_t seed = static_cast<std::uint64_t>(
-            EventLoop::currentInstant().wall.time_since_epoch().count());
-    for (const Feed feed : { Feed::Operators, Feed::Servers, Feed::Hosts }) {
-        m_followers.push_back(std::make_unique<StoreFollower>(
-                feed, m_store, [this](GatewayEvent event) { post(std::move(event)); },
-                [this](const LogDecision &decision) { log(decision); }, ++seed));
-    }
 }
 
 boost::leaf::result<void> GatewayServer::start()
@@ -85,6 +83,7 @@
           { { "callerEndpoint", toText(m_settings.callerEndpoint) },
             { "failureDomain", m_settings.options.selector.failureDomain.value },
             { "store", toText(m_settings.store) } } });
+    logCountersLater();
     onTimer();
     return {};
 }
@@ -160,8 +159,7 @@
         if (other && (!next || *other < *next))
             next = other;
     };
-    for (const auto &follower : m_followers)
-        consider(follower->nextWakeUp());
+    consider(m_follower.nextWakeUp());
     consider(m_announcer.nextWakeUp());
     // An earlier wake-up than needed is harmless and cheaper than a new timer each time.
     if (!next || (m_timerAt && *m_timerAt <= *next))
@@ -180,8 +178,7 @@
 {
     const MonotonicTime time = now();
     if (!m_isStopping) {
-        for (const auto &follower : m_followers)
-            follower->advance(time);
+        m_follower.advance(time);
         m_announcer.advance(time);
     }
     m_log.flush();
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -72,6 +72,8 @@
     HttpServerResponse readinessPage() const;
     HttpServerResponse adminPage(std::string_view path) const;
     std::string metricsText() const;
+    std::vector<Counter> counters() const;
+    void logCountersLater();
 
     boost::asio::io_context &m_context;
     GatewaySettings m_settings;
@@ -85,12 +87,12 @@
     GatewayPages m_adminPages;
     HttpServer m_admin;
     BackendPool m_backends;
-    RegistryStore &m_store;
-    std::vector<std::unique_ptr<StoreFollower>> m_followers;
+    StoreFollower m_follower;
     HostAnnouncer m_announcer;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_stopTimer;
+    boost::asio::steady_timer m_countersTimer;
     std::optional<MonotonicTime> m_timerAt;
     std::deque<GatewayEvent> m_events;
     bool m_isDraining = false;
--- a/src/gateway/BackendLoad.cpp
+++ b/src/gateway/BackendLoad.cpp
@@ -7,6 +7,11 @@
 
 /** Weight of one response time in the moving average. */
 static constexpr double kSampleWeight = 0.2;
+/**
+ * A single response time counts as this multiple of the average at most: a short pause of a server
+ * says nothing of its next responses, a slow server is known after some of them.
+ */
+static constexpr int kMaxSampleFactor = 3;
 /** Time in which an average without new samples halves its distance to the fallback. */
 static constexpr std::chrono::duration<double> kAverageHalfLife(2.0);
 /** Expected extra time per recent failure. */
@@ -44,6 +49,7 @@
     if (!m_hasSample) {
         m_average = time;
     } else {
+        time = std::min(time, m_average * kMaxSampleFactor);
         const double mixed = static_cast<double>(m_average.count()) * (1 - kSampleWeight)
                 + static_cast<double>(time.count()) * kSampleWeight;
         m_average = Duration(static_cast<Duration::rep>(mixed));
--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -11,6 +11,8 @@
 static constexpr Duration kColdCost = std::chrono::milliseconds(15);
 /** A server whose registration has disappeared is probably gone. */
 static constexpr Duration kVanishedCost = std::chrono::milliseconds(40);
+/** Share of the usable connections that is for the hosts of the server's failure domain. */
+static constexpr double kOwnDomainShare = 0.7;
 /** Share of the connection limit that entry hosts use; the rest covers hosts that just joined. */
 static constexpr double kUsedConnectionShare = 0.9;
 
@@ -20,28 +22,26 @@
 {
 }
 
-void BackendSelector::setHostCount(std::size_t hosts)
-{
-    m_hosts = std::max<std::size_t>(hosts, 1);
-}
-
-std::size_t BackendSelector::connectionShare(const BackendService &service) const
+std::size_t BackendSelector::connectionShare(const BackendService &service, bool isOwnDomain) const
 {
     const double usable = static_cast<double>(service.connectionLimit) * kUsedConnectionShare;
-    const auto share = static_cast<std::size_t>(usable / static_cast<double>(m_hosts));
-    return std::max(share, m_options.connectionsPerServer);
+    const std::size_t others = m_hosts.all - std::min(m_hosts.all, m_hosts.ownDomain);
+    const std::size_t sharers = isOwnDomain ? m_hosts.ownDomain : others;
+    const double part = isOwnDomain ? kOwnDomainShare : 1 - kOwnDomainShare;
+    const double share = usable * part / static_cast<double>(std::max<std::size_t>(sharers, 1));
+    return std::max<std::size_t>(static_cast<std::size_t>(share), 1);
 }
 
 bool BackendSelector::hasRoom(const BackendService &service, Backend &backend,
                               MonotonicTime now) const
 {
-    if (backend.load.inFlight() >= connectionShare(service))
+    if (backend.load.inFlight() >= connectionShare(service, isOwnDomain(backend)))
         return false;
     if (now >= backend.coldUntil || service.coldRequestsPerSecond <= 0)
         return true;
     const double allowed =
             service.coldRequestsPerSecond * m_options.coldFactor + m_options.coldSlack;
-    const double share = std::floor(allowed / static_cast<double>(m_hosts));
+    const double share = std::floor(allowed / static_cast<double>(m_hosts.all));
     return static_cast<double>(backend.load.sentInLastSecond(now)) < share;
 }
 
--- a/src/gateway/BackendSelector.h
+++ b/src/gateway/BackendSelector.h
@@ -16,8 +16,7 @@
     BackendSelector(SelectorOptions options, BackendDirectory &directory);
 
     void setOptions(const SelectorOptions &options) { m_options = options; }
-    /** Live entry hosts, this one included; divides connections and cold starts. */
-    void setHostCount(std::size_t hosts);
+    void setHostCount(const HostCount &hosts) { m_hosts = hosts; }
 
     /**
      * The server that is expected to answer first, among those that are in service, have room and
@@ -28,14 +27,19 @@
     /** True if a server of the service is in service, with or without room. */
     bool hasServer(const BackendService &service, const std::vector<ServerId> &tried) const;
 
+    bool isOwnDomain(const Backend &backend) const
+    {
+        return backend.registration.failureDomain == m_options.failureDomain;
+    }
+
 private:
-    std::size_t connectionShare(const BackendService &service) const;
+    std::size_t connectionShare(const BackendService &service, bool isOwnDomain) const;
     bool hasRoom(const BackendService &service, Backend &backend, MonotonicTime now) const;
     Duration cost(const Backend &backend, Duration typical, MonotonicTime now) const;
 
     SelectorOptions m_options;
     BackendDirectory &m_directory;
-    std::size_t m_hosts = 1;
+    HostCount m_hosts;
     std::size_t m_rotation = 0;
 };
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -145,14 +145,16 @@
 void Gateway::on(const HostsCounted &event)
 {
     m_countedHosts = event.hosts;
-    if (event.hosts >= m_hosts)
+    const bool isHigher =
+            event.hosts.all >= m_hosts.all && event.hosts.ownDomain >= m_hosts.ownDomain;
+    if (isHigher)
         return setHosts(event.hosts);
     // Presence also lapses while hosts are cut off from the store; they still send requests.
     if (!m_fewerHostsAt)
         m_fewerHostsAt = m_now + kHostMemory;
 }
 
-void Gateway::setHosts(std::size_t hosts)
+void Gateway::setHosts(const HostCount &hosts)
 {
     m_fewerHostsAt.reset();
     if (hosts == m_hosts)
@@ -160,7 +162,10 @@
     m_hosts = hosts;
     m_selector.setHostCount(hosts);
     m_effects.push_back(LogDecision {
-            LogWeight::State, "hostsCounted", { { "hosts", std::to_string(hosts) } } });
+            LogWeight::State,
+            "hostsCounted",
+            { { "hosts", std::to_string(hosts.all) },
+              { "ownDomain", std::to_string(hosts.ownDomain) } } });
 }
 
 void Gateway::on(const LimitsChanged &event)
@@ -195,7 +200,7 @@
     counters.push_back({ "registered_servers", m_directory.size() });
     counters.push_back({ "requests_in_progress", m_flow.exchanges() });
     counters.push_back({ "attempts_in_progress", m_flow.attempts() });
-    counters.push_back({ "entry_hosts", m_hosts });
+    counters.push_back({ "entry_hosts", m_hosts.all });
     return counters;
 }
 
@@ -223,7 +228,7 @@
              { "configuration", m_configuration ? m_configuration->version : 0 },
              { "requestsInProgress", m_flow.exchanges() },
              { "attemptsInProgress", m_flow.attempts() },
-             { "entryHosts", m_hosts },
+             { "entryHosts", m_hosts.all },
              { "outOfService", outOfService },
              { "servers", servers } };
 }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -51,7 +51,7 @@
     void on(const GatewayStopRequested &event);
     void on(const TimeAdvanced &event);
 
-    void setHosts(std::size_t hosts);
+    void setHosts(const HostCount &hosts);
     void removeLater(const ServerId &server);
     void logRegistration(const BackendRegistration &registration);
 
@@ -59,9 +59,9 @@
     BackendSelector m_selector;
     RequestFlow m_flow;
     std::shared_ptr<const RoutingConfiguration> m_configuration;
-    std::size_t m_hosts = 1;
+    HostCount m_hosts;
     std::optional<MonotonicTime> m_fewerHostsAt; ///< when a lower count is believed
-    std::size_t m_countedHosts = 1;              ///< the last count
+    HostCount m_countedHosts;                    ///< the last count
     bool m_isStopping = false;
     MonotonicTime m_now;
     GatewayEffects m_effects;
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -62,10 +62,10 @@
     ServerId server;
 };
 
-/** The number of live entry hosts, this one included. */
+/** The live entry hosts were counted, this one included. */
 struct HostsCounted
 {
-    std::size_t hosts = 1;
+    HostCount hosts;
 };
 
 /** The settings have changed. */
--- a/src/gateway/GatewayOptions.h
+++ b/src/gateway/GatewayOptions.h
@@ -11,11 +11,19 @@
 struct SelectorOptions
 {
     FailureDomainId failureDomain;  ///< of this host
-    std::size_t connectionsPerServer = 2; ///< least number of connections this host may hold
     double coldFactor = 1.5; ///< allowed multiple of the declared cold rate, over all hosts
     double coldSlack = 5;    ///< allowed requests beyond it in any one second
 };
 
+/** Live entry hosts, among which bounds are divided. */
+struct HostCount
+{
+    std::size_t all = 1;
+    std::size_t ownDomain = 1; ///< in this host's failure domain
+
+    bool operator==(const HostCount &) const = default;
+};
+
 /** Identity of the host and the bounds that it keeps. */
 struct GatewayOptions
 {
--- a/src/gateway/HostAnnouncer.cpp
+++ b/src/gateway/HostAnnouncer.cpp
@@ -8,7 +8,7 @@
 static constexpr Duration kRenewInterval = std::chrono::seconds(5);
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(1500);
 
-HostAnnouncer::HostAnnouncer(HostId host, RegistryStore &store, OnLog onLog)
+HostAnnouncer::HostAnnouncer(HostEntry host, RegistryStore &store, OnLog onLog)
     : m_host(std::move(host))
     , m_store(store)
     , m_onLog(std::move(onLog))
@@ -72,7 +72,7 @@
     m_nextCallAt = m_now + (failure ? kRetryInterval : next);
     if (failure != StoreFailure::LeaseEnded)
         return;
-    m_onLog({ LogWeight::State, "leaseEnded", { { "host", m_host.value } } });
+    m_onLog({ LogWeight::State, "leaseEnded", { { "host", m_host.host.value } } });
     m_lease.reset();
     m_isAnnounced = false;
 }
--- a/src/gateway/HostAnnouncer.h
+++ b/src/gateway/HostAnnouncer.h
@@ -17,7 +17,7 @@
 public:
     using OnLog = std::function<void(LogDecision decision)>;
 
-    HostAnnouncer(HostId host, RegistryStore &store, OnLog onLog);
+    HostAnnouncer(HostEntry host, RegistryStore &store, OnLog onLog);
 
     /** Starts the next call if it is due. */
     void advance(MonotonicTime now);
@@ -32,7 +32,7 @@
     void renew();
     void onCallEnd(std::optional<StoreFailure> failure, Duration next);
 
-    HostId m_host;
+    HostEntry m_host;
     RegistryStore &m_store;
     OnLog m_onLog;
     std::optional<std::uint64_t> m_lease;
--- a/src/gateway/RegistryStore.cpp
+++ b/src/gateway/RegistryStore.cpp
@@ -17,17 +17,4 @@
     return "unknown";
 }
 
-const char *toText(Feed feed)
-{
-    switch (feed) {
-    case Feed::Operators:
-        return "operators";
-    case Feed::Servers:
-        return "servers";
-    case Feed::Hosts:
-        return "hosts";
-    }
-    return "unknown";
-}
-
 } // namespace greengagestair
--- a/src/gateway/RegistryStore.h
+++ b/src/gateway/RegistryStore.h
@@ -14,13 +14,6 @@
 
 namespace greengagestair {
 
-/** The parts of the platform's service that a gateway follows. */
-enum class Feed {
-    Operators, ///< configuration and failure domains out of service
-    Servers,   ///< registrations of backend servers
-    Hosts      ///< presence of the gateway's own entry hosts
-};
-
 /** The operators' routing configuration. */
 struct ConfigurationEntry
 {
@@ -43,6 +36,12 @@
 struct HostEntry
 {
     HostId host;
+    FailureDomainId failureDomain;
+};
+
+/** An entry of no kind that concerns a gateway. */
+struct OtherEntry
+{
 };
 
 /** An entry that does not exist any more, or cannot be read. */
@@ -51,20 +50,28 @@
     std::string problem; ///< what is wrong with an unreadable entry; empty if it was removed
 };
 
+/** A registration that does not exist any more, or names no server that can be used. */
+struct AbsentServer
+{
+    ServerId server;
+    std::string problem; ///< as of AbsentEntry
+};
+
 using EntryValue =
-        std::variant<AbsentEntry, ConfigurationEntry, EvacuationEntry, ServerEntry, HostEntry>;
+        std::variant<OtherEntry, AbsentEntry, AbsentServer, ConfigurationEntry, EvacuationEntry,
+                     ServerEntry, HostEntry>;
 
 /** One entry as it was written or removed. */
-struct FeedEntry
+struct StoreEntry
 {
-    std::string name; ///< unique within the feed
+    std::string key; ///< unique in the store
     EntryValue value;
 };
 
-/** Entries of a feed, and the revision up to which they are complete. */
-struct FeedPage
+/** Entries of the store, and the revision up to which they are complete. */
+struct StoreEntries
 {
-    std::vector<FeedEntry> entries;
+    std::vector<StoreEntry> entries;
     Revision revision;
 };
 
@@ -77,17 +84,10 @@
 };
 
 const char *toText(StoreFailure failure);
-const char *toText(Feed feed);
 
 template <typename Value>
 using StoreResult = std::variant<Value, StoreFailure>;
 
-/** How recent the answer of a read has to be. */
-enum class Freshness {
-    Current, ///< includes all that was accepted before the call
-    Cheap    ///< may be seconds old
-};
-
 /** A lease as granted. */
 struct LeaseGrant
 {
@@ -106,13 +106,11 @@
 public:
     virtual ~RegistryStore() = default;
 
-    /** Reads all entries of a feed. */
-    virtual void readAll(Feed feed, Freshness freshness,
-                         std::function<void(StoreResult<FeedPage>)> done)
-            = 0;
+    /** Reads all entries, those included that were accepted just before the call. */
+    virtual void readAll(std::function<void(StoreResult<StoreEntries>)> done) = 0;
     /** Waits until entries change after `revision`; gives no entries after `wait`. */
-    virtual void awaitChanges(Feed feed, Revision revision, Duration wait,
-                              std::function<void(StoreResult<FeedPage>)> done)
+    virtual void awaitChanges(Revision revision, Duration wait,
+                              std::function<void(StoreResult<StoreEntries>)> done)
             = 0;
     virtual void grantLease(Duration timeToLive,
                             std::function<void(StoreResult<LeaseGrant>)> done)
@@ -121,7 +119,7 @@
                             std::function<void(StoreResult<StoreDone>)> done)
             = 0;
     /** Writes the presence of an entry host; it is removed when the lease ends. */
-    virtual void announceHost(const HostId &host, std::uint64_t lease,
+    virtual void announceHost(const HostEntry &host, std::uint64_t lease,
                               std::function<void(StoreResult<StoreDone>)> done)
             = 0;
     /** Ends a lease, and with it the presence written under it. */
--- a/src/gateway/RequestFlow.cpp
+++ b/src/gateway/RequestFlow.cpp
@@ -17,6 +17,8 @@
 static constexpr Duration kAbandonLinger = std::chrono::milliseconds(250);
 /** Time for which the loser of a hedge may still use its connection. */
 static constexpr Duration kLoserLinger = std::chrono::milliseconds(1500);
+/** A part that takes less than this share of the latency target needs no second attempt. */
+static constexpr int kLeastHedgeDivisor = 5;
 /** Attempts of one part that may fail before a byte is sent. */
 static constexpr std::size_t kMaxUnsent = 3;
 /** Without samples, a part is expected to take this share of the latency target. */
@@ -230,11 +232,13 @@
     if (m_now < backend->coldUntil)
         backend->load.addColdStart(m_now);
     m_attempts.emplace(attempt, AttemptRecord { exchange.id, index, backend, m_now });
-    m_counters.add("attempts_total");
+    const bool isOwnDomain = m_selector.isOwnDomain(*backend);
+    m_counters.add(isOwnDomain ? "attempts_total{failureDomain=\"own\"}"
+                               : "attempts_total{failureDomain=\"other\"}");
     m_effects->push_back(StartAttempt { attempt, registration.server, registration.endpoint,
                                         exchange.request, exchange.deadlineAt - m_now });
     if (exchange.route->repeatable && part.sent < exchange.route->maxAttempts) {
-        const Duration least = exchange.route->latencyTarget / kInitialTimeDivisor;
+        const Duration least = exchange.route->latencyTarget / kLeastHedgeDivisor;
         const Duration delay = timesOf(*exchange.route).hedgeDelay(least);
         addTimer(m_now + delay, { TimerKind::Hedge, exchange.id, index });
     }
--- a/src/gateway/StoreFollower.h
+++ b/src/gateway/StoreFollower.h
@@ -14,8 +14,8 @@
 namespace greengagestair {
 
 /**
- * Follows one feed of the platform's store: reads all entries once, then waits for changes from
- * that revision on. Starts over when the store has dropped the history. Entries are handed on as
+ * Follows the platform's store: reads all entries once, then waits for changes from that revision
+ * on. Starts over when the store has dropped the history. Entries are handed on as
  * gateway events, losses and returns of the store as log decisions.
  */
 class StoreFollower
@@ -24,7 +24,7 @@
     using OnEvent = std::function<void(GatewayEvent event)>;
     using OnLog = std::function<void(LogDecision decision)>;
 
-    StoreFollower(Feed feed, RegistryStore &store, OnEvent onEvent, OnLog onLog,
+    StoreFollower(RegistryStore &store, FailureDomainId ownDomain, OnEvent onEvent, OnLog onLog,
                   std::uint64_t randomSeed);
 
     /** Starts the next call if it is due. */
@@ -33,21 +33,19 @@
     std::optional<MonotonicTime> nextWakeUp() const;
     /** True once all entries have been read. */
     bool isSynchronised() const { return m_revision.has_value(); }
-    Feed feed() const { return m_feed; }
 
 private:
-    void onRead(const StoreResult<FeedPage> &result);
-    void onChanges(const StoreResult<FeedPage> &result);
+    void onRead(const StoreResult<StoreEntries> &result);
+    void onChanges(const StoreResult<StoreEntries> &result);
     void onFailure(StoreFailure failure);
-    void onSuccess();
-    void publishAll(const FeedPage &page);
-    void publishChange(const FeedEntry &entry);
-    void publishEvacuations();
-    void publishHosts();
-    void logUnreadable(const FeedEntry &entry);
-
-    Feed m_feed;
+    void onSuccess(bool hasEntries);
+    void publishAll(const StoreEntries &store);
+    void publishChange(const StoreEntry &entry);
+    void publishSets();
+    void logUnreadable(const std::string &key, const std::string &problem);
+
     RegistryStore &m_store;
+    FailureDomainId m_ownDomain;
     OnEvent m_onEvent;
     OnLog m_onLog;
     std::mt19937_64 m_random;
@@ -56,8 +54,8 @@
     MonotonicTime m_nextCallAt;
     bool m_isCalling = false;
     int m_failures = 0; ///< in a row
-    std::map<std::string, FailureDomainId> m_evacuations;
-    std::set<std::string> m_hosts;
+    std::map<std::string, FailureDomainId> m_evacuations; ///< by key
+    std::map<std::string, FailureDomainId> m_hosts;       ///< by key
 };
 
 } // namespace greengagestair
