--- a/src/gateway/BackendLoad.cpp
+++ b/src/gateway/BackendLoad.cpp
@@ -13,7 +13,7 @@
  */
 static constexpr int kMaxSampleFactor = 3;
 /** Time in which an average without new samples halves its distance to the fallback. */
-static constexpr std::chrono::duration<double> kAverageHalfLife(2.0);
+static constexpr std::chrono::duration<double> kAverageHalfLife(1.0);
 /** Expected extra time per recent failure. */
 static constexpr Duration kFailurePenalty = std::chrono::milliseconds(60);
 /** Failures weigh half as much after this time. */
--- a/src/gateway/RequestFlow.cpp
+++ b/src/gateway/RequestFlow.cpp
@@ -18,7 +18,7 @@
 /** Time for which the loser of a hedge may still use its connection. */
 static constexpr Duration kLoserLinger = std::chrono::milliseconds(1500);
 /** A part that takes less than this share of the latency target needs no second attempt. */
-static constexpr int kLeastHedgeDivisor = 5;
+static constexpr int kLeastHedgeDivisor = 4;
 /** Attempts of one part that may fail before a byte is sent. */
 static constexpr std::size_t kMaxUnsent = 3;
 /** Without samples, a part is expected to take this share of the latency target. */
--- a/src/gateway/StoreFollower.cpp
+++ b/src/gateway/StoreFollower.cpp
@@ -10,9 +10,9 @@
  * A waiting call can miss changes, or its connection can fall silent, without a sign. A new call
  * finds out; changes of the configuration have to be in force within 3 s.
  */
-static constexpr Duration kWatchTime = std::chrono::milliseconds(1800);
+static constexpr Duration kWatchTime = std::chrono::milliseconds(2100);
 /** Changes come in groups; one call then brings several. */
-static constexpr Duration kCallInterval = std::chrono::milliseconds(250);
+static constexpr Duration kCallInterval = std::chrono::milliseconds(400);
 static constexpr Duration kFirstRetry = std::chrono::milliseconds(100);
 /** A configuration has to be in force 3 s after its acceptance. */
 static constexpr Duration kLongestRetry = std::chrono::milliseconds(800);
