--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -6,21 +6,24 @@
 
 /** Live servers whose registrations lapsed are registered again within this time. */
 static constexpr Duration kReturnTime = std::chrono::milliseconds(2000);
-/** Bound on the hosts among which the joint slack of repeats is divided. */
+/** Least number of hosts among which the joint slack of repeats is divided. */
 static constexpr double kMinSlackShares = 12;
+/** Shares that are kept free for hosts that are not counted yet, for each counted one. */
+static constexpr double kSlackReserve = 1.25;
 
 /** A lower number of hosts is believed after this time; longer than an outage of the store. */
 static constexpr Duration kHostMemory = std::chrono::seconds(30);
 
-static RepeatLimits shareOf(RepeatLimits limits)
+static RepeatLimits shareOf(RepeatLimits limits, const HostCount &hosts)
 {
-    limits.slack /= kMinSlackShares;
+    limits.slack /= std::max(kMinSlackShares, static_cast<double>(hosts.all) * kSlackReserve);
     return limits;
 }
 
 Gateway::Gateway(const GatewayOptions &options)
     : m_selector(options.selector, m_directory)
-    , m_flow(m_selector, m_directory, shareOf(options.repeats))
+    , m_flow(m_selector, shareOf(options.repeats, {}))
+    , m_repeats(options.repeats)
 {
 }
 
@@ -161,6 +164,7 @@
         return;
     m_hosts = hosts;
     m_selector.setHostCount(hosts);
+    m_flow.setRepeatLimits(shareOf(m_repeats, hosts));
     m_effects.push_back(LogDecision {
             LogWeight::State,
             "hostsCounted",
@@ -171,7 +175,8 @@
 void Gateway::on(const LimitsChanged &event)
 {
     m_selector.setOptions(event.options.selector);
-    m_flow.setRepeatLimits(shareOf(event.options.repeats));
+    m_repeats = event.options.repeats;
+    m_flow.setRepeatLimits(shareOf(m_repeats, m_hosts));
 }
 
 void Gateway::on(const GatewayStopRequested & /*event*/)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -58,6 +58,7 @@
     BackendDirectory m_directory;
     BackendSelector m_selector;
     RequestFlow m_flow;
+    RepeatLimits m_repeats; ///< of all hosts together
     std::shared_ptr<const RoutingConfiguration> m_configuration;
     HostCount m_hosts;
     std::optional<MonotonicTime> m_fewerHostsAt; ///< when a lower count is believed
--- a/src/gateway/RequestFlow.cpp
+++ b/src/gateway/RequestFlow.cpp
@@ -24,10 +24,8 @@
 /** Without samples, a part is expected to take this share of the latency target. */
 static constexpr int kInitialTimeDivisor = 10;
 
-RequestFlow::RequestFlow(BackendSelector &selector, const BackendDirectory &directory,
-                         const RepeatLimits &repeats)
+RequestFlow::RequestFlow(BackendSelector &selector, const RepeatLimits &repeats)
     : m_selector(selector)
-    , m_directory(directory)
     , m_repeatLimits(repeats)
 {
 }
@@ -239,8 +237,9 @@
                                         exchange.request, exchange.deadlineAt - m_now });
     if (exchange.route->repeatable && part.sent < exchange.route->maxAttempts) {
         const Duration least = exchange.route->latencyTarget / kLeastHedgeDivisor;
-        const Duration delay = timesOf(*exchange.route).hedgeDelay(least);
-        addTimer(m_now + delay, { TimerKind::Hedge, exchange.id, index });
+        // A third, since the estimator triples it while it has few samples.
+        const Duration usual = timesOf(*exchange.route).hedgeDelay(least / 3);
+        addTimer(m_now + std::max(usual, least), { TimerKind::Hedge, exchange.id, index });
     }
     return true;
 }
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -24,8 +24,7 @@
 class RequestFlow
 {
 public:
-    RequestFlow(BackendSelector &selector, const BackendDirectory &directory,
-                const RepeatLimits &repeats);
+    RequestFlow(BackendSelector &selector, const RepeatLimits &repeats);
 
     void setRepeatLimits(const RepeatLimits &limits);
     /** Begins a step: effects are appended to `effects` until the next call. */
@@ -101,7 +100,6 @@
     Duration typicalTime(const GatewayRoute &route);
 
     BackendSelector &m_selector;
-    const BackendDirectory &m_directory;
     RepeatLimits m_repeatLimits;
     MonotonicTime m_now;
     GatewayEffects *m_effects = nullptr;
--- /dev/null
+++ b/tests/gateway/GatewayTest.cpp
@@ -0,0 +1,371 @@
+#include "GatewayFixture.h"
+
+#include "gateway/RecordMerger.h"
+
+#include <set>
+
+using namespace greengagestair;
+
+static std::string record(char letter)
+{
+    return std::string(kRecordBytes, letter);
+}
+
+// Guards against a 404 for a route that the process merely does not know yet.
+TEST_CASE("without a configuration a request is refused as not run", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.lookup();
+    CHECK(fixture.refusal() == RefusalReason::NoConfiguration);
+    CHECK(std::get<RefusedReply>(fixture.reply()).retryAfter > 0ms);
+    CHECK_FALSE(fixture.gateway().isReady());
+}
+
+TEST_CASE("an unknown route is refused without a promise", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.request("nobody.example", "/find/");
+    CHECK(fixture.refusal() == RefusalReason::NoRoute);
+    CHECK_FALSE(provesNotRun(RefusalReason::NoRoute));
+}
+
+// Guards against traffic between failure domains that nothing asks for.
+TEST_CASE("a lookup goes to one server of each shard in the own failure domain", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.lookup();
+    REQUIRE(fixture.attempts.size() == GatewayFixture::kShards);
+    std::set<std::string> servers;
+    for (const StartAttempt &attempt : fixture.attempts)
+        servers.insert(attempt.server.value);
+    CHECK(servers
+          == std::set<std::string> {
+                  "shard-0-shubra", "shard-1-shubra", "shard-2-shubra", "shard-3-shubra" });
+    const auto attempts = fixture.takeAttempts();
+    for (std::size_t i = 0; i < attempts.size(); ++i)
+        fixture.answer(attempts[i], record(static_cast<char>('a' + i)));
+    const auto &merged = std::get<MergedReply>(fixture.reply());
+    CHECK(merged.signatures.size() == GatewayFixture::kShards);
+    CHECK(merged.missingParts == 0);
+    CHECK(merged.records == record('d') + record('c'));
+}
+
+// Guards against a query that waits for a paused server.
+TEST_CASE("a part that is late is sent once more to another server", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.lookup();
+    const auto attempts = fixture.takeAttempts();
+    for (std::size_t i = 1; i < attempts.size(); ++i)
+        fixture.answer(attempts[i]);
+    fixture.wait(30ms);
+    const auto hedges = fixture.takeAttempts();
+    REQUIRE(hedges.size() == 1);
+    CHECK(hedges.front().server.value == "shard-0-bulaq");
+    fixture.answer(hedges.front());
+    CHECK(std::get<MergedReply>(fixture.reply()).missingParts == 0);
+    CHECK(fixture.released == std::vector { attempts.front().attempt });
+    fixture.answer(attempts.front());
+    CHECK(fixture.replies.size() == 1);
+}
+
+// Guards against more servers per part than the route allows.
+TEST_CASE("a part reaches no more servers than the route allows", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    for (const char *domain : { "helwan", "giza" })
+        fixture.send(RegistrationWritten { GatewayFixture::registration("shard-0", domain) });
+    fixture.lookup();
+    std::size_t sent = 0;
+    for (int round = 0; round < 5; ++round) {
+        for (const StartAttempt &attempt : fixture.takeAttempts()) {
+            if (!attempt.server.value.starts_with("shard-0"))
+                continue;
+            ++sent;
+            fixture.fail(attempt, AttemptFailure::Lost);
+        }
+    }
+    CHECK(sent == 2);
+}
+
+// Guards against a whole query that is late for the sake of its last part.
+TEST_CASE("with enough parts at the latency target the answer is labelled partial", "[gateway]")
+{
+    GatewayFixture fixture(0);
+    fixture.start();
+    fixture.lookup();
+    const auto attempts = fixture.takeAttempts();
+    for (std::size_t i = 1; i < attempts.size(); ++i)
+        fixture.answer(attempts[i], record('a'));
+    CHECK(fixture.replies.empty());
+    fixture.wait(80ms);
+    const auto &merged = std::get<MergedReply>(fixture.reply());
+    CHECK(merged.missingParts == 1);
+    CHECK(merged.signatures.size() == GatewayFixture::kShards - 1);
+}
+
+// Guards against a success that lacks more shards than the operators allow.
+TEST_CASE("with too few parts there is no answer before the deadline", "[gateway]")
+{
+    GatewayFixture fixture(0);
+    fixture.start();
+    fixture.lookup();
+    const auto attempts = fixture.takeAttempts();
+    fixture.answer(attempts[0]);
+    fixture.answer(attempts[1]);
+    fixture.wait(300ms);
+    CHECK(fixture.replies.empty());
+    fixture.wait(110ms);
+    CHECK(fixture.refusal() == RefusalReason::TimedOut);
+}
+
+// Guards against the failure of one server that counts as a part of the answer.
+TEST_CASE("a failure with a signature is not a part", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.lookup();
+    for (const StartAttempt &attempt : fixture.takeAttempts())
+        fixture.answer(attempt, record('z'), attempt.server.value == "shard-0-shubra" ? 500 : 200);
+    const auto retries = fixture.takeAttempts();
+    REQUIRE(retries.size() == 1);
+    fixture.answer(retries.front(), record('a'));
+    CHECK(std::get<MergedReply>(fixture.reply()).records == record('z') + record('z'));
+}
+
+// Guards against orders that run twice.
+TEST_CASE("an order is not sent again once it may have run", "[gateway]")
+{
+    const AttemptFailure failure =
+            GENERATE(AttemptFailure::Lost, AttemptFailure::Corrupt, AttemptFailure::Expired);
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.order();
+    const auto attempts = fixture.takeAttempts();
+    REQUIRE(attempts.size() == 1);
+    fixture.wait(200ms);
+    CHECK(fixture.attempts.empty());
+    fixture.fail(attempts.front(), failure);
+    CHECK(fixture.attempts.empty());
+    CHECK(fixture.refusal() == RefusalReason::Failed);
+    CHECK_FALSE(provesNotRun(RefusalReason::Failed));
+}
+
+TEST_CASE("an order that no server ran is sent to another server", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.order();
+    const bool wasSent = GENERATE(false, true);
+    const auto attempts = fixture.takeAttempts();
+    if (wasSent)
+        fixture.shed(attempts.front());
+    else
+        fixture.fail(attempts.front(), AttemptFailure::NotSent);
+    const auto second = fixture.takeAttempts();
+    REQUIRE(second.size() == 1);
+    CHECK(second.front().server != attempts.front().server);
+    fixture.answer(second.front(), "done");
+    CHECK(std::get<ForwardedReply>(fixture.reply()).answer.body == "done");
+}
+
+// Guards against a refusal that says "not run" of an order that ran.
+TEST_CASE("an order that all servers refused is refused as not run, at once", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.order();
+    fixture.shed(fixture.takeAttempts().front());
+    fixture.shed(fixture.takeAttempts().front());
+    CHECK(fixture.refusal() == RefusalReason::Shed);
+    CHECK(std::get<RefusedReply>(fixture.reply()).retryAfter > 0ms);
+}
+
+TEST_CASE("a server's own failure is passed on unchanged", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.order();
+    fixture.answer(fixture.takeAttempts().front(), "broken", 500);
+    const auto &forwarded = std::get<ForwardedReply>(fixture.reply());
+    CHECK(forwarded.answer.status == 500);
+    CHECK(forwarded.answer.body == "broken");
+    CHECK_FALSE(forwarded.answer.signature.empty());
+}
+
+// Guards against a success without the proof that a server worked on it.
+TEST_CASE("a success without a signature is not passed on", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.order();
+    BackendAnswer answer;
+    answer.status = 200;
+    fixture.send(AttemptEnded { fixture.takeAttempts().front().attempt, answer });
+    CHECK(fixture.refusal() == RefusalReason::Failed);
+}
+
+// Guards against callers that are kept waiting longer than the operators allow.
+TEST_CASE("a request ends at the route's timeout", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.configuration.routes[1].timeout = 300ms;
+    fixture.start();
+    fixture.order();
+    fixture.wait(290ms);
+    CHECK(fixture.replies.empty());
+    fixture.wait(20ms);
+    CHECK(fixture.refusal() == RefusalReason::TimedOut);
+}
+
+// Guards against backend servers that work on for callers that have left.
+TEST_CASE("a caller that leaves releases its attempts and gets no further ones", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const ExchangeId exchange = fixture.lookup();
+    const auto attempts = fixture.takeAttempts();
+    fixture.send(CallerLeft { exchange });
+    CHECK(fixture.released.size() == attempts.size());
+    fixture.fail(attempts.front(), AttemptFailure::Expired);
+    fixture.wait(500ms);
+    CHECK(fixture.attempts.empty());
+    CHECK(fixture.replies.empty());
+    CHECK(fixture.gateway().isIdle());
+}
+
+// Guards against work for failure domains and servers that are leaving.
+TEST_CASE("servers that drain or are out of service get no new work", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    SECTION("the failure domain is taken out")
+    {
+        fixture.send(EvacuationsRead { { { "shubra" } } });
+        fixture.order();
+        CHECK(fixture.takeAttempts().front().server.value == "orders-bulaq");
+        fixture.send(EvacuationsRead { {} });
+        fixture.order();
+        CHECK(fixture.takeAttempts().front().server.value == "orders-shubra");
+    }
+    SECTION("the server drains")
+    {
+        BackendRegistration registration = GatewayFixture::registration("orders", "shubra");
+        registration.isDraining = true;
+        fixture.send(RegistrationWritten { registration });
+        fixture.order();
+        CHECK(fixture.takeAttempts().front().server.value == "orders-bulaq");
+    }
+    SECTION("both at once leave nobody")
+    {
+        BackendRegistration registration = GatewayFixture::registration("orders", "bulaq");
+        registration.isDraining = true;
+        fixture.send(RegistrationWritten { registration });
+        fixture.send(EvacuationsRead { { { "shubra" } } });
+        fixture.order();
+        CHECK(fixture.refusal() == RefusalReason::NoBackend);
+    }
+}
+
+// Guards against an outage of the whole service when registrations lapse with the store.
+TEST_CASE("a server whose registration lapsed is used until it had time to return", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    for (const char *domain : { "shubra", "bulaq" })
+        fixture.send(RegistrationRemoved { { std::string("orders-") + domain } });
+    fixture.order();
+    CHECK(fixture.takeAttempts().size() == 1);
+    fixture.wait(1900ms);
+    fixture.send(RegistrationWritten { GatewayFixture::registration("orders", "shubra") });
+    fixture.wait(200ms);
+    CHECK(fixture.gateway().directory().find({ "orders-shubra" }));
+    CHECK_FALSE(fixture.gateway().directory().find({ "orders-bulaq" }));
+}
+
+// Guards against a process that goes back to an older configuration.
+TEST_CASE("an older configuration is ignored", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    RoutingConfiguration older = fixture.configuration;
+    older.version = 0;
+    older.routes.clear();
+    fixture.send(ConfigurationRead { std::make_shared<const RoutingConfiguration>(older) });
+    CHECK(fixture.gateway().configuration()->version == 1);
+}
+
+// Guards against parts of one answer that come from two sets of shards.
+TEST_CASE("a query keeps the set of shards that it began with", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.lookup();
+    RoutingConfiguration next = fixture.configuration;
+    next.version = 2;
+    next.routes[0].gather->services = { { "orders" } };
+    fixture.send(ConfigurationRead { std::make_shared<const RoutingConfiguration>(next) });
+    for (const StartAttempt &attempt : fixture.takeAttempts())
+        fixture.answer(attempt, record('a'));
+    CHECK(std::get<MergedReply>(fixture.reply()).signatures.size() == GatewayFixture::kShards);
+}
+
+// Guards against weights that hold only on average.
+TEST_CASE("a split keeps its weights over any run of requests", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.addService("other");
+    fixture.configuration.routes[1].targets = { { { "orders" }, 3 }, { { "other" }, 1 } };
+    fixture.start();
+    int other = 0;
+    for (int i = 1; i <= 40; ++i) {
+        fixture.order();
+        const StartAttempt attempt = fixture.takeAttempts().front();
+        other += attempt.server.value.starts_with("other") ? 1 : 0;
+        fixture.answer(attempt);
+        CHECK(std::abs(other - i / 4.0) <= 1);
+    }
+}
+
+// Guards against more requests to a cold server than it bears.
+TEST_CASE("a cold server gets this host's share of what it bears", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.configuration.services[{ "orders" }].coldRequestsPerSecond = 4;
+    fixture.start();
+    fixture.send(HostsCounted { { 3, 1 } });
+    fixture.send(RegistrationRemoved { { "orders-bulaq" } });
+    fixture.wait(2100ms);
+    BackendRegistration registration = GatewayFixture::registration("orders", "shubra");
+    registration.startedAt = 2;
+    registration.coldFor = 3s;
+    fixture.send(RegistrationWritten { registration });
+    std::size_t sent = 0;
+    for (int i = 0; i < 50; ++i) {
+        fixture.order();
+        for (const StartAttempt &attempt : fixture.takeAttempts()) {
+            ++sent;
+            fixture.answer(attempt);
+        }
+        fixture.wait(15ms);
+    }
+    // 4 a second, times 1.5, and 5 more, over 3 hosts.
+    CHECK(sent == 3);
+}
+
+// Guards against shares of bounds that grow while hosts cannot reach the store.
+TEST_CASE("a lower number of hosts is believed after a while only", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.send(HostsCounted { { 9, 3 } });
+    fixture.send(HostsCounted { { 2, 1 } });
+    fixture.wait(20s);
+    CHECK(fixture.gateway().dump(fixture.now).at("entryHosts").to_number<int>() == 9);
+    fixture.wait(11s);
+    CHECK(fixture.gateway().dump(fixture.now).at("entryHosts").to_number<int>() == 2);
+}
--- /dev/null
+++ b/tests/gateway/PolicyTest.cpp
@@ -0,0 +1,120 @@
+#include "gateway/CrashGuard.h"
+#include "gateway/RecordMerger.h"
+#include "gateway/RepeatBudget.h"
+#include "gateway/RoutingConfiguration.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <deque>
+#include <random>
+
+using namespace greengagestair;
+using namespace std::chrono_literals;
+
+static std::string record(char letter)
+{
+    return std::string(kRecordBytes, letter);
+}
+
+// Guards against an answer with records in the wrong order, or without an equal record.
+TEST_CASE("the greatest records of all parts come first, equal ones each", "[gateway]")
+{
+    const std::string first = record('b') + record('d') + "rest";
+    const std::string second = record('d') + record('a') + record('\xff');
+    CHECK(mergeGreatestRecords({ first, second }, 4)
+          == record('\xff') + record('d') + record('d') + record('b'));
+    CHECK(mergeGreatestRecords({ first, second }, 9).size() == 5 * kRecordBytes);
+    CHECK(mergeGreatestRecords({}, 3).empty());
+}
+
+// Guards against requests that reach a service which a longer prefix sends elsewhere.
+TEST_CASE("a request takes the route of its host with the longest prefix", "[gateway]")
+{
+    RoutingConfiguration configuration;
+    const auto add = [&](const std::string &name, const std::string &host,
+                         const std::string &prefix) {
+        GatewayRoute route;
+        route.name = name;
+        route.host = host;
+        route.prefix = prefix;
+        configuration.routes.push_back(route);
+    };
+    add("short", "a.example", "/x/");
+    add("long", "a.example", "/x/y/");
+    add("other", "b.example", "/");
+    const auto nameOf = [&](const char *host, const char *target) {
+        const GatewayRoute *route = findRoute(configuration, host, target);
+        return route ? route->name : "none";
+    };
+    CHECK(nameOf("a.example", "/x/y/z") == "long");
+    CHECK(nameOf("A.example:80", "/x/z?q=/x/y/") == "short");
+    CHECK(nameOf("b.example", "/x/y/z") == "other");
+    CHECK(nameOf("a.example", "/xy") == "none");
+    CHECK(nameOf("c.example", "/x/") == "none");
+}
+
+// Guards against a storm of repeats: hosts that know nothing of each other must keep the joint
+// bound in each span of the window's length, also while requests come in bursts.
+TEST_CASE("the repeats of all hosts stay within the joint budget", "[gateway]")
+{
+    constexpr std::size_t kHosts = 9;
+    constexpr double kJointSlack = 58;
+    std::mt19937_64 random(20261204);
+    RepeatLimits limits;
+    limits.slack = kJointSlack / 12;
+    std::vector<RepeatBudget> hosts(kHosts, RepeatBudget(limits));
+    std::deque<MonotonicTime> requests;
+    std::deque<MonotonicTime> repeats;
+    MonotonicTime now(100s);
+    std::size_t allowed = 0;
+    for (int step = 0; step < 60'000; ++step) {
+        const bool isBurst = (step / 5000) % 3 == 1;
+        now += std::chrono::microseconds(random() % (isBurst ? 800 : 20'000));
+        RepeatBudget &host = hosts[random() % (step % 3 == 0 ? kHosts : 2)];
+        host.addRequest(now);
+        requests.push_back(now);
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            if (host.takeRepeat(now)) {
+                repeats.push_back(now);
+                ++allowed;
+            }
+        }
+        while (now - requests.front() > limits.window)
+            requests.pop_front();
+        while (!repeats.empty() && now - repeats.front() > limits.window)
+            repeats.pop_front();
+        const double bound =
+                limits.ratio * static_cast<double>(requests.size()) + kJointSlack;
+        REQUIRE(static_cast<double>(repeats.size()) <= bound);
+    }
+    CHECK(allowed > 5000);
+}
+
+// Guards against a request that crashes each server which runs it, sent again and again.
+TEST_CASE("a signature that keeps losing servers is blocked", "[gateway]")
+{
+    CrashGuard guard;
+    const Signature signature { 7 };
+    const MonotonicTime now(10s);
+    guard.addLoss(signature, "first", { "a" }, now);
+    guard.addLoss(signature, "first", { "b" }, now);
+    guard.addLoss(signature, "first", { "c" }, now);
+    // All parts of one request can be lost with a failure domain.
+    CHECK_FALSE(guard.isBlocked(signature, now));
+    guard.addLoss(signature, "second", { "a" }, now);
+    CHECK(guard.isBlocked(signature, now));
+    CHECK(guard.isBlocked(signature, now + 59s));
+    CHECK_FALSE(guard.isBlocked(signature, now + 61s));
+    guard.addSuccess(signature);
+    CHECK_FALSE(guard.isBlocked(signature, now));
+}
+
+// Guards against memory that grows with the number of lost requests.
+TEST_CASE("the guard remembers a bounded number of signatures", "[gateway]")
+{
+    CrashGuard guard;
+    for (std::uint64_t i = 0; i < 20'000; ++i)
+        guard.addLoss({ i }, "id", { "a" }, MonotonicTime(1s));
+    CHECK(guard.size() <= 4096);
+}
--- /dev/null
+++ b/tests/platform/EntryDecoderTest.cpp
@@ -0,0 +1,149 @@
+#include "platform/EntryDecoder.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace greengagestair;
+using namespace greengagestair::platform;
+using namespace std::chrono_literals;
+namespace json = boost::json;
+
+static StoreEntry decode(const std::string &key, const std::string &value)
+{
+    return decodeEntry(json::object {
+            { "key", key }, { "value", encodeBase64(value) }, { "rev", 4 }, { "lease", 0 } });
+}
+
+static const std::string kRegistration =
+        R"({"service":"s1","address":"10.128.0.9:8080","zone":"shubra","version":"v1","slots":2,)"
+        R"("state":"ready","slow_start_ms":1500,"sequence":4,"born":1700000000123,"later":[]})";
+
+TEST_CASE("a registration is decoded with its units", "[platform]")
+{
+    const StoreEntry entry = decode("servers/i-7", kRegistration);
+    const auto &registration = std::get<ServerEntry>(entry.value).registration;
+    CHECK(registration.server == ServerId { "i-7" });
+    CHECK(registration.service == ServiceId { "s1" });
+    CHECK(registration.endpoint == Endpoint { "10.128.0.9", 8080 });
+    CHECK(registration.failureDomain == FailureDomainId { "shubra" });
+    CHECK(registration.coldFor == 1500ms);
+    CHECK_FALSE(registration.isDraining);
+    CHECK(registration.startedAt == 1700000000123);
+}
+
+// Guards against an entry of another writer that is used as a server, or that ends the process.
+TEST_CASE("a registration that cannot be read names no server to use", "[platform]")
+{
+    const std::string value = GENERATE(
+            as<std::string> {}, "", "{", "[]", "{}", R"({"service":"s1"})",
+            R"({"service":"s1","address":"x","zone":"z","slots":2,"state":"ready","slow_start_ms":0,"sequence":1})",
+            R"({"service":"s1","address":"1.2.3.4:80","zone":"z","slots":"2","state":"ready","slow_start_ms":0,"sequence":1})",
+            R"({"service":"s1","address":"1.2.3.4:80","zone":"z","slots":2,"state":"odd","slow_start_ms":0,"sequence":1})",
+            R"({"service":"s1","address":"1.2.3.4:99999","zone":"z","slots":2,"state":"ready","slow_start_ms":0,"sequence":1})",
+            R"({"service":"s1","address":"1.2.3.4:80","zone":"z","slots":2,"state":"ready","slow_start_ms":-1,"sequence":1})");
+    const StoreEntry entry = decode("servers/i-7", value);
+    const auto *absent = std::get_if<AbsentServer>(&entry.value);
+    REQUIRE(absent);
+    CHECK(absent->server == ServerId { "i-7" });
+    CHECK_FALSE(absent->problem.empty());
+}
+
+TEST_CASE("bytes that are no base64 make an entry unreadable", "[platform]")
+{
+    const StoreEntry entry =
+            decodeEntry(json::object { { "key", "servers/i-7" }, { "value", "***" } });
+    CHECK(std::holds_alternative<AbsentServer>(entry.value));
+}
+
+TEST_CASE("a removed registration is absent without a problem", "[platform]")
+{
+    const StoreEntry entry = decodeEntry(
+            json::object { { "key", "servers/i-7" }, { "rev", 9 }, { "removed", true } });
+    CHECK(std::get<AbsentServer>(entry.value).problem.empty());
+}
+
+TEST_CASE("a configuration is decoded with routes of all forms", "[platform]")
+{
+    const StoreEntry entry = decode("op/config", R"({"version":7,"routes":[
+        {"name":"a","host":"h","prefix":"/a/","type":"idempotent","timeout_ms":400,
+         "target_latency_ms":40,"priority":2,"gather":["s1","s2"],"max_attempts":2,"top_k":5,
+         "min_coverage":0.75},
+        {"name":"b","host":"h","prefix":"/b/","type":"non_idempotent","timeout_ms":2500,
+         "target_latency_ms":250,"priority":1,"service":"s1","max_attempts":1},
+        {"name":"c","host":"h","prefix":"/c/","type":"idempotent","timeout_ms":2500,
+         "target_latency_ms":250,"priority":0,"max_attempts":1,
+         "split":[{"service":"s1","weight":3},{"service":"s2","weight":0.5}]}],
+        "services":[{"name":"s1","health_path":"/h","max_conns":26,"warmup_per_s":4.5},
+                    {"name":"s2","health_path":"/h","max_conns":9}],
+        "limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":3000,
+                  "idle_timeout_ms":15000}})");
+    const auto &configuration = *std::get<ConfigurationEntry>(entry.value).configuration;
+    CHECK(configuration.version == 7);
+    REQUIRE(configuration.routes.size() == 3);
+    CHECK(configuration.routes[0].repeatable);
+    CHECK(configuration.routes[0].gather->services.size() == 2);
+    CHECK(configuration.routes[0].gather->topRecords == 5);
+    CHECK(configuration.routes[0].latencyTarget == 40ms);
+    CHECK_FALSE(configuration.routes[1].repeatable);
+    CHECK(configuration.routes[2].targets.size() == 2);
+    CHECK(configuration.services.at({ "s1" }).coldRequestsPerSecond == 4.5);
+    CHECK(configuration.limits.idleTimeout == 15s);
+}
+
+TEST_CASE("a configuration that cannot be read is left out", "[platform]")
+{
+    const StoreEntry entry = decode("op/config", R"({"version":"7","routes":[]})");
+    CHECK(std::get<AbsentEntry>(entry.value).problem
+          == "expected a whole number of 0 or more as version of configuration");
+}
+
+TEST_CASE("hosts are read back as they were written", "[platform]")
+{
+    const HostEntry host { { "edge-1" }, { "shubra" } };
+    const StoreEntry entry = decode(hostKey(host.host), encodeHost(host));
+    const auto &read = std::get<HostEntry>(entry.value);
+    CHECK(read.host == host.host);
+    CHECK(read.failureDomain == host.failureDomain);
+}
+
+TEST_CASE("foreign keys concern nobody", "[platform]")
+{
+    CHECK(std::holds_alternative<OtherEntry>(decode("my/leader", "x").value));
+}
+
+// Guards against bytes that are changed on the way.
+TEST_CASE("base64 gives back what it was given", "[platform]")
+{
+    CHECK(encodeBase64("node-1") == "bm9kZS0x");
+    std::mt19937 random(7);
+    for (std::size_t size = 0; size < 200; ++size) {
+        std::string bytes(size, '\0');
+        for (char &byte : bytes)
+            byte = static_cast<char>(random());
+        boost::leaf::try_handle_all(
+                [&]() -> boost::leaf::result<void> {
+                    BOOST_LEAF_AUTO(decoded, decodeBase64(encodeBase64(bytes)));
+                    CHECK(decoded == bytes);
+                    return {};
+                },
+                [] { FAIL("not decoded"); });
+    }
+}
+
+// Guards against a foreign entry that ends the process.
+TEST_CASE("mutated registrations are decoded or left out, never more", "[platform]")
+{
+    std::mt19937 random(20261204);
+    for (int run = 0; run < 20'000; ++run) {
+        std::string value = kRegistration;
+        for (int change = random() % 4; change >= 0; --change)
+            value[random() % value.size()] = static_cast<char>(random() % 256);
+        const StoreEntry entry = decode("servers/i-7", value);
+        const bool isKnown = std::holds_alternative<ServerEntry>(entry.value)
+                || std::holds_alternative<AbsentServer>(entry.value);
+        REQUIRE(isKnown);
+    }
+}
--- /dev/null
+++ b/tests/platform/StoreClientTest.cpp
@@ -0,0 +1,132 @@
+#include "platform/StoreClient.h"
+
+#include "standins/RegistryStandIn.h"
+
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace greengagestair;
+using namespace greengagestair::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A store client and the stand-in of the store on one event loop. */
+class StoreFixture
+{
+public:
+    StoreFixture()
+        : standIn(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        , client({ "127.0.0.1", standIn.endpoint().port() },
+                 [this](std::function<void()> function) {
+                     boost::asio::post(context, std::move(function));
+                 })
+    {
+    }
+
+    /** Runs the loop until `result` is set. */
+    template <typename Value>
+    Value await(std::optional<Value> &result)
+    {
+        const auto end = std::chrono::steady_clock::now() + 20s;
+        while (!result && std::chrono::steady_clock::now() < end)
+            context.run_for(10ms);
+        REQUIRE(result);
+        return *result;
+    }
+
+    StoreResult<StoreEntries> readAll()
+    {
+        std::optional<StoreResult<StoreEntries>> result;
+        client.readAll([&](StoreResult<StoreEntries> answer) { result = std::move(answer); });
+        return await(result);
+    }
+
+    StoreResult<StoreEntries> awaitChanges(Revision revision, Duration wait = 500ms)
+    {
+        std::optional<StoreResult<StoreEntries>> result;
+        client.awaitChanges(revision, wait, [&](StoreResult<StoreEntries> answer) {
+            result = std::move(answer);
+        });
+        return await(result);
+    }
+
+    boost::asio::io_context context { 1 };
+    standins::RegistryStandIn standIn;
+    StoreClient client;
+};
+
+} // namespace
+
+TEST_CASE("all pages are read, and changes from the first page on", "[platform]")
+{
+    StoreFixture fixture;
+    fixture.standIn.setPageSize(3);
+    for (int i = 0; i < 8; ++i)
+        fixture.standIn.put("hosts/h" + std::to_string(i), R"({"failureDomain":"shubra"})");
+    const auto read = std::get<StoreEntries>(fixture.readAll());
+    CHECK(read.entries.size() == 8);
+    CHECK(fixture.standIn.calls("/kv-range") == 3);
+    fixture.standIn.remove("hosts/h3");
+    const auto changes = std::get<StoreEntries>(fixture.awaitChanges(read.revision));
+    REQUIRE(changes.entries.size() == 1);
+    CHECK(changes.entries.front().key == "hosts/h3");
+    CHECK(changes.revision > read.revision);
+}
+
+TEST_CASE("a watch without changes ends in time with the same revision", "[platform]")
+{
+    StoreFixture fixture;
+    const auto read = std::get<StoreEntries>(fixture.readAll());
+    const auto changes = std::get<StoreEntries>(fixture.awaitChanges(read.revision, 30ms));
+    CHECK(changes.entries.empty());
+    CHECK(changes.revision == read.revision);
+}
+
+TEST_CASE("failures of the store are told apart", "[platform]")
+{
+    StoreFixture fixture;
+    SECTION("history is dropped")
+    {
+        fixture.standIn.put("hosts/a", "{}");
+        fixture.standIn.dropHistory();
+        CHECK(std::get<StoreFailure>(fixture.awaitChanges({ 1 })) == StoreFailure::HistoryDropped);
+    }
+    SECTION("the store refuses")
+    {
+        fixture.standIn.setMode(standins::RegistryStandIn::Mode::Refuse);
+        CHECK(std::get<StoreFailure>(fixture.readAll()) == StoreFailure::Refused);
+    }
+    SECTION("the store is silent")
+    {
+        fixture.standIn.setMode(standins::RegistryStandIn::Mode::Hang);
+        CHECK(std::get<StoreFailure>(fixture.readAll()) == StoreFailure::Unreachable);
+        fixture.standIn.setMode(standins::RegistryStandIn::Mode::Up);
+    }
+}
+
+TEST_CASE("a host is present as long as its lease lasts", "[platform]")
+{
+    StoreFixture fixture;
+    std::optional<StoreResult<LeaseGrant>> granted;
+    fixture.client.grantLease(10s, [&](StoreResult<LeaseGrant> answer) { granted = answer; });
+    const auto grant = std::get<LeaseGrant>(fixture.await(granted));
+    CHECK(grant.timeToLive == 10s);
+    std::optional<StoreResult<StoreDone>> done;
+    const auto onDone = [&](StoreResult<StoreDone> answer) { done = answer; };
+    fixture.client.announceHost({ { "edge-1" }, { "shubra" } }, grant.lease, onDone);
+    CHECK(std::holds_alternative<StoreDone>(fixture.await(done)));
+    CHECK(fixture.standIn.contains("hosts/edge-1"));
+    done.reset();
+    fixture.client.renewLease(grant.lease, onDone);
+    CHECK(std::holds_alternative<StoreDone>(fixture.await(done)));
+    done.reset();
+    fixture.client.endLease(grant.lease, onDone);
+    CHECK(std::holds_alternative<StoreDone>(fixture.await(done)));
+    CHECK_FALSE(fixture.standIn.contains("hosts/edge-1"));
+    done.reset();
+    fixture.client.renewLease(grant.lease, onDone);
+    CHECK(std::get<StoreFailure>(fixture.await(done)) == StoreFailure::LeaseEnded);
+}
