--- /dev/null
+++ b/tests/http/BackendPoolTest.cpp
@@ -0,0 +1,285 @@
+#include "RawPeers.h"
+
+#include "http/BackendPool.h"
+
+#include <map>
+
+using namespace greengagestair;
+using namespace std::chrono_literals;
+
+namespace {
+
+class PoolFixture
+{
+public:
+    PoolFixture()
+        : server(context)
+        , pool(context, names(), [this](AttemptId attempt, AttemptResult result) {
+            ended.emplace(attempt.value, std::move(result));
+        })
+    {
+    }
+
+    static HeaderNames names()
+    {
+        HeaderNames names;
+        names.requestId = "Request-Id";
+        names.deadline = "Deadline";
+        names.expectedServer = "Expected-Server";
+        names.signature = "Signature";
+        names.notExecuted = "Not-Executed";
+        return names;
+    }
+
+    void start(std::uint64_t attempt, const std::string &body = "")
+    {
+        auto request = std::make_shared<GatewayRequest>();
+        request->method = body.empty() ? "GET" : "POST";
+        request->target = "/x?a=1&a=2";
+        request->host = "h";
+        request->requestId = "id-" + std::to_string(attempt);
+        request->headers = { { "Host", "h" }, { "Request-Id", request->requestId } };
+        request->body = body;
+        pool.start({ { attempt }, { "s" }, { "127.0.0.1", server.port() }, request, 500ms });
+    }
+
+    RawPeer &peer(std::size_t index = 0)
+    {
+        runUntil(context, [&] { return server.peers.size() > index; });
+        return *server.peers[index];
+    }
+    /** Waits until the peer has read a whole request with that id, and answers. */
+    void respond(std::uint64_t attempt, const std::string &response, std::size_t index = 0)
+    {
+        RawPeer &connection = peer(index);
+        const std::string id = "id-" + std::to_string(attempt);
+        runUntil(context, [&] { return connection.received.find(id) != std::string::npos; });
+        connection.write(response);
+    }
+    const AttemptResult &result(std::uint64_t attempt)
+    {
+        runUntil(context, [&] { return ended.contains(attempt); });
+        return ended.at(attempt);
+    }
+    const BackendAnswer &answer(std::uint64_t attempt)
+    {
+        const auto *answer = std::get_if<BackendAnswer>(&result(attempt));
+        REQUIRE(answer);
+        return *answer;
+    }
+    AttemptFailure failure(std::uint64_t attempt)
+    {
+        const auto *failure = std::get_if<AttemptFailure>(&result(attempt));
+        REQUIRE(failure);
+        return *failure;
+    }
+
+    boost::asio::io_context context { 1 };
+    RawServer server;
+    std::map<std::uint64_t, AttemptResult> ended;
+    BackendPool pool;
+};
+
+} // namespace
+
+static std::string response(std::uint64_t attempt, const std::string &body,
+                            const std::string &headers = "")
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: id-" + std::to_string(attempt)
+            + "\r\nSignature: sig\r\n" + headers
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+TEST_CASE("a request names its server and the time left", "[http]")
+{
+    PoolFixture fixture;
+    fixture.start(1, "body");
+    fixture.respond(1, response(1, "answer"));
+    CHECK(fixture.answer(1).body == "answer");
+    CHECK(fixture.answer(1).signature == "sig");
+    const std::string &sent = fixture.peer().received;
+    CHECK(sent.starts_with("POST /x?a=1&a=2 HTTP/1.1\r\nHost: h\r\n"));
+    CHECK(sent.find("Expected-Server: s\r\n") != std::string::npos);
+    CHECK(sent.find("Deadline: 500\r\n") != std::string::npos);
+    CHECK(sent.ends_with("Content-Length: 4\r\n\r\nbody"));
+}
+
+TEST_CASE("a connection is used again", "[http]")
+{
+    PoolFixture fixture;
+    fixture.start(1);
+    fixture.respond(1, response(1, "a"));
+    fixture.answer(1);
+    fixture.start(2);
+    fixture.respond(2, response(2, "b"));
+    CHECK(fixture.answer(2).body == "b");
+    CHECK(fixture.pool.counters().opened == 1);
+}
+
+// Guards against an answer that belongs to another request.
+TEST_CASE("a second answer to an earlier request is dropped", "[http]")
+{
+    PoolFixture fixture;
+    fixture.start(1);
+    fixture.respond(1, response(1, "a"));
+    fixture.answer(1);
+    SECTION("it comes before the right one")
+    {
+        fixture.start(2);
+        fixture.respond(2, response(1, "again") + response(2, "b"));
+        CHECK(fixture.answer(2).body == "b");
+    }
+    SECTION("it comes while the connection is idle")
+    {
+        fixture.peer().write(response(1, "again"));
+        runUntil(fixture.context, [&] { return fixture.pool.idleConnections() == 0; });
+        fixture.start(2);
+        fixture.respond(2, response(2, "b"), 1);
+        CHECK(fixture.answer(2).body == "b");
+    }
+}
+
+TEST_CASE("bytes after an answer end the connection", "[http]")
+{
+    PoolFixture fixture;
+    fixture.start(1);
+    fixture.respond(1, response(1, "a") + "more");
+    CHECK(fixture.answer(1).body == "a");
+    CHECK(fixture.pool.idleConnections() == 0);
+}
+
+// Guards against a truncated answer that looks whole.
+TEST_CASE("an answer that breaks off is no answer", "[http]")
+{
+    PoolFixture fixture;
+    fixture.start(1);
+    SECTION("short of its length")
+    {
+        fixture.respond(1, "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 9\r\n\r\nabc");
+        fixture.peer().close();
+    }
+    SECTION("without a length, by a reset")
+    {
+        fixture.respond(1, "HTTP/1.1 200 OK\r\nSignature: s\r\n\r\nabc");
+        fixture.context.run_for(5ms);
+        fixture.peer().reset();
+    }
+    SECTION("in a chunk")
+    {
+        fixture.respond(1, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab");
+        fixture.peer().close();
+    }
+    SECTION("before it begins")
+    {
+        fixture.respond(1, "");
+        fixture.peer().close();
+    }
+    CHECK(fixture.failure(1) == AttemptFailure::Lost);
+}
+
+TEST_CASE("an answer without a length ends with its connection", "[http]")
+{
+    PoolFixture fixture;
+    fixture.start(1);
+    fixture.respond(1, "HTTP/1.1 200 OK\r\nSignature: s\r\n\r\nabc");
+    fixture.peer().close();
+    CHECK(fixture.answer(1).body == "abc");
+    CHECK(fixture.pool.idleConnections() == 0);
+}
+
+TEST_CASE("bytes that are no response make the attempt corrupt", "[http]")
+{
+    PoolFixture fixture;
+    fixture.start(1);
+    fixture.respond(1, "\x01\x02 nonsense\r\n\r\n");
+    CHECK(fixture.failure(1) == AttemptFailure::Corrupt);
+}
+
+// Guards against a refusal that is taken for a run, and the reverse.
+TEST_CASE("only the server's own statement says that it did not run a request", "[http]")
+{
+    const auto [head, expected] = GENERATE(table<std::string, bool>(
+            { { "503 Busy\r\nNot-Executed: 1", true },
+              { "421 Misdirected Request", true },
+              { "503 Busy", false },
+              { "500 Error\r\nSignature: s", false } }));
+    PoolFixture fixture;
+    fixture.start(1);
+    fixture.respond(1, "HTTP/1.1 " + head + "\r\nContent-Length: 0\r\n\r\n");
+    CHECK(fixture.answer(1).notExecuted == expected);
+}
+
+TEST_CASE("a server that nobody listens for was not reached", "[http]")
+{
+    PoolFixture fixture;
+    auto request = std::make_shared<GatewayRequest>();
+    request->method = "GET";
+    fixture.pool.start({ { 1 }, { "s" }, { "127.0.0.1", 1 }, request, 500ms });
+    CHECK(fixture.failure(1) == AttemptFailure::NotSent);
+}
+
+TEST_CASE("a released attempt ends after its time, or with its answer", "[http]")
+{
+    PoolFixture fixture;
+    fixture.start(1);
+    fixture.peer();
+    fixture.context.run_for(5ms);
+    SECTION("no answer")
+    {
+        fixture.pool.release({ { 1 }, 20ms });
+        CHECK(fixture.failure(1) == AttemptFailure::Expired);
+        runUntil(fixture.context, [&] { return fixture.peer().isClosed; });
+    }
+    SECTION("an answer")
+    {
+        fixture.pool.release({ { 1 }, 5s });
+        fixture.respond(1, response(1, "a"));
+        CHECK(fixture.answer(1).body == "a");
+        CHECK(fixture.pool.idleConnections() == 1);
+    }
+}
+
+// Guards against requests on connections that the server has closed or is about to close.
+TEST_CASE("closed and expired connections are not used again", "[http]")
+{
+    PoolFixture fixture;
+    fixture.start(1);
+    SECTION("the server closes it while idle")
+    {
+        fixture.respond(1, response(1, "a"));
+        fixture.answer(1);
+        fixture.peer().close();
+    }
+    SECTION("the server announces the close")
+    {
+        fixture.respond(1, response(1, "a", "Connection: close\r\n"));
+        fixture.answer(1);
+    }
+    SECTION("the idle timeout that it states is near")
+    {
+        fixture.respond(1, response(1, "a", "Keep-Alive: timeout=1\r\n"));
+        fixture.answer(1);
+    }
+    runUntil(fixture.context, [&] { return fixture.pool.idleConnections() == 0; });
+}
+
+// Guards against rest bytes of a long body that the server takes for the next request.
+TEST_CASE("a connection whose request was answered before it was sent whole is closed", "[http]")
+{
+    PoolFixture fixture;
+    fixture.start(1, std::string(64 * 1024 * 1024, 'x'));
+    fixture.respond(1, "HTTP/1.1 413 Too Large\r\nSignature: s\r\nContent-Length: 0\r\n\r\n");
+    CHECK(fixture.answer(1).status == 413);
+    CHECK(fixture.pool.idleConnections() == 0);
+}
+
+TEST_CASE("a server that has left keeps no connection", "[http]")
+{
+    PoolFixture fixture;
+    fixture.start(1);
+    fixture.respond(1, response(1, "a"));
+    fixture.answer(1);
+    fixture.pool.forget({ "s" });
+    CHECK(fixture.pool.idleConnections() == 0);
+    runUntil(fixture.context, [&] { return fixture.peer().isClosed; });
+}
--- /dev/null
+++ b/tests/http/HttpServerTest.cpp
@@ -0,0 +1,229 @@
+#include "RawPeers.h"
+
+#include "http/HttpServer.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+using namespace greengagestair;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Keeps the requests of a server. */
+class RecordingHandler : public HttpServerHandler
+{
+public:
+    void onRequest(ExchangeId exchange, HttpServerRequest request) override
+    {
+        exchanges.push_back(exchange);
+        requests.push_back(std::move(request));
+    }
+    void onCallerLeft(ExchangeId exchange) override { left.push_back(exchange); }
+    void onBadRequest(int status) override { bad.push_back(status); }
+
+    std::vector<ExchangeId> exchanges;
+    std::vector<HttpServerRequest> requests;
+    std::vector<ExchangeId> left;
+    std::vector<int> bad;
+};
+
+class ServerFixture
+{
+public:
+    ServerFixture()
+        : server(context, handler)
+    {
+        boost::leaf::try_handle_all(
+                [&]() -> boost::leaf::result<void> {
+                    return server.listen({ "127.0.0.1", 0 });
+                },
+                [](const HttpListenFailed &failure) { FAIL(failure.detail); },
+                [] { FAIL("cannot listen"); });
+    }
+
+    std::shared_ptr<RawPeer> connect()
+    {
+        RawPeer::Socket socket(context);
+        socket.connect({ boost::asio::ip::make_address("127.0.0.1"), server.endpoint().port });
+        auto peer = std::make_shared<RawPeer>(std::move(socket));
+        peer->start();
+        return peer;
+    }
+
+    void awaitRequests(std::size_t count)
+    {
+        runUntil(context, [&] { return handler.requests.size() >= count; });
+    }
+    void awaitBytes(RawPeer &peer, const std::string &part)
+    {
+        runUntil(context, [&] { return peer.received.find(part) != std::string::npos; });
+    }
+    void reply(std::size_t index, const std::string &body)
+    {
+        HttpServerResponse response;
+        response.body = body;
+        server.reply(handler.exchanges.at(index), response);
+    }
+
+    boost::asio::io_context context { 1 };
+    RecordingHandler handler;
+    HttpServer server;
+};
+
+} // namespace
+
+// Guards against requests that change on their way.
+TEST_CASE("method, target, headers and body arrive unchanged", "[http]")
+{
+    ServerFixture fixture;
+    const auto peer = fixture.connect();
+    peer->write("PROPFIND /a%2Fb//c?x=1&x=2&y HTTP/1.1\r\nHost: h\r\nX-One: a\r\nx-one:  b \r\n"
+                "Content-Length: 5\r\n\r\nhello");
+    fixture.awaitRequests(1);
+    const HttpServerRequest &request = fixture.handler.requests.front();
+    CHECK(request.method == "PROPFIND");
+    CHECK(request.target == "/a%2Fb//c?x=1&x=2&y");
+    CHECK(request.body == "hello");
+    REQUIRE(request.headers.size() == 4);
+    CHECK(request.headers[1].name == "X-One");
+    CHECK(request.headers[2].value == "b");
+}
+
+TEST_CASE("a body in chunks arrives whole", "[http]")
+{
+    ServerFixture fixture;
+    const auto peer = fixture.connect();
+    peer->write("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    fixture.context.run_for(5ms);
+    CHECK(fixture.handler.requests.empty());
+    peer->write("2;x=y\r\nde\r\n0\r\n\r\n");
+    fixture.awaitRequests(1);
+    CHECK(fixture.handler.requests.front().body == "abcde");
+}
+
+// Guards against answers that cross on one connection.
+TEST_CASE("requests of one connection are answered one after the other", "[http]")
+{
+    ServerFixture fixture;
+    const auto peer = fixture.connect();
+    peer->write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.awaitRequests(1);
+    fixture.context.run_for(5ms);
+    CHECK(fixture.handler.requests.size() == 1);
+    fixture.reply(0, "first");
+    fixture.awaitRequests(2);
+    fixture.reply(1, "second");
+    fixture.awaitBytes(*peer, "second");
+    CHECK(peer->received.find("first") < peer->received.find("second"));
+}
+
+// Guards against a second request that is hidden in the framing of another one.
+TEST_CASE("ambiguous framing is refused and the connection ends", "[http]")
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n";
+    const std::string request = GENERATE_COPY(
+            head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            head + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+            head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+            head + "Content-Length: -1\r\n\r\n", head + "Content-Length: 1x\r\n\r\na",
+            head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
+            head + "Host: other\r\n\r\n", "GET / HTTP/1.1\r\n broken\r\n\r\n",
+            "\x16\x03\x01 garbage\r\n\r\n");
+    ServerFixture fixture;
+    const auto peer = fixture.connect();
+    peer->write(request);
+    fixture.awaitBytes(*peer, "HTTP/1.1 400");
+    runUntil(fixture.context, [&] { return peer->isClosed; });
+    CHECK(fixture.handler.requests.empty());
+    CHECK(fixture.handler.bad == std::vector { 400 });
+}
+
+TEST_CASE("oversized requests are refused before they are read", "[http]")
+{
+    ServerFixture fixture;
+    CallerLimits limits;
+    limits.maxBodyBytes = 1000;
+    limits.maxHeaderBytes = 500;
+    fixture.server.setLimits(limits);
+    const auto peer = fixture.connect();
+    SECTION("body with a length")
+    {
+        peer->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n");
+        fixture.awaitBytes(*peer, "HTTP/1.1 413");
+    }
+    SECTION("header")
+    {
+        peer->write("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x'));
+        fixture.awaitBytes(*peer, "HTTP/1.1 431");
+    }
+    CHECK(fixture.handler.requests.empty());
+}
+
+// Guards against connections of callers that never finish a request.
+TEST_CASE("a slow header and an idle connection end in time", "[http]")
+{
+    ServerFixture fixture;
+    CallerLimits limits;
+    limits.headerTimeout = 100ms;
+    limits.idleTimeout = 100ms;
+    fixture.server.setLimits(limits);
+    const auto slow = fixture.connect();
+    const auto idle = fixture.connect();
+    slow->write("GET / HT");
+    fixture.awaitBytes(*slow, "HTTP/1.1 408");
+    runUntil(fixture.context, [&] { return idle->isClosed && fixture.server.connections() == 0; });
+}
+
+// Guards against backend servers that work on for a caller that has left.
+TEST_CASE("a caller that closes before its answer is reported", "[http]")
+{
+    ServerFixture fixture;
+    const auto peer = fixture.connect();
+    peer->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.awaitRequests(1);
+    peer->close();
+    runUntil(fixture.context, [&] { return !fixture.handler.left.empty(); });
+    CHECK(fixture.handler.left == fixture.handler.exchanges);
+    fixture.reply(0, "late");
+}
+
+// Guards against answers that are lost when the process stops.
+TEST_CASE("while closing, answers are sent whole and end their connection", "[http]")
+{
+    ServerFixture fixture;
+    const auto busy = fixture.connect();
+    const auto idle = fixture.connect();
+    busy->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.awaitRequests(1);
+    runUntil(fixture.context, [&] { return fixture.server.connections() == 2; });
+    fixture.server.beginClosing();
+    fixture.server.closeIdle();
+    runUntil(fixture.context, [&] { return idle->isClosed; });
+    fixture.reply(0, "whole");
+    fixture.awaitBytes(*busy, "whole");
+    CHECK(busy->received.find("Connection: close") != std::string::npos);
+    runUntil(fixture.context, [&] { return busy->isClosed; });
+}
+
+TEST_CASE("the answer to HEAD has a length and no body", "[http]")
+{
+    ServerFixture fixture;
+    const auto peer = fixture.connect();
+    peer->write("HEAD / HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.awaitRequests(1);
+    fixture.reply(0, "12345");
+    fixture.awaitRequests(2);
+    fixture.awaitBytes(*peer, "Content-Length: 5");
+    CHECK(peer->received.find("12345") == std::string::npos);
+}
+
+TEST_CASE("a caller that waits for it gets 100 Continue", "[http]")
+{
+    ServerFixture fixture;
+    const auto peer = fixture.connect();
+    peer->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
+    fixture.awaitBytes(*peer, "HTTP/1.1 100 Continue");
+    peer->write("ok");
+    fixture.awaitRequests(1);
+}
--- /dev/null
+++ b/tests/http/RawPeers.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace greengagestair {
+
+/** Runs the loop until the condition holds. */
+inline void runUntil(boost::asio::io_context &context, const std::function<bool()> &condition)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+        context.restart();
+        context.run_for(std::chrono::milliseconds(2));
+    }
+    REQUIRE(condition());
+}
+
+/** A peer that reads all bytes and writes what a test tells it to. */
+class RawPeer : public std::enable_shared_from_this<RawPeer>
+{
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    explicit RawPeer(Socket socket)
+        : m_socket(std::move(socket))
+    {
+    }
+
+    void start() { read(); }
+    void write(const std::string &bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
+    void finishWriting() { m_socket.shutdown(Socket::shutdown_send); }
+    void close() { m_socket.close(); }
+    void reset()
+    {
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0));
+        m_socket.close();
+    }
+
+    std::string received;
+    bool isClosed = false;
+
+private:
+    void read()
+    {
+        m_socket.async_read_some(boost::asio::buffer(m_buffer),
+                                 [self = shared_from_this()](auto error, std::size_t bytes) {
+                                     self->received.append(self->m_buffer.data(), bytes);
+                                     if (error)
+                                         self->isClosed = true;
+                                     else
+                                         self->read();
+                                 });
+    }
+
+    Socket m_socket;
+    std::array<char, 4096> m_buffer {};
+};
+
+/** Accepts connections as raw peers. */
+class RawServer
+{
+public:
+    explicit RawServer(boost::asio::io_context &context)
+        : m_acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    {
+        accept();
+    }
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+    std::vector<std::shared_ptr<RawPeer>> peers;
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](auto error, RawPeer::Socket socket) {
+            if (error)
+                return;
+            peers.push_back(std::make_shared<RawPeer>(std::move(socket)));
+            peers.back()->start();
+            accept();
+        });
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+};
+
+} // namespace greengagestair
