--- a/include/greengagestair/Messages.h
+++ b/include/greengagestair/Messages.h
@@ -163,9 +163,20 @@
     bool operator==(const SignatureLoss &) const = default;
 };
 
+/** Changes of the platform's store that one gateway has read for others. */
+struct StoreChanges
+{
+    Revision after;                   ///< the changes begin after this revision
+    Revision revision;                ///< and are complete up to this one
+    std::vector<std::string> entries; ///< as the store encodes them, in their order
+
+    bool operator==(const StoreChanges &) const = default;
+};
+
 /** Any message between entry hosts. */
-using PeerMessage = std::variant<Heartbeat, HeartbeatAck, JoinRequest, DocumentRequest,
-                                 DocumentPush, PartRequest, PartCancel, PartAnswer, SignatureLoss>;
+using PeerMessage =
+        std::variant<Heartbeat, HeartbeatAck, JoinRequest, DocumentRequest, DocumentPush,
+                     PartRequest, PartCancel, PartAnswer, SignatureLoss, StoreChanges>;
 
 /** A message with its sender. */
 struct PeerEnvelope
--- a/src/app/CommandLine.h
+++ b/src/app/CommandLine.h
@@ -78,8 +78,9 @@
 };
 
 using Command =
-        std::variant<ServeCommand, GatewayCommand, CheckGatewaySettingsCommand, CheckSettingsCommand, ConfigShowCommand, ConfigDiffCommand,
-                     ConfigApplyCommand, DumpCommand, ReplayCommand, HelpCommand, VersionCommand>;
+        std::variant<ServeCommand, GatewayCommand, CheckGatewaySettingsCommand,
+                     CheckSettingsCommand, ConfigShowCommand, ConfigDiffCommand, ConfigApplyCommand,
+                     DumpCommand, ReplayCommand, HelpCommand, VersionCommand>;
 
 /** The command line cannot be understood. */
 struct UsageError
--- a/src/app/GatewayCommands.cpp
+++ b/src/app/GatewayCommands.cpp
@@ -37,18 +37,20 @@
 
 ExitCode runGateway(const std::string &settingsFile)
 {
-    return withSettings(settingsFile, [&](const GatewaySettings &settings)
-                                              -> boost::leaf::result<ExitCode> {
-        boost::asio::io_context context(1);
-        platform::StoreClient store(settings.store, [&context](std::function<void()> function) {
-            boost::asio::post(context, std::move(function));
-        });
-        GatewayServer server(context, settings, settingsFile, platform::headerNames(), store);
-        BOOST_LEAF_CHECK(server.start());
-        context.run();
-        store.stop();
-        return ExitCode::Success;
-    });
+    return withSettings(settingsFile,
+                        [&](const GatewaySettings &settings) -> boost::leaf::result<ExitCode> {
+                            boost::asio::io_context context(1);
+                            platform::StoreClient store(
+                                    settings.store, [&context](std::function<void()> function) {
+                                        boost::asio::post(context, std::move(function));
+                                    });
+                            GatewayServer server(context, settings, settingsFile,
+                                                 platform::headerNames(), store);
+                            BOOST_LEAF_CHECK(server.start());
+                            context.run();
+                            store.stop();
+                            return ExitCode::Success;
+                        });
 }
 
 ExitCode checkGatewaySettings(const std::string &settingsFile)
--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -35,6 +35,11 @@
     return EventLoop::currentInstant().now;
 }
 
+static HostEntry hostEntryOf(const GatewaySettings &settings)
+{
+    return { settings.host, settings.options.selector.failureDomain, settings.peerEndpoint };
+}
+
 GatewayServer::GatewayServer(boost::asio::io_context &context, GatewaySettings settings,
                              std::string settingsFile, const HeaderNames &names,
                              RegistryStore &store)
@@ -43,7 +48,7 @@
     , m_settingsFile(std::move(settingsFile))
     , m_log(STDOUT_FILENO, m_settings.host.value)
     , m_gateway(m_settings.options)
-    , m_frontEnd(names, [this](GatewayEvent event) { post(std::move(event)); })
+    , m_frontEnd(names, [this](GatewayEvent event) { enqueue(std::move(event)); })
     , m_callers(context, m_frontEnd)
     , m_readinessPages([this](std::string_view) { return readinessPage(); },
                        [this](ExchangeId exchange, HttpServerResponse response) {
@@ -57,13 +62,15 @@
     , m_admin(context, m_adminPages)
     , m_backends(context, names,
                  [this](AttemptId attempt, AttemptResult result) {
-                     post(AttemptEnded { attempt, std::move(result) });
+                     enqueue(AttemptEnded { attempt, std::move(result) });
                  })
+    , m_relay(hostEntryOf(m_settings))
     , m_follower(
-              store, m_settings.options.selector.failureDomain,
-              [this](GatewayEvent event) { post(std::move(event)); },
-              [this](const LogDecision &decision) { log(decision); }, std::random_device {}())
-    , m_announcer({ m_settings.host, m_settings.options.selector.failureDomain }, store, [this](const LogDecision &decision) { log(decision); })
+              store, [this](GatewayEvent event) { enqueue(std::move(event)); },
+              [this](const LogDecision &decision) { log(decision); },
+              [this](const StoreChanges &changes) { share(changes); }, std::random_device {}())
+    , m_announcer(hostEntryOf(m_settings), store,
+                  [this](const LogDecision &decision) { log(decision); })
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     , m_timer(context)
     , m_stopTimer(context)
@@ -77,6 +84,7 @@
     BOOST_LEAF_CHECK(m_readiness.listen(m_settings.readinessEndpoint));
     BOOST_LEAF_CHECK(m_admin.listen(m_settings.adminEndpoint));
     BOOST_LEAF_CHECK(m_callers.listen(m_settings.callerEndpoint));
+    BOOST_LEAF_CHECK(listenForPeers());
     awaitSignals();
     log({ LogWeight::State,
           "started",
@@ -88,7 +96,21 @@
     return {};
 }
 
-void GatewayServer::post(GatewayEvent event)
+boost::leaf::result<void> GatewayServer::listenForPeers()
+{
+    const auto wall = EventLoop::currentInstant().wall.time_since_epoch().count();
+    const Incarnation incarnation { static_cast<std::uint64_t>(wall) };
+    EventQueue &queue = *this;
+    try {
+        m_peers = std::make_unique<TcpPeerTransport>(m_context, m_settings.host, incarnation,
+                                                     m_settings.peerEndpoint, queue);
+    } catch (const boost::system::system_error &error) {
+        return boost::leaf::new_error(HttpListenFailed { m_settings.peerEndpoint, error.what() });
+    }
+    return {};
+}
+
+void GatewayServer::enqueue(GatewayEvent event)
 {
     m_events.push_back(std::move(event));
     if (!m_isDraining)
@@ -104,11 +126,39 @@
         apply(m_gateway.handle(event, now()));
         if (std::holds_alternative<ConfigurationRead>(event))
             updateLimits();
+        if (const auto *hosts = std::get_if<HostsRead>(&event)) {
+            m_relay.update(hosts->hosts);
+            m_follower.setSharing(m_relay.isSharing());
+        }
     }
     m_isDraining = false;
     armTimer();
 }
 
+void GatewayServer::post(Event event)
+{
+    const auto *received = std::get_if<PeerReceived>(&event);
+    if (!received || m_isStopping)
+        return;
+    const PeerEnvelope &envelope = received->envelope;
+    if (const auto *changes = std::get_if<StoreChanges>(&envelope.message))
+        m_follower.takeShared(*changes, now());
+    else if (const auto *loss = std::get_if<SignatureLoss>(&envelope.message))
+        enqueue(LossReported { envelope.sender, *loss });
+}
+
+void GatewayServer::share(const StoreChanges &changes)
+{
+    for (const HostEntry &reader : m_relay.readers())
+        m_peers->send(reader.host, reader.peer, changes);
+}
+
+void GatewayServer::applyEffect(const ReportLoss &effect)
+{
+    for (const HostEntry &host : m_relay.others())
+        m_peers->send(host.host, host.peer, effect.loss);
+}
+
 void GatewayServer::updateLimits()
 {
     if (const RoutingConfiguration *configuration = m_gateway.configuration())
@@ -182,7 +232,7 @@
         m_announcer.advance(time);
     }
     m_log.flush();
-    post(TimeAdvanced {});
+    enqueue(TimeAdvanced {});
 }
 
 void GatewayServer::awaitSignals()
@@ -205,7 +255,7 @@
                 BOOST_LEAF_AUTO(settings, readGatewaySettings(m_settingsFile));
                 m_settings.stopTimeout = settings.stopTimeout;
                 m_settings.options = settings.options;
-                post(LimitsChanged { settings.options });
+                enqueue(LimitsChanged { settings.options });
                 log({ LogWeight::State, "reloaded", { { "file", m_settingsFile } } });
                 return {};
             },
@@ -214,7 +264,9 @@
                       "reloadFailed",
                       { { "path", problem.path }, { "expected", problem.expected } } });
             },
-            [&] { log({ LogWeight::State, "reloadFailed", {} }); });
+            [&] {
+                log({ LogWeight::State, "reloadFailed", {} });
+            });
 }
 
 void GatewayServer::stop()
@@ -224,7 +276,7 @@
     m_isStopping = true;
     m_stopSince = now();
     m_stopAt = m_stopSince + m_settings.stopTimeout - kStopMargin;
-    post(GatewayStopRequested {});
+    enqueue(GatewayStopRequested {});
     m_callers.beginClosing();
     m_announcer.leave();
     checkStop();
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -7,8 +7,10 @@
 #include "gateway/Gateway.h"
 #include "gateway/HostAnnouncer.h"
 #include "gateway/StoreFollower.h"
+#include "gateway/StoreRelay.h"
 #include "http/BackendPool.h"
 #include "http/HttpServer.h"
+#include "net/TcpPeerTransport.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -33,8 +35,8 @@
 
     GatewayPages(Page page, Send send);
     void onRequest(ExchangeId exchange, HttpServerRequest request) override;
-    void onCallerLeft(ExchangeId /*exchange*/) override {}
-    void onBadRequest(int /*status*/) override {}
+    void onCallerLeft(ExchangeId /*exchange*/) override { }
+    void onBadRequest(int /*status*/) override { }
 
 private:
     Page m_page;
@@ -42,7 +44,7 @@
 };
 
 /** One gateway process: the reducer with its sockets, timers and signals, on one thread. */
-class GatewayServer
+class GatewayServer : private EventQueue
 {
 public:
     GatewayServer(boost::asio::io_context &context, GatewaySettings settings,
@@ -54,13 +56,18 @@
     void stop();
 
 private:
-    void post(GatewayEvent event);
+    boost::leaf::result<void> listenForPeers();
+    void enqueue(GatewayEvent event);
+    /** Events of the peer transport. */
+    void post(Event event) override;
+    void share(const StoreChanges &changes);
     void drain();
     void apply(GatewayEffects effects);
     void applyEffect(const StartAttempt &effect);
     void applyEffect(const ReleaseAttempt &effect);
     void applyEffect(const ReplyToCaller &effect);
     void applyEffect(const ForgetServer &effect);
+    void applyEffect(const ReportLoss &effect);
     void applyEffect(const LogDecision &effect);
     void log(const LogDecision &decision);
     void updateLimits();
@@ -87,7 +94,9 @@
     GatewayPages m_adminPages;
     HttpServer m_admin;
     BackendPool m_backends;
+    StoreRelay m_relay;
     StoreFollower m_follower;
+    std::unique_ptr<TcpPeerTransport> m_peers;
     HostAnnouncer m_announcer;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_timer;
--- a/src/app/GatewaySettings.cpp
+++ b/src/app/GatewaySettings.cpp
@@ -39,13 +39,14 @@
     FaultRecorder faults;
     const JsonReader reader(json, "$", faults);
     reader.allowKeys({ "host", "failureDomain", "callerEndpoint", "readinessEndpoint",
-                       "adminEndpoint", "store", "stopTimeoutMs", "repeatRatio", "repeatWindowMs",
-                       "repeatSlack", "coldFactor", "coldSlack" });
+                       "adminEndpoint", "peerEndpoint", "store", "stopTimeoutMs", "repeatRatio",
+                       "repeatWindowMs", "repeatSlack", "coldFactor", "coldSlack" });
     GatewaySettings settings;
     settings.host.value = reader.name("host");
     settings.callerEndpoint = endpointOf(reader, "callerEndpoint");
     settings.readinessEndpoint = endpointOf(reader, "readinessEndpoint");
     settings.adminEndpoint = endpointOf(reader, "adminEndpoint");
+    settings.peerEndpoint = endpointOf(reader, "peerEndpoint");
     settings.store = endpointOf(reader, "store");
     settings.stopTimeout = reader.milliseconds("stopTimeoutMs", 100, kMaxStopTimeoutMs);
     settings.options.selector.failureDomain.value = reader.name("failureDomain");
--- a/src/app/GatewaySettings.h
+++ b/src/app/GatewaySettings.h
@@ -12,8 +12,9 @@
     Endpoint callerEndpoint;
     Endpoint readinessEndpoint;
     Endpoint adminEndpoint;
-    Endpoint store;                                   ///< the platform's key-value store
-    Duration stopTimeout = std::chrono::seconds(6);   ///< from SIGTERM to SIGKILL
+    Endpoint peerEndpoint;                          ///< TCP for frames of other gateways
+    Endpoint store;                                 ///< the platform's key-value store
+    Duration stopTimeout = std::chrono::seconds(6); ///< from SIGTERM to SIGKILL
     GatewayOptions options;
 };
 
--- a/src/codec/FrameCodec.cpp
+++ b/src/codec/FrameCodec.cpp
@@ -116,6 +116,13 @@
             .Union();
 }
 
+static Offset<void> writePayload(FlatBufferBuilder &builder, const StoreChanges &message)
+{
+    const auto entries = builder.CreateVectorOfStrings(message.entries);
+    return wire::CreateStoreChanges(builder, message.after.value, message.revision.value, entries)
+            .Union();
+}
+
 static Offset<void> writePayload(FlatBufferBuilder &builder, const SignatureLoss &message)
 {
     const auto server = writeString(builder, message.server);
@@ -211,6 +218,18 @@
         return text ? text->str() : std::string();
     }
 
+    /** Texts whose lengths add up to a frame at most, also where they share bytes of the buffer. */
+    std::vector<std::string>
+    texts(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *vector)
+    {
+        std::size_t bytes = 0;
+        return list<std::string>(vector, [&](const flatbuffers::String *text) {
+            bytes += text->size();
+            m_tooLong = m_tooLong || bytes > kMaxFrameBytes;
+            return m_tooLong ? std::string() : text->str();
+        });
+    }
+
     /** Enumerators have the same order in the schema and in Messages.h. */
     template <typename To, typename From>
     To enumerator(From value)
@@ -335,6 +354,11 @@
     return message;
 }
 
+static PeerMessage readPayload(FieldReader &reader, const wire::StoreChanges &wire)
+{
+    return StoreChanges { { wire.after() }, { wire.revision() }, reader.texts(wire.entries()) };
+}
+
 static PeerMessage readPayload(FieldReader &reader, const wire::SignatureLoss &wire)
 {
     return SignatureLoss { Signature { wire.signature() }, reader.name<ServerId>(wire.server()) };
@@ -385,6 +409,8 @@
         return readIfPresent(reader, envelope.payload_as_PartRequest());
     case wire::Payload::SignatureLoss:
         return readIfPresent(reader, envelope.payload_as_SignatureLoss());
+    case wire::Payload::StoreChanges:
+        return readIfPresent(reader, envelope.payload_as_StoreChanges());
     case wire::Payload::PartCancel:
         return readIfPresent(reader, envelope.payload_as_PartCancel());
     case wire::Payload::PartAnswer:
--- a/src/codec/Peer_generated.h
+++ b/src/codec/Peer_generated.h
@@ -49,6 +49,9 @@
 struct SignatureLoss;
 struct SignatureLossBuilder;
 
+struct StoreChanges;
+struct StoreChangesBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -237,11 +240,12 @@
   PartCancel = 7,
   PartAnswer = 8,
   SignatureLoss = 9,
+  StoreChanges = 10,
   MIN = NONE,
-  MAX = SignatureLoss
+  MAX = StoreChanges
 };
 
-inline const Payload (&EnumValuesPayload())[10] {
+inline const Payload (&EnumValuesPayload())[11] {
   static const Payload values[] = {
     Payload::NONE,
     Payload::Heartbeat,
@@ -252,13 +256,14 @@
     Payload::PartRequest,
     Payload::PartCancel,
     Payload::PartAnswer,
-    Payload::SignatureLoss
+    Payload::SignatureLoss,
+    Payload::StoreChanges
   };
   return values;
 }
 
 inline const char * const *EnumNamesPayload() {
-  static const char * const names[11] = {
+  static const char * const names[12] = {
     "NONE",
     "Heartbeat",
     "HeartbeatAck",
@@ -269,13 +274,14 @@
     "PartCancel",
     "PartAnswer",
     "SignatureLoss",
+    "StoreChanges",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePayload(Payload e) {
-  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::SignatureLoss)) return "";
+  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::StoreChanges)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPayload()[index];
 }
@@ -320,6 +326,10 @@
   static const Payload enum_value = Payload::SignatureLoss;
 };
 
+template<> struct PayloadTraits<greengagestair::wire::StoreChanges> {
+  static const Payload enum_value = Payload::StoreChanges;
+};
+
 bool VerifyPayload(flatbuffers::Verifier &verifier, const void *obj, Payload type);
 bool VerifyPayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Payload> *types);
 
@@ -1327,6 +1337,82 @@
       server__);
 }
 
+struct StoreChanges FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreChangesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_AFTER = 4,
+    VT_REVISION = 6,
+    VT_ENTRIES = 8
+  };
+  uint64_t after() const {
+    return GetField<uint64_t>(VT_AFTER, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ENTRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfStrings(entries()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreChangesBuilder {
+  typedef StoreChanges Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_after(uint64_t after) {
+    fbb_.AddElement<uint64_t>(StoreChanges::VT_AFTER, after, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(StoreChanges::VT_REVISION, revision, 0);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries) {
+    fbb_.AddOffset(StoreChanges::VT_ENTRIES, entries);
+  }
+  explicit StoreChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreChanges> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreChanges>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreChanges> CreateStoreChanges(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t after = 0,
+    uint64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries = 0) {
+  StoreChangesBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_after(after);
+  builder_.add_entries(entries);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StoreChanges> CreateStoreChangesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t after = 0,
+    uint64_t revision = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *entries = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*entries) : 0;
+  return greengagestair::wire::CreateStoreChanges(
+      _fbb,
+      after,
+      revision,
+      entries__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1387,6 +1473,9 @@
   const greengagestair::wire::SignatureLoss *payload_as_SignatureLoss() const {
     return payload_type() == greengagestair::wire::Payload::SignatureLoss ? static_cast<const greengagestair::wire::SignatureLoss *>(payload()) : nullptr;
   }
+  const greengagestair::wire::StoreChanges *payload_as_StoreChanges() const {
+    return payload_type() == greengagestair::wire::Payload::StoreChanges ? static_cast<const greengagestair::wire::StoreChanges *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL_VERSION, 4) &&
@@ -1439,6 +1528,10 @@
   return payload_as_SignatureLoss();
 }
 
+template<> inline const greengagestair::wire::StoreChanges *Envelope::payload_as<greengagestair::wire::StoreChanges>() const {
+  return payload_as_StoreChanges();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1558,6 +1651,10 @@
       auto ptr = reinterpret_cast<const greengagestair::wire::SignatureLoss *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Payload::StoreChanges: {
+      auto ptr = reinterpret_cast<const greengagestair::wire::StoreChanges *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/core/Reducer.cpp
+++ b/src/core/Reducer.cpp
@@ -70,6 +70,11 @@
     void receive(StepContext &context, const PeerEnvelope &envelope, const PartCancel &message);
     void receive(StepContext &context, const PeerEnvelope &envelope, const PartAnswer &message);
     void receive(StepContext &context, const PeerEnvelope &envelope, const SignatureLoss &message);
+    /** Only gateways follow the store's changes; entry hosts read documents. */
+    void receive(StepContext & /*context*/, const PeerEnvelope & /*envelope*/,
+                 const StoreChanges & /*message*/)
+    {
+    }
 
     void deliverLocalMessages(StepContext &context);
     void tickModules(StepContext &context);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -24,6 +24,7 @@
     : m_selector(options.selector, m_directory)
     , m_flow(m_selector, shareOf(options.repeats, {}))
     , m_repeats(options.repeats)
+    , m_ownDomain(options.selector.failureDomain)
 {
 }
 
@@ -99,11 +100,10 @@
     }
     for (const ServerId &server : m_directory.absentFrom(listed))
         removeLater(server);
-    m_effects.push_back(
-            LogDecision { LogWeight::State,
-                          "registrationsRead",
-                          { { "servers", std::to_string(event.registrations.size()) },
-                            { "known", std::to_string(m_directory.size()) } } });
+    m_effects.push_back(LogDecision { LogWeight::State,
+                                      "registrationsRead",
+                                      { { "servers", std::to_string(event.registrations.size()) },
+                                        { "known", std::to_string(m_directory.size()) } } });
     m_flow.retryWaiting();
 }
 
@@ -141,17 +141,20 @@
     // A server that has reported that it is leaving does not come back.
     const Duration delay = backend->registration.isDraining ? Duration(0) : kReturnTime;
     m_directory.removeLater(server, m_now + delay);
-    m_effects.push_back(LogDecision {
-            LogWeight::State, "registrationGone", { { "server", server.value } } });
+    m_effects.push_back(
+            LogDecision { LogWeight::State, "registrationGone", { { "server", server.value } } });
 }
 
-void Gateway::on(const HostsCounted &event)
+void Gateway::on(const HostsRead &event)
 {
-    m_countedHosts = event.hosts;
+    const auto isNear = [this](const HostEntry &host) { return host.failureDomain == m_ownDomain; };
+    const auto near = std::count_if(event.hosts.begin(), event.hosts.end(), isNear);
+    m_countedHosts.all = std::max<std::size_t>(event.hosts.size(), 1);
+    m_countedHosts.ownDomain = std::max<std::size_t>(static_cast<std::size_t>(near), 1);
     const bool isHigher =
-            event.hosts.all >= m_hosts.all && event.hosts.ownDomain >= m_hosts.ownDomain;
+            m_countedHosts.all >= m_hosts.all && m_countedHosts.ownDomain >= m_hosts.ownDomain;
     if (isHigher)
-        return setHosts(event.hosts);
+        return setHosts(m_countedHosts);
     // Presence also lapses while hosts are cut off from the store; they still send requests.
     if (!m_fewerHostsAt)
         m_fewerHostsAt = m_now + kHostMemory;
@@ -165,15 +168,20 @@
     m_hosts = hosts;
     m_selector.setHostCount(hosts);
     m_flow.setRepeatLimits(shareOf(m_repeats, hosts));
-    m_effects.push_back(LogDecision {
-            LogWeight::State,
-            "hostsCounted",
-            { { "hosts", std::to_string(hosts.all) },
-              { "ownDomain", std::to_string(hosts.ownDomain) } } });
+    m_effects.push_back(LogDecision { LogWeight::State,
+                                      "hostsCounted",
+                                      { { "hosts", std::to_string(hosts.all) },
+                                        { "ownDomain", std::to_string(hosts.ownDomain) } } });
+}
+
+void Gateway::on(const LossReported &event)
+{
+    m_flow.addReportedLoss(event.reporter, event.loss);
 }
 
 void Gateway::on(const LimitsChanged &event)
 {
+    m_ownDomain = event.options.selector.failureDomain;
     m_selector.setOptions(event.options.selector);
     m_repeats = event.options.repeats;
     m_flow.setRepeatLimits(shareOf(m_repeats, m_hosts));
@@ -190,8 +198,8 @@
     if (m_fewerHostsAt && *m_fewerHostsAt <= m_now)
         setHosts(m_countedHosts);
     for (const ServerId &server : m_directory.removeDue(m_now)) {
-        m_effects.push_back(LogDecision {
-                LogWeight::State, "serverRemoved", { { "server", server.value } } });
+        m_effects.push_back(
+                LogDecision { LogWeight::State, "serverRemoved", { { "server", server.value } } });
         m_effects.push_back(ForgetServer { server });
     }
     m_flow.advance();
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -46,7 +46,8 @@
     void on(const RegistrationsRead &event);
     void on(const RegistrationWritten &event);
     void on(const RegistrationRemoved &event);
-    void on(const HostsCounted &event);
+    void on(const HostsRead &event);
+    void on(const LossReported &event);
     void on(const LimitsChanged &event);
     void on(const GatewayStopRequested &event);
     void on(const TimeAdvanced &event);
@@ -60,6 +61,7 @@
     RequestFlow m_flow;
     RepeatLimits m_repeats; ///< of all hosts together
     std::shared_ptr<const RoutingConfiguration> m_configuration;
+    FailureDomainId m_ownDomain;
     HostCount m_hosts;
     std::optional<MonotonicTime> m_fewerHostsAt; ///< when a lower count is believed
     HostCount m_countedHosts;                    ///< the last count
--- a/src/gateway/GatewayEffect.h
+++ b/src/gateway/GatewayEffect.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/HttpMessage.h"
+#include "greengagestair/Messages.h"
 #include "greengagestair/Types.h"
 
 #include <memory>
@@ -44,6 +45,12 @@
     ServerId server;
 };
 
+/** Tell all other hosts that a server was lost. */
+struct ReportLoss
+{
+    SignatureLoss loss;
+};
+
 /** How much a log line matters when lines have to be dropped. */
 enum class LogWeight {
     State,   ///< a change of what the process believes
@@ -59,8 +66,8 @@
     std::vector<std::pair<std::string_view, std::string>> fields;
 };
 
-using GatewayEffect =
-        std::variant<StartAttempt, ReleaseAttempt, ReplyToCaller, ForgetServer, LogDecision>;
+using GatewayEffect = std::variant<StartAttempt, ReleaseAttempt, ReplyToCaller, ForgetServer,
+                                   ReportLoss, LogDecision>;
 using GatewayEffects = std::vector<GatewayEffect>;
 
 } // namespace greengagestair
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -3,7 +3,9 @@
 #include "gateway/BackendDirectory.h"
 #include "gateway/GatewayOptions.h"
 #include "gateway/HttpMessage.h"
+#include "gateway/RegistryStore.h"
 #include "gateway/RoutingConfiguration.h"
+#include "greengagestair/Messages.h"
 
 #include <memory>
 #include <set>
@@ -62,10 +64,17 @@
     ServerId server;
 };
 
-/** The live entry hosts were counted, this one included. */
-struct HostsCounted
+/** The live entry hosts were read. */
+struct HostsRead
 {
-    HostCount hosts;
+    std::vector<HostEntry> hosts;
+};
+
+/** Another host lost a backend server while it worked on a request with this signature. */
+struct LossReported
+{
+    HostId reporter;
+    SignatureLoss loss;
 };
 
 /** The settings have changed. */
@@ -84,9 +93,9 @@
 {
 };
 
-using GatewayEvent = std::variant<CallerArrived, CallerLeft, AttemptEnded, ConfigurationRead,
-                                  EvacuationsRead, RegistrationsRead, RegistrationWritten,
-                                  RegistrationRemoved, HostsCounted, LimitsChanged, GatewayStopRequested,
-                                  TimeAdvanced>;
+using GatewayEvent =
+        std::variant<CallerArrived, CallerLeft, AttemptEnded, ConfigurationRead, EvacuationsRead,
+                     RegistrationsRead, RegistrationWritten, RegistrationRemoved, HostsRead,
+                     LossReported, LimitsChanged, GatewayStopRequested, TimeAdvanced>;
 
 } // namespace greengagestair
--- a/src/gateway/GatewayOptions.h
+++ b/src/gateway/GatewayOptions.h
@@ -10,9 +10,9 @@
 /** Bounds that all entry hosts share, and what this host may use of them. */
 struct SelectorOptions
 {
-    FailureDomainId failureDomain;  ///< of this host
-    double coldFactor = 1.5; ///< allowed multiple of the declared cold rate, over all hosts
-    double coldSlack = 5;    ///< allowed requests beyond it in any one second
+    FailureDomainId failureDomain; ///< of this host
+    double coldFactor = 1.5;       ///< allowed multiple of the declared cold rate, over all hosts
+    double coldSlack = 5;          ///< allowed requests beyond it in any one second
 };
 
 /** Live entry hosts, among which bounds are divided. */
--- a/src/gateway/RegistryStore.h
+++ b/src/gateway/RegistryStore.h
@@ -37,6 +37,9 @@
 {
     HostId host;
     FailureDomainId failureDomain;
+    Endpoint peer; ///< where it accepts frames of other hosts
+
+    bool operator==(const HostEntry &) const = default;
 };
 
 /** An entry of no kind that concerns a gateway. */
@@ -57,15 +60,15 @@
     std::string problem; ///< as of AbsentEntry
 };
 
-using EntryValue =
-        std::variant<OtherEntry, AbsentEntry, AbsentServer, ConfigurationEntry, EvacuationEntry,
-                     ServerEntry, HostEntry>;
+using EntryValue = std::variant<OtherEntry, AbsentEntry, AbsentServer, ConfigurationEntry,
+                                EvacuationEntry, ServerEntry, HostEntry>;
 
 /** One entry as it was written or removed. */
 struct StoreEntry
 {
     std::string key; ///< unique in the store
     EntryValue value;
+    std::string encoded; ///< as the store encodes it, for other hosts
 };
 
 /** Entries of the store, and the revision up to which they are complete. */
@@ -108,24 +111,21 @@
 
     /** Reads all entries, those included that were accepted just before the call. */
     virtual void readAll(std::function<void(StoreResult<StoreEntries>)> done) = 0;
+    /** Decodes an entry that another host has read. */
+    virtual StoreEntry decode(const std::string &encoded) const = 0;
     /** Waits until entries change after `revision`; gives no entries after `wait`. */
     virtual void awaitChanges(Revision revision, Duration wait,
-                              std::function<void(StoreResult<StoreEntries>)> done)
-            = 0;
+                              std::function<void(StoreResult<StoreEntries>)> done) = 0;
     virtual void grantLease(Duration timeToLive,
-                            std::function<void(StoreResult<LeaseGrant>)> done)
-            = 0;
+                            std::function<void(StoreResult<LeaseGrant>)> done) = 0;
     virtual void renewLease(std::uint64_t lease,
-                            std::function<void(StoreResult<StoreDone>)> done)
-            = 0;
+                            std::function<void(StoreResult<StoreDone>)> done) = 0;
     /** Writes the presence of an entry host; it is removed when the lease ends. */
     virtual void announceHost(const HostEntry &host, std::uint64_t lease,
-                              std::function<void(StoreResult<StoreDone>)> done)
-            = 0;
+                              std::function<void(StoreResult<StoreDone>)> done) = 0;
     /** Ends a lease, and with it the presence written under it. */
     virtual void endLease(std::uint64_t lease,
-                          std::function<void(StoreResult<StoreDone>)> done)
-            = 0;
+                          std::function<void(StoreResult<StoreDone>)> done) = 0;
 };
 
 } // namespace greengagestair
--- a/src/gateway/RepeatBudget.h
+++ b/src/gateway/RepeatBudget.h
@@ -11,9 +11,9 @@
 /** Bounds on the repeated attempts of one service, over all entry hosts together. */
 struct RepeatLimits
 {
-    double ratio = 0.2;                          ///< repeats per request
-    Duration window = std::chrono::seconds(10);  ///< any span of this length counts
-    double slack = 0;                            ///< repeats beyond the ratio, for this host
+    double ratio = 0.2;                         ///< repeats per request
+    Duration window = std::chrono::seconds(10); ///< any span of this length counts
+    double slack = 0;                           ///< repeats beyond the ratio, for this host
 };
 
 /**
--- a/src/gateway/RequestFlow.cpp
+++ b/src/gateway/RequestFlow.cpp
@@ -24,9 +24,14 @@
 /** Without samples, a part is expected to take this share of the latency target. */
 static constexpr int kInitialTimeDivisor = 10;
 
+/** Reports of lost servers to other hosts, which come in numbers when a failure domain is lost. */
+static constexpr double kMaxLossReports = 50;
+static constexpr Duration kLossReportWindow = std::chrono::seconds(5);
+
 RequestFlow::RequestFlow(BackendSelector &selector, const RepeatLimits &repeats)
     : m_selector(selector)
     , m_repeatLimits(repeats)
+    , m_lossReports({ 0, kLossReportWindow, kMaxLossReports })
 {
 }
 
@@ -37,6 +42,11 @@
         budget.setLimits(limits);
 }
 
+void RequestFlow::addReportedLoss(const HostId &reporter, const SignatureLoss &loss)
+{
+    m_guard.addLoss(loss.signature, reporter.value, loss.server, m_now);
+}
+
 void RequestFlow::beginStep(MonotonicTime now, GatewayEffects &effects)
 {
     m_now = now;
@@ -197,9 +207,8 @@
     part.isWaiting = true;
     m_counters.add("waits_total");
     m_waiting.emplace(exchange.route->rank, std::pair(exchange.id, index));
-    const MonotonicTime end =
-            std::min(exchange.arrivedAt + exchange.route->latencyTarget / kWaitDivisor,
-                     exchange.deadlineAt);
+    const MonotonicTime end = std::min(
+            exchange.arrivedAt + exchange.route->latencyTarget / kWaitDivisor, exchange.deadlineAt);
     addTimer(std::max(end, m_now), { TimerKind::WaitEnd, exchange.id, index });
 }
 
@@ -216,8 +225,8 @@
 bool RequestFlow::send(Exchange &exchange, std::size_t index)
 {
     Part &part = exchange.parts[index];
-    const auto backend = m_selector.choose(*part.service, typicalTime(*exchange.route), part.tried,
-                                           m_now);
+    const auto backend =
+            m_selector.choose(*part.service, typicalTime(*exchange.route), part.tried, m_now);
     if (!backend)
         return false;
     part.isWaiting = false;
@@ -394,8 +403,11 @@
         return sendAgain(exchange, index);
     }
     part.mayHaveRun = true;
-    if (failure == AttemptFailure::Lost)
+    if (failure == AttemptFailure::Lost) {
         m_guard.addLoss(exchange.signature, exchange.request->requestId, server, m_now);
+        if (m_lossReports.takeRepeat(m_now))
+            m_effects->push_back(ReportLoss { { exchange.signature, server } });
+    }
     if (exchange.route->repeatable)
         sendAgain(exchange, index);
     else
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -36,6 +36,8 @@
     void endAttempt(const AttemptEnded &event);
     /** Handles all times that have come. */
     void advance();
+    /** Another host lost a server to a request with this signature. */
+    void addReportedLoss(const HostId &reporter, const SignatureLoss &loss);
     /** Tries parts that wait for room once more. */
     void retryWaiting();
     std::optional<MonotonicTime> nextWakeUp() const;
@@ -113,6 +115,7 @@
     std::unordered_map<std::string, PartTimeEstimator> m_times;
     std::unordered_map<std::string, std::vector<double>> m_splitCredits;
     CrashGuard m_guard;
+    RepeatBudget m_lossReports;
     CounterSet m_counters;
 };
 
--- a/src/gateway/RequestReplies.cpp
+++ b/src/gateway/RequestReplies.cpp
@@ -81,9 +81,10 @@
 {
     if (exchange.route->gather && isEnough(exchange, answeredParts(exchange)))
         return replyMerged(exchange);
-    const bool wasSent = std::any_of(
-            exchange.parts.begin(), exchange.parts.end(),
-            [](const Part &part) { return part.mayHaveRun || part.answer || !part.open.empty(); });
+    const bool wasSent =
+            std::any_of(exchange.parts.begin(), exchange.parts.end(), [](const Part &part) {
+                return part.mayHaveRun || part.answer || !part.open.empty();
+            });
     if (!wasSent)
         return replyFailed(exchange);
     finish(exchange, RefusedReply { RefusalReason::TimedOut, Duration(0) });
@@ -99,8 +100,8 @@
                                          { "host", request.host },
                                          { "target", request.target },
                                          { "reason", toText(reason) } } });
-    m_effects->push_back(ReplyToCaller {
-            exchange, RefusedReply { reason, retryAfter }, toText(reason), Duration(0) });
+    m_effects->push_back(ReplyToCaller { exchange, RefusedReply { reason, retryAfter },
+                                         toText(reason), Duration(0) });
 }
 
 static std::string outcomeOf(const Reply &reply)
@@ -119,8 +120,8 @@
         releaseAttempts(part, kGiveUpLinger);
     const std::string outcome = outcomeOf(reply);
     logReply(exchange, reply, outcome);
-    m_effects->push_back(ReplyToCaller {
-            exchange.id, std::move(reply), outcome, m_now - exchange.arrivedAt });
+    m_effects->push_back(
+            ReplyToCaller { exchange.id, std::move(reply), outcome, m_now - exchange.arrivedAt });
     m_exchanges.erase(exchange.id);
 }
 
@@ -139,8 +140,7 @@
     return text;
 }
 
-void RequestFlow::logReply(const Exchange &exchange, const Reply &reply,
-                           const std::string &outcome)
+void RequestFlow::logReply(const Exchange &exchange, const Reply &reply, const std::string &outcome)
 {
     LogDecision line;
     m_counters.add("answers_total{outcome=\"" + outcome + "\"}");
--- a/src/gateway/RoutingConfiguration.cpp
+++ b/src/gateway/RoutingConfiguration.cpp
@@ -18,7 +18,7 @@
 }
 
 const GatewayRoute *findRoute(const RoutingConfiguration &configuration, std::string_view host,
-                       std::string_view target)
+                              std::string_view target)
 {
     const std::string_view path = target.substr(0, target.find('?'));
     const std::string_view name = withoutPort(host);
--- a/src/gateway/RoutingConfiguration.h
+++ b/src/gateway/RoutingConfiguration.h
@@ -70,6 +70,6 @@
 
 /** The route of that host with the longest prefix of the target's path; null if there is none. */
 const GatewayRoute *findRoute(const RoutingConfiguration &configuration, std::string_view host,
-                       std::string_view target);
+                              std::string_view target);
 
 } // namespace greengagestair
--- a/src/gateway/StoreFollower.cpp
+++ b/src/gateway/StoreFollower.cpp
@@ -11,18 +11,22 @@
  * finds out; changes of the configuration have to be in force within 3 s.
  */
 static constexpr Duration kWatchTime = std::chrono::milliseconds(2100);
+/** The same for a host on which others rely. */
+static constexpr Duration kSharingWatchTime = std::chrono::milliseconds(1000);
+/** Changes that are read by another host are waited for this long before an own call. */
+static constexpr Duration kSharedTime = std::chrono::milliseconds(1600);
 /** Changes come in groups; one call then brings several. */
 static constexpr Duration kCallInterval = std::chrono::milliseconds(400);
 static constexpr Duration kFirstRetry = std::chrono::milliseconds(100);
 /** A configuration has to be in force 3 s after its acceptance. */
 static constexpr Duration kLongestRetry = std::chrono::milliseconds(800);
 
-StoreFollower::StoreFollower(RegistryStore &store, FailureDomainId ownDomain, OnEvent onEvent,
-                             OnLog onLog, std::uint64_t randomSeed)
+StoreFollower::StoreFollower(RegistryStore &store, OnEvent onEvent, OnLog onLog,
+                             OnChanges onChanges, std::uint64_t randomSeed)
     : m_store(store)
-    , m_ownDomain(std::move(ownDomain))
     , m_onEvent(std::move(onEvent))
     , m_onLog(std::move(onLog))
+    , m_onChanges(std::move(onChanges))
     , m_random(randomSeed)
 {
 }
@@ -44,9 +48,8 @@
         m_store.readAll([this](const StoreResult<StoreEntries> &result) { onRead(result); });
         return;
     }
-    m_store.awaitChanges(
-            *m_revision, kWatchTime,
-            [this](const StoreResult<StoreEntries> &result) { onChanges(result); });
+    m_store.awaitChanges(*m_revision, m_isSharing ? kSharingWatchTime : kWatchTime,
+                         [this](const StoreResult<StoreEntries> &result) { onWatchEnd(result); });
 }
 
 void StoreFollower::onRead(const StoreResult<StoreEntries> &result)
@@ -60,20 +63,48 @@
     publishAll(store);
 }
 
-void StoreFollower::onChanges(const StoreResult<StoreEntries> &result)
+void StoreFollower::onWatchEnd(const StoreResult<StoreEntries> &result)
 {
     m_isCalling = false;
     if (const auto *failure = std::get_if<StoreFailure>(&result))
         return onFailure(*failure);
     const StoreEntries &changes = std::get<StoreEntries>(result);
-    m_revision = std::max(*m_revision, changes.revision);
     onSuccess(!changes.entries.empty());
+    // Another host was faster; its changes must not be followed by older ones.
+    if (!m_revision || changes.revision < *m_revision)
+        return;
+    StoreChanges shared { *m_revision, changes.revision, {} };
     for (const StoreEntry &entry : changes.entries)
+        shared.entries.push_back(entry.encoded);
+    m_revision = changes.revision;
+    publishChanges(changes.entries);
+    m_onChanges(std::move(shared));
+}
+
+void StoreFollower::publishChanges(const std::vector<StoreEntry> &entries)
+{
+    for (const StoreEntry &entry : entries)
         publishChange(entry);
-    if (!changes.entries.empty())
+    if (!entries.empty())
         publishSets();
 }
 
+void StoreFollower::takeShared(const StoreChanges &changes, MonotonicTime now)
+{
+    m_now = std::max(m_now, now);
+    // Without the changes in between, this host has to read them itself.
+    if (!m_revision || changes.after > *m_revision)
+        return;
+    m_nextCallAt = now + kSharedTime;
+    if (changes.revision <= *m_revision)
+        return;
+    m_revision = changes.revision;
+    std::vector<StoreEntry> entries;
+    for (const std::string &encoded : changes.entries)
+        entries.push_back(m_store.decode(encoded));
+    publishChanges(entries);
+}
+
 void StoreFollower::onFailure(StoreFailure failure)
 {
     if (failure == StoreFailure::HistoryDropped) {
@@ -126,7 +157,7 @@
         logUnreadable(entry.key, gone->problem);
         m_onEvent(RegistrationRemoved { gone->server });
     } else if (const auto *host = std::get_if<HostEntry>(&entry.value)) {
-        m_hosts[entry.key] = host->failureDomain;
+        m_hosts[entry.key] = *host;
     } else if (const auto *absent = std::get_if<AbsentEntry>(&entry.value)) {
         logUnreadable(entry.key, absent->problem);
         m_evacuations.erase(entry.key);
@@ -147,11 +178,10 @@
     for (const auto &[key, failureDomain] : m_evacuations)
         evacuations.failureDomains.insert(failureDomain);
     m_onEvent(std::move(evacuations));
-    const auto isNear = [this](const auto &host) { return host.second == m_ownDomain; };
-    const auto near = static_cast<std::size_t>(
-            std::count_if(m_hosts.begin(), m_hosts.end(), isNear));
-    m_onEvent(HostsCounted { { std::max<std::size_t>(m_hosts.size(), 1),
-                               std::max<std::size_t>(near, 1) } });
+    HostsRead hosts;
+    for (const auto &[key, host] : m_hosts)
+        hosts.hosts.push_back(host);
+    m_onEvent(std::move(hosts));
 }
 
 } // namespace greengagestair
--- a/src/gateway/StoreFollower.h
+++ b/src/gateway/StoreFollower.h
@@ -3,6 +3,7 @@
 #include "gateway/GatewayEffect.h"
 #include "gateway/GatewayEvent.h"
 #include "gateway/RegistryStore.h"
+#include "greengagestair/Messages.h"
 
 #include <functional>
 #include <map>
@@ -23,20 +24,27 @@
 public:
     using OnEvent = std::function<void(GatewayEvent event)>;
     using OnLog = std::function<void(LogDecision decision)>;
+    /** Called after each call that brought this host up to date, also without changes. */
+    using OnChanges = std::function<void(StoreChanges changes)>;
 
-    StoreFollower(RegistryStore &store, FailureDomainId ownDomain, OnEvent onEvent, OnLog onLog,
+    StoreFollower(RegistryStore &store, OnEvent onEvent, OnLog onLog, OnChanges onChanges,
                   std::uint64_t randomSeed);
 
     /** Starts the next call if it is due. */
     void advance(MonotonicTime now);
     /** When advance() is wanted next; null while a call is in progress. */
     std::optional<MonotonicTime> nextWakeUp() const;
+    /** Takes changes that another host has read; no call is made while they come. */
+    void takeShared(const StoreChanges &changes, MonotonicTime now);
+    /** Other hosts rely on this one: calls are shorter, so that they hear of it more often. */
+    void setSharing(bool isSharing) { m_isSharing = isSharing; }
     /** True once all entries have been read. */
     bool isSynchronised() const { return m_revision.has_value(); }
 
 private:
     void onRead(const StoreResult<StoreEntries> &result);
-    void onChanges(const StoreResult<StoreEntries> &result);
+    void onWatchEnd(const StoreResult<StoreEntries> &result);
+    void publishChanges(const std::vector<StoreEntry> &entries);
     void onFailure(StoreFailure failure);
     void onSuccess(bool hasEntries);
     void publishAll(const StoreEntries &store);
@@ -45,17 +53,18 @@
     void logUnreadable(const std::string &key, const std::string &problem);
 
     RegistryStore &m_store;
-    FailureDomainId m_ownDomain;
     OnEvent m_onEvent;
     OnLog m_onLog;
+    OnChanges m_onChanges;
     std::mt19937_64 m_random;
     std::optional<Revision> m_revision; ///< all changes up to it are known
     MonotonicTime m_now;
     MonotonicTime m_nextCallAt;
     bool m_isCalling = false;
-    int m_failures = 0; ///< in a row
+    bool m_isSharing = false;
+    int m_failures = 0;                                   ///< in a row
     std::map<std::string, FailureDomainId> m_evacuations; ///< by key
-    std::map<std::string, FailureDomainId> m_hosts;       ///< by key
+    std::map<std::string, HostEntry> m_hosts;             ///< by key
 };
 
 } // namespace greengagestair
--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -191,8 +191,7 @@
         return;
     }
     noteIdleTimeout();
-    const bool isReusable =
-            m_parser->keep_alive() && m_pending.empty() && !m_stream->hasUnsent();
+    const bool isReusable = m_parser->keep_alive() && m_pending.empty() && !m_stream->hasUnsent();
     finish(takeAnswer(), isReusable);
 }
 
@@ -235,8 +234,8 @@
     if (isReusable) {
         const Clock::time_point now = Clock::now();
         if (m_idleTimeout.count() > 0) {
-            m_idleUntil = now
-                    + std::chrono::duration_cast<Clock::duration>(m_idleTimeout * kIdleShare);
+            m_idleUntil =
+                    now + std::chrono::duration_cast<Clock::duration>(m_idleTimeout * kIdleShare);
         }
         m_client.keep(self);
     } else {
--- a/src/http/BackendPool.cpp
+++ b/src/http/BackendPool.cpp
@@ -101,8 +101,7 @@
     const auto found = m_servers.find(connection->server());
     if (found == m_servers.end())
         return;
-    std::erase_if(found->second.idle,
-                  [&](const auto &other) { return other.get() == connection; });
+    std::erase_if(found->second.idle, [&](const auto &other) { return other.get() == connection; });
 }
 
 void BackendPool::closeAt(Clock::time_point at, const Closing &closing)
--- a/src/http/HttpFields.cpp
+++ b/src/http/HttpFields.cpp
@@ -16,14 +16,19 @@
 
 bool isHopByHop(std::string_view name)
 {
-    static constexpr std::array<std::string_view, 11> kNames = {
-        "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate",
-        "TE",         "Proxy-Authorization", "Trailer",        "Transfer-Encoding",
-        "Upgrade",    "Content-Length",    "Expect"
-    };
-    return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view known) {
-        return equalsIgnoringCase(known, name);
-    });
+    static constexpr std::array<std::string_view, 11> kNames = { "Connection",
+                                                                 "Keep-Alive",
+                                                                 "Proxy-Connection",
+                                                                 "Proxy-Authenticate",
+                                                                 "TE",
+                                                                 "Proxy-Authorization",
+                                                                 "Trailer",
+                                                                 "Transfer-Encoding",
+                                                                 "Upgrade",
+                                                                 "Content-Length",
+                                                                 "Expect" };
+    return std::any_of(kNames.begin(), kNames.end(),
+                       [&](std::string_view known) { return equalsIgnoringCase(known, name); });
 }
 
 static std::string_view trimmed(std::string_view text)
--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -82,8 +82,7 @@
         const std::size_t used = m_parser->put(boost::asio::buffer(m_pending), error);
         m_pending.erase(0, used);
         if (error == http::error::need_more) {
-            if (!m_parser->is_header_done()
-                && m_pending.size() > m_server.limits().maxHeaderBytes)
+            if (!m_parser->is_header_done() && m_pending.size() > m_server.limits().maxHeaderBytes)
                 return refuse(431);
             break;
         }
--- a/src/http/TcpStream.cpp
+++ b/src/http/TcpStream.cpp
@@ -33,12 +33,12 @@
     if (m_isReading || !m_wantsReading || !m_socket.is_open())
         return;
     m_isReading = true;
-    m_socket.async_read_some(asio::buffer(m_buffer),
-                             [self = shared_from_this()](const error_code &error,
-                                                         std::size_t bytes) {
-                                 self->m_isReading = false;
-                                 self->onRead(error, bytes);
-                             });
+    m_socket.async_read_some(
+            asio::buffer(m_buffer),
+            [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+                self->m_isReading = false;
+                self->onRead(error, bytes);
+            });
 }
 
 void TcpStream::onRead(const error_code &error, std::size_t bytes)
@@ -70,8 +70,7 @@
     if (m_unsent.empty()) {
         error_code error;
         sent = m_socket.write_some(asio::buffer(bytes), error);
-        const bool isBlocked =
-                error == asio::error::would_block || error == asio::error::try_again;
+        const bool isBlocked = error == asio::error::would_block || error == asio::error::try_again;
         if (error && !isBlocked)
             return false;
     }
--- a/standins/RegistryStandIn.cpp
+++ b/standins/RegistryStandIn.cpp
@@ -31,8 +31,7 @@
 RegistryStandIn::RegistryStandIn(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint)
     : m_context(context)
     , m_server(HttpServer::create(
-              context, endpoint,
-              [this](HttpRequest request) { return answer(std::move(request)); },
+              context, endpoint, [this](HttpRequest request) { return answer(std::move(request)); },
               HttpServer::Limits {}))
 {
     m_server->open();
@@ -127,9 +126,8 @@
             break;
         items.push_back(describe(item->first, item->second));
     }
-    return jsonResponse(200, { { "items", items },
-                               { "truncated", truncated },
-                               { "current_rev", m_revision } });
+    return jsonResponse(
+            200, { { "items", items }, { "truncated", truncated }, { "current_rev", m_revision } });
 }
 
 RegistryStandIn::Answer RegistryStandIn::answerWatch(HttpRequest request)
@@ -182,8 +180,7 @@
 {
     const std::string path = request.path();
     if (path == "/kv-lease") {
-        const milliseconds length(
-                json::parse(request.body).at("ttl_ms").to_number<std::int64_t>());
+        const milliseconds length(json::parse(request.body).at("ttl_ms").to_number<std::int64_t>());
         m_leases[++m_lastLease] = { steady_clock::now() + length, length };
         return jsonResponse(200, { { "lease", m_lastLease }, { "ttl_ms", length.count() } });
     }
--- a/tests/app/GatewaySettingsTest.cpp
+++ b/tests/app/GatewaySettingsTest.cpp
@@ -1,5 +1,5 @@
-#include "app/GatewayFrontEnd.h"
 #include "app/GatewaySettings.h"
+#include "app/GatewayFrontEnd.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
@@ -11,7 +11,7 @@
     // a comment
     "host": "edge-1", "failureDomain": "shubra", "callerEndpoint": "10.1.0.39:8226",
     "readinessEndpoint": "10.1.0.39:8227", "adminEndpoint": "10.1.0.39:8224",
-    "store": "10.200.1.7:8229", "stopTimeoutMs": 6000, "repeatRatio": 0.2,
+    "peerEndpoint": "10.1.0.39:7740", "store": "10.200.1.7:8229", "stopTimeoutMs": 6000, "repeatRatio": 0.2,
     "repeatWindowMs": 10000, "repeatSlack": 58, "coldFactor": 1.5, "coldSlack": 5,
 })";
 
@@ -93,8 +93,9 @@
     HttpServerRequest request;
     request.method = "GET";
     request.target = "/x";
-    request.headers = { { "Host", "h" },       { "Connection", "close, X-Hop" }, { "X-Hop", "1" },
-                        { "Keep-Alive", "5" }, { "ID", "7" },                    { "deadline", "600" },
+    request.headers = { { "Host", "h" },        { "Connection", "close, X-Hop" },
+                        { "X-Hop", "1" },       { "Keep-Alive", "5" },
+                        { "ID", "7" },          { "deadline", "600" },
                         { "Expected", "evil" }, { "X-Other", "kept" } };
     frontEnd.onRequest({ 1 }, request);
     REQUIRE(passed);
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -102,6 +102,16 @@
         return registration;
     }
 
+    /** Hosts in this host's failure domain and in others. */
+    static HostsRead hosts(int near, int far)
+    {
+        HostsRead read;
+        for (int i = 0; i < near + far; ++i)
+            read.hosts.push_back(
+                    { { "h" + std::to_string(i) }, { i < near ? "shubra" : "bulaq" }, {} });
+        return read;
+    }
+
     void send(const GatewayEvent &event)
     {
         GatewayEffects effects = m_gateway.handle(event, now);
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -41,8 +41,8 @@
     for (const StartAttempt &attempt : fixture.attempts)
         servers.insert(attempt.server.value);
     CHECK(servers
-          == std::set<std::string> {
-                  "shard-0-shubra", "shard-1-shubra", "shard-2-shubra", "shard-3-shubra" });
+          == std::set<std::string> { "shard-0-shubra", "shard-1-shubra", "shard-2-shubra",
+                                     "shard-3-shubra" });
     const auto attempts = fixture.takeAttempts();
     for (std::size_t i = 0; i < attempts.size(); ++i)
         fixture.answer(attempts[i], record(static_cast<char>('a' + i)));
@@ -337,7 +337,7 @@
     GatewayFixture fixture;
     fixture.configuration.services[{ "orders" }].coldRequestsPerSecond = 4;
     fixture.start();
-    fixture.send(HostsCounted { { 3, 1 } });
+    fixture.send(GatewayFixture::hosts(1, 2));
     fixture.send(RegistrationRemoved { { "orders-bulaq" } });
     fixture.wait(2100ms);
     BackendRegistration registration = GatewayFixture::registration("orders", "shubra");
@@ -362,8 +362,8 @@
 {
     GatewayFixture fixture;
     fixture.start();
-    fixture.send(HostsCounted { { 9, 3 } });
-    fixture.send(HostsCounted { { 2, 1 } });
+    fixture.send(GatewayFixture::hosts(3, 6));
+    fixture.send(GatewayFixture::hosts(1, 1));
     fixture.wait(20s);
     CHECK(fixture.gateway().dump(fixture.now).at("entryHosts").to_number<int>() == 9);
     fixture.wait(11s);
--- a/tests/gateway/PolicyTest.cpp
+++ b/tests/gateway/PolicyTest.cpp
@@ -84,8 +84,7 @@
             requests.pop_front();
         while (!repeats.empty() && now - repeats.front() > limits.window)
             repeats.pop_front();
-        const double bound =
-                limits.ratio * static_cast<double>(requests.size()) + kJointSlack;
+        const double bound = limits.ratio * static_cast<double>(requests.size()) + kJointSlack;
         REQUIRE(static_cast<double>(repeats.size()) <= bound);
     }
     CHECK(allowed > 5000);
--- a/tests/gateway/StoreFollowerTest.cpp
+++ b/tests/gateway/StoreFollowerTest.cpp
@@ -1,5 +1,6 @@
-#include "gateway/HostAnnouncer.h"
 #include "gateway/StoreFollower.h"
+#include "gateway/HostAnnouncer.h"
+#include "gateway/StoreRelay.h"
 
 #include <catch2/catch.hpp>
 
@@ -22,6 +23,12 @@
         ++reads;
         read = std::move(done);
     }
+    StoreEntry decode(const std::string &encoded) const override
+    {
+        BackendRegistration registration;
+        registration.server = { encoded };
+        return { "servers/" + encoded, ServerEntry { registration }, encoded };
+    }
     void awaitChanges(Revision after, Duration, OnEntries done) override
     {
         ++watches;
@@ -57,8 +64,9 @@
 public:
     Follower()
         : m_follower(
-                store, { "shubra" }, [this](GatewayEvent event) { events.push_back(event); },
-                [this](const LogDecision &decision) { log.emplace_back(decision.event); }, 1)
+                store, [this](GatewayEvent event) { events.push_back(event); },
+                [this](const LogDecision &decision) { log.emplace_back(decision.event); },
+                [this](const StoreChanges &changes) { shared.push_back(changes); }, 1)
     {
     }
 
@@ -84,6 +92,9 @@
     MonotonicTime now { 1s };
     std::vector<GatewayEvent> events;
     std::vector<std::string> log;
+    std::vector<StoreChanges> shared;
+
+    void take(const StoreChanges &changes) { m_follower.takeShared(changes, now); }
 
 private:
     StoreFollower m_follower;
@@ -95,7 +106,7 @@
 {
     BackendRegistration registration;
     registration.server = { name };
-    return { "servers/" + name, ServerEntry { registration } };
+    return { "servers/" + name, ServerEntry { registration }, name };
 }
 
 TEST_CASE("all entries are read once, then changes from that revision on", "[gateway]")
@@ -108,7 +119,7 @@
     follower.wait(1s);
     CHECK(follower.store.watchedAfter == Revision { 10 });
     follower.store.watch(
-            StoreEntries { { { "servers/a", AbsentServer { { "a" }, {} } } }, { 11 } });
+            StoreEntries { { { "servers/a", AbsentServer { { "a" }, {} }, "" } }, { 11 } });
     CHECK(follower.take<RegistrationRemoved>().front().server == ServerId { "a" });
     follower.wait(1s);
     CHECK(follower.store.watchedAfter == Revision { 11 });
@@ -154,11 +165,11 @@
 {
     Follower follower;
     follower.wait(0ms);
-    follower.store.read(
-            StoreEntries { { { "op/evacuate/bulaq", EvacuationEntry { { "bulaq" } } } }, { 10 } });
+    follower.store.read(StoreEntries {
+            { { "op/evacuate/bulaq", EvacuationEntry { { "bulaq" } }, "" } }, { 10 } });
     CHECK(follower.take<EvacuationsRead>().front().failureDomains.size() == 1);
     follower.wait(1s);
-    follower.store.watch(StoreEntries { { { "op/evacuate/bulaq", AbsentEntry {} } }, { 11 } });
+    follower.store.watch(StoreEntries { { { "op/evacuate/bulaq", AbsentEntry {}, "" } }, { 11 } });
     CHECK(follower.take<EvacuationsRead>().front().failureDomains.empty());
 }
 
@@ -168,27 +179,93 @@
     Follower follower;
     follower.wait(0ms);
     follower.store.read(StoreEntries {
-            { { "servers/x", AbsentServer { { "x" }, "expected text" } }, server("a") }, { 10 } });
+            { { "servers/x", AbsentServer { { "x" }, "expected text" }, "" }, server("a") },
+            { 10 } });
     CHECK(follower.take<RegistrationsRead>().front().registrations.size() == 1);
 }
 
-TEST_CASE("hosts are counted in all and in the own failure domain", "[gateway]")
+TEST_CASE("hosts that are present are read", "[gateway]")
+{
+    Follower follower;
+    follower.wait(0ms);
+    const HostEntry host { { "a" }, { "shubra" }, { "10.0.0.1", 7000 } };
+    follower.store.read(StoreEntries { { { "hosts/a", host, "" } }, { 10 } });
+    CHECK(follower.take<HostsRead>().front().hosts == std::vector { host });
+}
+
+// Guards against calls that grow with the number of hosts.
+TEST_CASE("while another host shares its changes, no call is made", "[gateway]")
+{
+    Follower follower;
+    follower.wait(0ms);
+    follower.store.read(StoreEntries { { server("a") }, { 10 } });
+    for (std::uint64_t revision = 10; revision < 30; ++revision) {
+        follower.take({ { revision }, { revision + 1 }, { "b" + std::to_string(revision) } });
+        follower.wait(1s);
+    }
+    CHECK(follower.store.watches == 0);
+    CHECK(follower.take<RegistrationWritten>().size() == 20);
+    follower.wait(700ms);
+    CHECK(follower.store.watchedAfter == Revision { 30 });
+}
+
+// Guards against changes that are missed, or that older ones follow.
+TEST_CASE("shared changes with a gap are read from the store, old ones are ignored", "[gateway]")
+{
+    Follower follower;
+    follower.wait(0ms);
+    follower.store.read(StoreEntries { { server("a") }, { 10 } });
+    follower.events.clear();
+    follower.take({ { 12 }, { 13 }, { "b" } });
+    CHECK(follower.events.empty());
+    follower.wait(400ms);
+    CHECK(follower.store.watchedAfter == Revision { 10 });
+    follower.take({ { 9 }, { 20 }, { "c" } });
+    CHECK(follower.take<RegistrationWritten>().size() == 1);
+    follower.store.watch(StoreEntries { { server("old") }, { 15 } });
+    follower.take({ { 9 }, { 18 }, { "older" } });
+    CHECK(follower.events.empty());
+    CHECK(follower.shared.empty());
+}
+
+TEST_CASE("a host shares what it reads, and that there is nothing new", "[gateway]")
 {
     Follower follower;
     follower.wait(0ms);
-    follower.store.read(StoreEntries { { { "hosts/a", HostEntry { { "a" }, { "shubra" } } },
-                                         { "hosts/b", HostEntry { { "b" }, { "bulaq" } } },
-                                         { "hosts/c", HostEntry { { "c" }, { "shubra" } } } },
-                                       { 10 } });
-    const auto counted = follower.take<HostsCounted>();
-    CHECK(counted.front().hosts == HostCount { 3, 2 });
+    follower.store.read(StoreEntries { {}, { 10 } });
+    follower.wait(1s);
+    follower.store.watch(StoreEntries { { server("a") }, { 11 } });
+    follower.wait(1s);
+    follower.store.watch(StoreEntries { {}, { 11 } });
+    REQUIRE(follower.shared.size() == 2);
+    CHECK(follower.shared[0] == StoreChanges { { 10 }, { 11 }, { "a" } });
+    CHECK(follower.shared[1] == StoreChanges { { 11 }, { 11 }, {} });
+}
+
+// Guards against a failure domain in which nobody calls the store, or everybody does.
+TEST_CASE("hosts with the same view agree on who calls the store", "[gateway]")
+{
+    const std::size_t size = GENERATE(1, 2, 3, 4, 30);
+    std::vector<HostEntry> hosts;
+    for (std::size_t i = 0; i < size; ++i)
+        hosts.push_back({ { "h" + std::to_string(i) }, { "shubra" }, {} });
+    hosts.push_back({ { "far" }, { "bulaq" }, {} });
+    std::size_t callers = 0;
+    for (std::size_t i = 0; i < size; ++i) {
+        StoreRelay relay(hosts[i]);
+        relay.update(hosts);
+        callers += relay.isSharing() ? 1 : 0;
+        CHECK(relay.others().size() == size);
+        CHECK((relay.readers().empty() || relay.readers().size() == size - (size > 3 ? 2 : 1)));
+    }
+    CHECK(callers == (size == 1 ? 0 : size > 3 ? 2 : 1));
 }
 
 // Guards against a host that stays unknown after its lease ended while it was paused.
 TEST_CASE("a host whose lease ended is announced again", "[gateway]")
 {
     FakeStore store;
-    HostAnnouncer announcer({ { "a" }, { "shubra" } }, store, [](const LogDecision &) {});
+    HostAnnouncer announcer({ { "a" }, { "shubra" }, {} }, store, [](const LogDecision &) {});
     MonotonicTime now(1s);
     announcer.advance(now);
     store.grant(LeaseGrant { 5, 15s });
--- a/tests/http/BackendPoolTest.cpp
+++ b/tests/http/BackendPoolTest.cpp
@@ -85,9 +85,8 @@
 static std::string response(std::uint64_t attempt, const std::string &body,
                             const std::string &headers = "")
 {
-    return "HTTP/1.1 200 OK\r\nRequest-Id: id-" + std::to_string(attempt)
-            + "\r\nSignature: sig\r\n" + headers
-            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 200 OK\r\nRequest-Id: id-" + std::to_string(attempt) + "\r\nSignature: sig\r\n"
+            + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 TEST_CASE("a request names its server and the time left", "[http]")
@@ -198,11 +197,11 @@
 // Guards against a refusal that is taken for a run, and the reverse.
 TEST_CASE("only the server's own statement says that it did not run a request", "[http]")
 {
-    const auto [head, expected] = GENERATE(table<std::string, bool>(
-            { { "503 Busy\r\nNot-Executed: 1", true },
-              { "421 Misdirected Request", true },
-              { "503 Busy", false },
-              { "500 Error\r\nSignature: s", false } }));
+    const auto [head, expected] =
+            GENERATE(table<std::string, bool>({ { "503 Busy\r\nNot-Executed: 1", true },
+                                                { "421 Misdirected Request", true },
+                                                { "503 Busy", false },
+                                                { "500 Error\r\nSignature: s", false } }));
     PoolFixture fixture;
     fixture.start(1);
     fixture.respond(1, "HTTP/1.1 " + head + "\r\nContent-Length: 0\r\n\r\n");
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -127,9 +127,8 @@
             head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
             head + "Content-Length: -1\r\n\r\n", head + "Content-Length: 1x\r\n\r\na",
             head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
-            head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
-            head + "Host: other\r\n\r\n", "GET / HTTP/1.1\r\n broken\r\n\r\n",
-            "\x16\x03\x01 garbage\r\n\r\n");
+            head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n", head + "Host: other\r\n\r\n",
+            "GET / HTTP/1.1\r\n broken\r\n\r\n", "\x16\x03\x01 garbage\r\n\r\n");
     ServerFixture fixture;
     const auto peer = fixture.connect();
     peer->write(request);
--- a/tests/http/RawPeers.h
+++ b/tests/http/RawPeers.h
@@ -38,7 +38,10 @@
     }
 
     void start() { read(); }
-    void write(const std::string &bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
+    void write(const std::string &bytes)
+    {
+        boost::asio::write(m_socket, boost::asio::buffer(bytes));
+    }
     void finishWriting() { m_socket.shutdown(Socket::shutdown_send); }
     void close() { m_socket.close(); }
     void reset()
--- a/tests/platform/EntryDecoderTest.cpp
+++ b/tests/platform/EntryDecoderTest.cpp
@@ -102,11 +102,10 @@
 
 TEST_CASE("hosts are read back as they were written", "[platform]")
 {
-    const HostEntry host { { "edge-1" }, { "shubra" } };
+    const HostEntry host { { "edge-1" }, { "shubra" }, { "10.0.0.1", 7740 } };
     const StoreEntry entry = decode(hostKey(host.host), encodeHost(host));
     const auto &read = std::get<HostEntry>(entry.value);
-    CHECK(read.host == host.host);
-    CHECK(read.failureDomain == host.failureDomain);
+    CHECK(read == host);
 }
 
 TEST_CASE("foreign keys concern nobody", "[platform]")
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -47,9 +47,8 @@
     StoreResult<StoreEntries> awaitChanges(Revision revision, Duration wait = 500ms)
     {
         std::optional<StoreResult<StoreEntries>> result;
-        client.awaitChanges(revision, wait, [&](StoreResult<StoreEntries> answer) {
-            result = std::move(answer);
-        });
+        client.awaitChanges(revision, wait,
+                            [&](StoreResult<StoreEntries> answer) { result = std::move(answer); });
         return await(result);
     }
 
@@ -65,7 +64,8 @@
     StoreFixture fixture;
     fixture.standIn.setPageSize(3);
     for (int i = 0; i < 8; ++i)
-        fixture.standIn.put("hosts/h" + std::to_string(i), R"({"failureDomain":"shubra"})");
+        fixture.standIn.put("hosts/h" + std::to_string(i),
+                            R"({"failureDomain":"shubra","peer":"10.0.0.1:7740"})");
     const auto read = std::get<StoreEntries>(fixture.readAll());
     CHECK(read.entries.size() == 8);
     CHECK(fixture.standIn.calls("/kv-range") == 3);
@@ -116,7 +116,8 @@
     CHECK(grant.timeToLive == 10s);
     std::optional<StoreResult<StoreDone>> done;
     const auto onDone = [&](StoreResult<StoreDone> answer) { done = answer; };
-    fixture.client.announceHost({ { "edge-1" }, { "shubra" } }, grant.lease, onDone);
+    fixture.client.announceHost({ { "edge-1" }, { "shubra" }, { "10.0.0.1", 7740 } }, grant.lease,
+                                onDone);
     CHECK(std::holds_alternative<StoreDone>(fixture.await(done)));
     CHECK(fixture.standIn.contains("hosts/edge-1"));
     done.reset();
