--- a/src/app/GatewayFrontEnd.cpp
+++ b/src/app/GatewayFrontEnd.cpp
@@ -17,7 +17,7 @@
     std::int64_t count = 0;
     const char *end = text.data() + text.size();
     const auto [stop, error] = std::from_chars(text.data(), end, count);
-    constexpr std::int64_t kMostMs = 24 * 3600 * 1000;
+    constexpr std::int64_t kMostMs = 86'400'000;
     if (error != std::errc() || stop != end || count < 0 || count > kMostMs)
         return std::nullopt;
     return std::chrono::milliseconds(count);
--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -51,13 +51,13 @@
     , m_frontEnd(names, [this](GatewayEvent event) { enqueue(std::move(event)); })
     , m_callers(context, m_frontEnd)
     , m_readinessPages([this](std::string_view) { return readinessPage(); },
-                       [this](ExchangeId exchange, HttpServerResponse response) {
-                           m_readiness.reply(exchange, std::move(response));
+                       [this](ExchangeId exchange, const HttpServerResponse &response) {
+                           m_readiness.reply(exchange, response);
                        })
     , m_readiness(context, m_readinessPages)
     , m_adminPages([this](std::string_view path) { return adminPage(path); },
-                   [this](ExchangeId exchange, HttpServerResponse response) {
-                       m_admin.reply(exchange, std::move(response));
+                   [this](ExchangeId exchange, const HttpServerResponse &response) {
+                       m_admin.reply(exchange, response);
                    })
     , m_admin(context, m_adminPages)
     , m_backends(context, names,
@@ -165,7 +165,7 @@
         m_callers.setLimits(configuration->limits);
 }
 
-void GatewayServer::apply(GatewayEffects effects)
+void GatewayServer::apply(const GatewayEffects &effects)
 {
     for (const GatewayEffect &effect : effects)
         std::visit([this](const auto &typed) { applyEffect(typed); }, effect);
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -31,7 +31,7 @@
 public:
     using Page = std::function<HttpServerResponse(std::string_view path)>;
     /** Sends a response on the server that the request came from. */
-    using Send = std::function<void(ExchangeId exchange, HttpServerResponse response)>;
+    using Send = std::function<void(ExchangeId exchange, const HttpServerResponse &response)>;
 
     GatewayPages(Page page, Send send);
     void onRequest(ExchangeId exchange, HttpServerRequest request) override;
@@ -62,7 +62,7 @@
     void post(Event event) override;
     void share(const StoreChanges &changes);
     void drain();
-    void apply(GatewayEffects effects);
+    void apply(const GatewayEffects &effects);
     void applyEffect(const StartAttempt &effect);
     void applyEffect(const ReleaseAttempt &effect);
     void applyEffect(const ReplyToCaller &effect);
--- a/src/app/JsonLineLog.cpp
+++ b/src/app/JsonLineLog.cpp
@@ -16,7 +16,7 @@
 /** Lines that may come at once, in seconds of the rate. */
 static constexpr double kBurstSeconds = 4;
 /** Bound on lines that wait for the descriptor, in bytes. */
-static constexpr std::size_t kMaxKeptBytes = 256 * 1024;
+static constexpr std::size_t kMaxKeptBytes = 262'144;
 
 JsonLineLog::JsonLineLog(int descriptor, std::string host)
     : m_descriptor(descriptor)
--- a/src/app/LatencyHistogram.cpp
+++ b/src/app/LatencyHistogram.cpp
@@ -70,7 +70,8 @@
     double below = 0;
     for (int bin = 0; bin < histogram.axis().size(); ++bin) {
         below += histogram.at(bin);
-        text += name + "_bucket" + label + ",le=\"";
+        text += name;
+        text += "_bucket" + label + ",le=\"";
         text += formatNumber(histogram.axis().bin(bin).upper()) + "\"} ";
         text += formatNumber(below) + "\n";
     }
--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -17,7 +17,7 @@
 using boost::system::error_code;
 
 /** Bound on the body of one response, in bytes. */
-static constexpr std::uint64_t kMaxResponseBytes = 16 * 1024 * 1024;
+static constexpr std::uint64_t kMaxResponseBytes = 16'777'216;
 /** Bound on the header of one response, in bytes. */
 static constexpr std::uint32_t kMaxResponseHeader = 65'536;
 /** Share of a server's idle timeout for which a connection is kept. */
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -110,7 +110,7 @@
     return exchange;
 }
 
-void HttpServer::reply(ExchangeId exchange, HttpServerResponse response)
+void HttpServer::reply(ExchangeId exchange, const HttpServerResponse &response)
 {
     const auto found = m_exchanges.find(exchange);
     if (found == m_exchanges.end())
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -74,7 +74,7 @@
     void setLimits(const CallerLimits &limits) { m_limits = limits; }
     const CallerLimits &limits() const { return m_limits; }
 
-    void reply(ExchangeId exchange, HttpServerResponse response);
+    void reply(ExchangeId exchange, const HttpServerResponse &response);
     /** From now on each answer closes its connection; connections are still accepted. */
     void beginClosing();
     bool isClosing() const { return m_isClosing; }
--- a/standins/RegistryStandIn.cpp
+++ b/standins/RegistryStandIn.cpp
@@ -29,10 +29,9 @@
 }
 
 RegistryStandIn::RegistryStandIn(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint)
-    : m_context(context)
-    , m_server(HttpServer::create(
-              context, endpoint, [this](HttpRequest request) { return answer(std::move(request)); },
-              HttpServer::Limits {}))
+    : m_server(HttpServer::create(
+            context, endpoint, [this](HttpRequest request) { return answer(std::move(request)); },
+            HttpServer::Limits {}))
 {
     m_server->open();
 }
--- a/standins/RegistryStandIn.h
+++ b/standins/RegistryStandIn.h
@@ -64,7 +64,6 @@
     void endLeases();
     boost::json::object describe(const std::string &key, const Item &item) const;
 
-    boost::asio::io_context &m_context;
     std::shared_ptr<HttpServer> m_server;
     std::map<std::string, Item> m_items;
     std::map<std::int64_t, boost::json::object> m_history; ///< events by revision
