--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -64,6 +64,16 @@
                  [this](AttemptId attempt, AttemptResult result) {
                      enqueue(AttemptEnded { attempt, std::move(result) });
                  })
+    , m_seeds(
+              m_settings.seeds,
+              [&context](std::function<void()> function) {
+                  boost::asio::post(context, std::move(function));
+              },
+              [this](const std::optional<StoreChanges> &snapshot) {
+                  if (snapshot)
+                      m_follower.takeSnapshot(*snapshot, now());
+                  armTimer();
+              })
     , m_relay(hostEntryOf(m_settings))
     , m_follower(
               store, [this](GatewayEvent event) { enqueue(std::move(event)); },
@@ -211,6 +221,8 @@
     };
     consider(m_follower.nextWakeUp());
     consider(m_announcer.nextWakeUp());
+    if (m_follower.needsSnapshot())
+        consider(m_seeds.nextQuestionAt());
     // An earlier wake-up than needed is harmless and cheaper than a new timer each time.
     if (!next || (m_timerAt && *m_timerAt <= *next))
         return;
@@ -229,6 +241,8 @@
     const MonotonicTime time = now();
     if (!m_isStopping) {
         m_follower.advance(time);
+        if (m_follower.needsSnapshot())
+            m_seeds.ask(time);
         m_announcer.advance(time);
     }
     m_log.flush();
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -4,6 +4,7 @@
 #include "app/GatewaySettings.h"
 #include "app/JsonLineLog.h"
 #include "app/LatencyHistogram.h"
+#include "app/SeedReader.h"
 #include "gateway/Gateway.h"
 #include "gateway/HostAnnouncer.h"
 #include "gateway/StoreFollower.h"
@@ -94,6 +95,7 @@
     GatewayPages m_adminPages;
     HttpServer m_admin;
     BackendPool m_backends;
+    SeedReader m_seeds;
     StoreRelay m_relay;
     StoreFollower m_follower;
     std::unique_ptr<TcpPeerTransport> m_peers;
--- a/src/app/GatewaySettings.cpp
+++ b/src/app/GatewaySettings.cpp
@@ -9,21 +9,36 @@
 using boost::leaf::result;
 
 static constexpr std::size_t kMaxEndpointLength = 64;
+static constexpr std::size_t kMaxSeeds = 64;
 static constexpr std::uint64_t kMaxStopTimeoutMs = 600'000;
 static constexpr std::uint64_t kMaxWindowMs = 600'000;
 static constexpr double kMaxRatio = 1;
 static constexpr double kMaxCount = 1'000'000;
 
+static constexpr const char *kEndpointForm = "an address such as 127.0.0.1:8080";
+
 static Endpoint endpointOf(const JsonReader &reader, std::string_view key)
 {
-    const std::string text = reader.text(key, kMaxEndpointLength);
-    const auto endpoint = parseEndpoint(text);
+    const auto endpoint = parseEndpoint(reader.text(key, kMaxEndpointLength));
     if (endpoint)
         return *endpoint;
-    reader.fault(DocumentErrorKind::BadText, key, "an address such as 127.0.0.1:8080");
+    reader.fault(DocumentErrorKind::BadText, key, kEndpointForm);
     return {};
 }
 
+static std::vector<Endpoint> endpointsOf(const JsonReader &reader, std::string_view key)
+{
+    std::vector<Endpoint> endpoints;
+    for (const JsonReader &element : reader.list(key, kMaxSeeds)) {
+        const auto endpoint = parseEndpoint(element.ownText(kMaxEndpointLength));
+        if (endpoint)
+            endpoints.push_back(*endpoint);
+        else
+            element.fault(DocumentErrorKind::BadText, kEndpointForm);
+    }
+    return endpoints;
+}
+
 static RepeatLimits repeatLimitsOf(const JsonReader &reader)
 {
     RepeatLimits limits;
@@ -39,8 +54,8 @@
     FaultRecorder faults;
     const JsonReader reader(json, "$", faults);
     reader.allowKeys({ "host", "failureDomain", "callerEndpoint", "readinessEndpoint",
-                       "adminEndpoint", "peerEndpoint", "store", "stopTimeoutMs", "repeatRatio",
-                       "repeatWindowMs", "repeatSlack", "coldFactor", "coldSlack" });
+                       "adminEndpoint", "peerEndpoint", "store", "seeds", "stopTimeoutMs",
+                       "repeatRatio", "repeatWindowMs", "repeatSlack", "coldFactor", "coldSlack" });
     GatewaySettings settings;
     settings.host.value = reader.name("host");
     settings.callerEndpoint = endpointOf(reader, "callerEndpoint");
@@ -48,6 +63,7 @@
     settings.adminEndpoint = endpointOf(reader, "adminEndpoint");
     settings.peerEndpoint = endpointOf(reader, "peerEndpoint");
     settings.store = endpointOf(reader, "store");
+    settings.seeds = endpointsOf(reader, "seeds");
     settings.stopTimeout = reader.milliseconds("stopTimeoutMs", 100, kMaxStopTimeoutMs);
     settings.options.selector.failureDomain.value = reader.name("failureDomain");
     settings.options.selector.coldFactor = reader.decimal("coldFactor", 0, kMaxCount);
--- /dev/null
+++ b/src/app/SeedReader.cpp
@@ -0,0 +1,94 @@
+#include "app/SeedReader.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace greengagestair {
+
+namespace json = boost::json;
+
+/** Hosts answer from memory; one that does not is down. */
+static constexpr Duration kQuestionTimeout = std::chrono::milliseconds(400);
+static constexpr Duration kQuestionInterval = std::chrono::milliseconds(150);
+/** Bound on an answer: the store's values and their encoding. */
+static constexpr std::size_t kMaxAnswerBytes = 16'777'216;
+
+std::string formatSnapshot(const StoreChanges &snapshot)
+{
+    json::array entries;
+    for (const std::string &entry : snapshot.entries)
+        entries.emplace_back(entry);
+    return json::serialize(
+            json::object { { "revision", snapshot.revision.value }, { "entries", entries } });
+}
+
+std::optional<StoreChanges> parseSnapshot(const std::string &text)
+{
+    json::error_code error;
+    const json::value value = json::parse(text, error);
+    const json::object *object = error ? nullptr : value.if_object();
+    const json::value *revision = object ? object->if_contains("revision") : nullptr;
+    const json::value *entries = object ? object->if_contains("entries") : nullptr;
+    if (!revision || !revision->is_int64() || !entries || !entries->is_array())
+        return std::nullopt;
+    StoreChanges snapshot { {}, { static_cast<std::uint64_t>(revision->get_int64()) }, {} };
+    for (const json::value &entry : entries->get_array()) {
+        if (!entry.is_string())
+            return std::nullopt;
+        snapshot.entries.emplace_back(entry.get_string());
+    }
+    return snapshot;
+}
+
+SeedReader::SeedReader(std::vector<Endpoint> seeds, Post post, OnAnswer onAnswer)
+    : m_seeds(std::move(seeds))
+    , m_post(std::move(post))
+    , m_onAnswer(std::move(onAnswer))
+{
+}
+
+SeedReader::~SeedReader()
+{
+    if (m_loop)
+        m_loop->stop();
+}
+
+std::optional<MonotonicTime> SeedReader::nextQuestionAt() const
+{
+    if (m_isAsking || m_seeds.empty())
+        return std::nullopt;
+    return m_nextQuestionAt;
+}
+
+void SeedReader::ask(MonotonicTime now)
+{
+    if (m_isAsking || m_seeds.empty() || now < m_nextQuestionAt)
+        return;
+    if (!m_loop)
+        m_loop = std::make_unique<HttpLoop>();
+    m_isAsking = true;
+    m_nextQuestionAt = now + kQuestionInterval;
+    HttpRequest request;
+    request.method = "GET";
+    request.endpoint = m_seeds[m_next++ % m_seeds.size()];
+    request.target = "/entries";
+    request.deadline = steadyDeadline(kQuestionTimeout);
+    request.notAfter = request.deadline;
+    request.connectTimeout = kQuestionTimeout;
+    request.maxResponseBytes = kMaxAnswerBytes;
+    m_loop->start(std::move(request), [this](HttpResponse response) {
+        m_post([this, response = std::move(response)] { onAnswer(response); });
+    });
+}
+
+void SeedReader::onAnswer(const HttpResponse &response)
+{
+    m_isAsking = false;
+    constexpr int kOk = 200;
+    const bool isOk = response.end == HttpEnd::Answered && response.status == kOk;
+    m_onAnswer(isOk ? parseSnapshot(response.body) : std::nullopt);
+}
+
+} // namespace greengagestair
--- a/src/gateway/StoreFollower.cpp
+++ b/src/gateway/StoreFollower.cpp
@@ -58,6 +58,8 @@
     if (const auto *failure = std::get_if<StoreFailure>(&result))
         return onFailure(*failure);
     const StoreEntries &store = std::get<StoreEntries>(result);
+    if (m_revision && store.revision < *m_revision)
+        return onSuccess(false);
     m_revision = store.revision;
     onSuccess(!store.entries.empty());
     publishAll(store);
@@ -83,8 +85,10 @@
 
 void StoreFollower::publishChanges(const std::vector<StoreEntry> &entries)
 {
-    for (const StoreEntry &entry : entries)
+    for (const StoreEntry &entry : entries) {
+        remember(entry);
         publishChange(entry);
+    }
     if (!entries.empty())
         publishSets();
 }
@@ -105,6 +109,42 @@
     publishChanges(entries);
 }
 
+void StoreFollower::remember(const StoreEntry &entry)
+{
+    const bool isGone = std::holds_alternative<AbsentEntry>(entry.value)
+            || std::holds_alternative<AbsentServer>(entry.value);
+    if (isGone)
+        m_encoded.erase(entry.key);
+    else if (!std::holds_alternative<OtherEntry>(entry.value))
+        m_encoded[entry.key] = entry.encoded;
+}
+
+std::optional<StoreChanges> StoreFollower::snapshot() const
+{
+    if (!m_revision)
+        return std::nullopt;
+    StoreChanges snapshot { {}, *m_revision, {} };
+    for (const auto &[key, encoded] : m_encoded)
+        snapshot.entries.push_back(encoded);
+    return snapshot;
+}
+
+void StoreFollower::takeSnapshot(const StoreChanges &snapshot, MonotonicTime now)
+{
+    m_now = std::max(m_now, now);
+    if (m_revision)
+        return;
+    m_revision = snapshot.revision;
+    StoreEntries store { {}, snapshot.revision };
+    for (const std::string &encoded : snapshot.entries)
+        store.entries.push_back(m_store.decode(encoded));
+    m_onLog({ LogWeight::State,
+              "snapshotTaken",
+              { { "revision", std::to_string(snapshot.revision.value) },
+                { "entries", std::to_string(snapshot.entries.size()) } } });
+    publishAll(store);
+}
+
 void StoreFollower::onFailure(StoreFailure failure)
 {
     if (failure == StoreFailure::HistoryDropped) {
@@ -133,9 +173,11 @@
 void StoreFollower::publishAll(const StoreEntries &store)
 {
     RegistrationsRead servers;
+    m_encoded.clear();
     m_evacuations.clear();
     m_hosts.clear();
     for (const StoreEntry &entry : store.entries) {
+        remember(entry);
         if (const auto *server = std::get_if<ServerEntry>(&entry.value))
             servers.registrations.push_back(server->registration);
         else if (!std::holds_alternative<AbsentServer>(entry.value))
--- a/src/gateway/StoreFollower.h
+++ b/src/gateway/StoreFollower.h
@@ -36,6 +36,13 @@
     std::optional<MonotonicTime> nextWakeUp() const;
     /** Takes changes that another host has read; no call is made while they come. */
     void takeShared(const StoreChanges &changes, MonotonicTime now);
+    /** All entries that are known, for a host that cannot reach the store; null before the first
+     * read. */
+    std::optional<StoreChanges> snapshot() const;
+    /** Takes another host's entries in place of a first read. */
+    void takeSnapshot(const StoreChanges &snapshot, MonotonicTime now);
+    /** True if the store does not answer and nothing is known yet. */
+    bool needsSnapshot() const { return !m_revision && m_failures > 0; }
     /** Other hosts rely on this one: calls are shorter, so that they hear of it more often. */
     void setSharing(bool isSharing) { m_isSharing = isSharing; }
     /** True once all entries have been read. */
@@ -47,6 +54,7 @@
     void publishChanges(const std::vector<StoreEntry> &entries);
     void onFailure(StoreFailure failure);
     void onSuccess(bool hasEntries);
+    void remember(const StoreEntry &entry);
     void publishAll(const StoreEntries &store);
     void publishChange(const StoreEntry &entry);
     void publishSets();
@@ -62,7 +70,8 @@
     MonotonicTime m_nextCallAt;
     bool m_isCalling = false;
     bool m_isSharing = false;
-    int m_failures = 0;                                   ///< in a row
+    int m_failures = 0;                           ///< in a row
+    std::map<std::string, std::string> m_encoded; ///< entries as the store encodes them, by key
     std::map<std::string, FailureDomainId> m_evacuations; ///< by key
     std::map<std::string, HostEntry> m_hosts;             ///< by key
 };
--- a/tests/gateway/StoreFollowerTest.cpp
+++ b/tests/gateway/StoreFollowerTest.cpp
@@ -95,6 +95,9 @@
     std::vector<StoreChanges> shared;
 
     void take(const StoreChanges &changes) { m_follower.takeShared(changes, now); }
+    void takeSnapshot(const StoreChanges &changes) { m_follower.takeSnapshot(changes, now); }
+    std::optional<StoreChanges> snapshot() const { return m_follower.snapshot(); }
+    bool needsSnapshot() const { return m_follower.needsSnapshot(); }
 
 private:
     StoreFollower m_follower;
@@ -242,6 +245,29 @@
     CHECK(follower.shared[1] == StoreChanges { { 11 }, { 11 }, {} });
 }
 
+// Guards against a process that serves nothing until the store is back, though others know all.
+TEST_CASE("a host that cannot reach the store starts from another host's entries", "[gateway]")
+{
+    Follower source;
+    source.wait(0ms);
+    CHECK_FALSE(source.snapshot());
+    source.store.read(StoreEntries { { server("a"), server("b") }, { 10 } });
+    source.take({ { 10 }, { 11 }, { "c" } });
+    const auto snapshot = source.snapshot();
+    REQUIRE(snapshot);
+
+    Follower follower;
+    follower.wait(0ms);
+    CHECK_FALSE(follower.needsSnapshot());
+    follower.store.read(StoreFailure::Refused);
+    CHECK(follower.needsSnapshot());
+    follower.takeSnapshot(*snapshot);
+    CHECK(follower.take<RegistrationsRead>().front().registrations.size() == 3);
+    CHECK_FALSE(follower.needsSnapshot());
+    follower.wait(1s);
+    CHECK(follower.store.watchedAfter == Revision { 11 });
+}
+
 // Guards against a failure domain in which nobody calls the store, or everybody does.
 TEST_CASE("hosts with the same view agree on who calls the store", "[gateway]")
 {
