--- a/src/gateway/GatewayEffect.h
+++ b/src/gateway/GatewayEffect.h
@@ -51,6 +51,12 @@
     SignatureLoss loss;
 };
 
+/** Tell the hosts of the own failure domain that a server is slow. */
+struct ReportDelay
+{
+    ServerDelay delay;
+};
+
 /** How much a log line matters when lines have to be dropped. */
 enum class LogWeight {
     State,   ///< a change of what the process believes
@@ -67,7 +73,7 @@
 };
 
 using GatewayEffect = std::variant<StartAttempt, ReleaseAttempt, ReplyToCaller, ForgetServer,
-                                   ReportLoss, LogDecision>;
+                                   ReportLoss, ReportDelay, LogDecision>;
 using GatewayEffects = std::vector<GatewayEffect>;
 
 } // namespace greengagestair
