--- a/include/greengagestair/Messages.h
+++ b/include/greengagestair/Messages.h
@@ -173,20 +173,10 @@
     bool operator==(const StoreChanges &) const = default;
 };
 
-/** A backend server kept a request of the sender waiting for unusually long. */
-struct ServerDelay
-{
-    ServerId server;
-    Duration elapsed {};   ///< since the request was sent
-    bool answered = false; ///< false while the request is still waiting
-
-    bool operator==(const ServerDelay &) const = default;
-};
-
 /** Any message between entry hosts. */
 using PeerMessage =
         std::variant<Heartbeat, HeartbeatAck, JoinRequest, DocumentRequest, DocumentPush,
-                     PartRequest, PartCancel, PartAnswer, SignatureLoss, StoreChanges, ServerDelay>;
+                     PartRequest, PartCancel, PartAnswer, SignatureLoss, StoreChanges>;
 
 /** A message with its sender. */
 struct PeerEnvelope
--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -155,8 +155,6 @@
         m_follower.takeShared(*changes, now());
     else if (const auto *loss = std::get_if<SignatureLoss>(&envelope.message))
         enqueue(LossReported { envelope.sender, *loss });
-    else if (const auto *delay = std::get_if<ServerDelay>(&envelope.message))
-        enqueue(DelayReported { *delay });
 }
 
 void GatewayServer::share(const StoreChanges &changes)
@@ -171,12 +169,6 @@
         m_peers->send(host.host, host.peer, effect.loss);
 }
 
-void GatewayServer::applyEffect(const ReportDelay &effect)
-{
-    for (const HostEntry &host : m_relay.neighbours())
-        m_peers->send(host.host, host.peer, effect.delay);
-}
-
 void GatewayServer::updateLimits()
 {
     if (const RoutingConfiguration *configuration = m_gateway.configuration())
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -69,7 +69,6 @@
     void applyEffect(const ReplyToCaller &effect);
     void applyEffect(const ForgetServer &effect);
     void applyEffect(const ReportLoss &effect);
-    void applyEffect(const ReportDelay &effect);
     void applyEffect(const LogDecision &effect);
     void log(const LogDecision &decision);
     void updateLimits();
--- a/src/codec/FrameCodec.cpp
+++ b/src/codec/FrameCodec.cpp
@@ -116,13 +116,6 @@
             .Union();
 }
 
-static Offset<void> writePayload(FlatBufferBuilder &builder, const ServerDelay &message)
-{
-    const auto server = writeString(builder, message.server);
-    return wire::CreateServerDelay(builder, server, message.elapsed.count(), message.answered)
-            .Union();
-}
-
 static Offset<void> writePayload(FlatBufferBuilder &builder, const StoreChanges &message)
 {
     const auto entries = builder.CreateVectorOfStrings(message.entries);
@@ -361,12 +354,6 @@
     return message;
 }
 
-static PeerMessage readPayload(FieldReader &reader, const wire::ServerDelay &wire)
-{
-    return ServerDelay { reader.name<ServerId>(wire.server()), reader.time(wire.elapsed()),
-                         wire.answered() };
-}
-
 static PeerMessage readPayload(FieldReader &reader, const wire::StoreChanges &wire)
 {
     return StoreChanges { { wire.after() }, { wire.revision() }, reader.texts(wire.entries()) };
@@ -422,8 +409,6 @@
         return readIfPresent(reader, envelope.payload_as_PartRequest());
     case wire::Payload::SignatureLoss:
         return readIfPresent(reader, envelope.payload_as_SignatureLoss());
-    case wire::Payload::ServerDelay:
-        return readIfPresent(reader, envelope.payload_as_ServerDelay());
     case wire::Payload::StoreChanges:
         return readIfPresent(reader, envelope.payload_as_StoreChanges());
     case wire::Payload::PartCancel:
--- a/src/codec/Peer_generated.h
+++ b/src/codec/Peer_generated.h
@@ -52,9 +52,6 @@
 struct StoreChanges;
 struct StoreChangesBuilder;
 
-struct ServerDelay;
-struct ServerDelayBuilder;
-
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -244,12 +241,11 @@
   PartAnswer = 8,
   SignatureLoss = 9,
   StoreChanges = 10,
-  ServerDelay = 11,
   MIN = NONE,
-  MAX = ServerDelay
+  MAX = StoreChanges
 };
 
-inline const Payload (&EnumValuesPayload())[12] {
+inline const Payload (&EnumValuesPayload())[11] {
   static const Payload values[] = {
     Payload::NONE,
     Payload::Heartbeat,
@@ -261,14 +257,13 @@
     Payload::PartCancel,
     Payload::PartAnswer,
     Payload::SignatureLoss,
-    Payload::StoreChanges,
-    Payload::ServerDelay
+    Payload::StoreChanges
   };
   return values;
 }
 
 inline const char * const *EnumNamesPayload() {
-  static const char * const names[13] = {
+  static const char * const names[12] = {
     "NONE",
     "Heartbeat",
     "HeartbeatAck",
@@ -280,14 +275,13 @@
     "PartAnswer",
     "SignatureLoss",
     "StoreChanges",
-    "ServerDelay",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePayload(Payload e) {
-  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::ServerDelay)) return "";
+  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::StoreChanges)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPayload()[index];
 }
@@ -336,10 +330,6 @@
   static const Payload enum_value = Payload::StoreChanges;
 };
 
-template<> struct PayloadTraits<greengagestair::wire::ServerDelay> {
-  static const Payload enum_value = Payload::ServerDelay;
-};
-
 bool VerifyPayload(flatbuffers::Verifier &verifier, const void *obj, Payload type);
 bool VerifyPayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Payload> *types);
 
@@ -1423,81 +1413,6 @@
       entries__);
 }
 
-struct ServerDelay FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef ServerDelayBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SERVER = 4,
-    VT_ELAPSED = 6,
-    VT_ANSWERED = 8
-  };
-  const flatbuffers::String *server() const {
-    return GetPointer<const flatbuffers::String *>(VT_SERVER);
-  }
-  int64_t elapsed() const {
-    return GetField<int64_t>(VT_ELAPSED, 0);
-  }
-  bool answered() const {
-    return GetField<uint8_t>(VT_ANSWERED, 0) != 0;
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_SERVER) &&
-           verifier.VerifyString(server()) &&
-           VerifyField<int64_t>(verifier, VT_ELAPSED, 8) &&
-           VerifyField<uint8_t>(verifier, VT_ANSWERED, 1) &&
-           verifier.EndTable();
-  }
-};
-
-struct ServerDelayBuilder {
-  typedef ServerDelay Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
-    fbb_.AddOffset(ServerDelay::VT_SERVER, server);
-  }
-  void add_elapsed(int64_t elapsed) {
-    fbb_.AddElement<int64_t>(ServerDelay::VT_ELAPSED, elapsed, 0);
-  }
-  void add_answered(bool answered) {
-    fbb_.AddElement<uint8_t>(ServerDelay::VT_ANSWERED, static_cast<uint8_t>(answered), 0);
-  }
-  explicit ServerDelayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<ServerDelay> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<ServerDelay>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<ServerDelay> CreateServerDelay(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> server = 0,
-    int64_t elapsed = 0,
-    bool answered = false) {
-  ServerDelayBuilder builder_(_fbb);
-  builder_.add_elapsed(elapsed);
-  builder_.add_server(server);
-  builder_.add_answered(answered);
-  return builder_.Finish();
-}
-
-inline flatbuffers::Offset<ServerDelay> CreateServerDelayDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *server = nullptr,
-    int64_t elapsed = 0,
-    bool answered = false) {
-  auto server__ = server ? _fbb.CreateString(server) : 0;
-  return greengagestair::wire::CreateServerDelay(
-      _fbb,
-      server__,
-      elapsed,
-      answered);
-}
-
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1561,9 +1476,6 @@
   const greengagestair::wire::StoreChanges *payload_as_StoreChanges() const {
     return payload_type() == greengagestair::wire::Payload::StoreChanges ? static_cast<const greengagestair::wire::StoreChanges *>(payload()) : nullptr;
   }
-  const greengagestair::wire::ServerDelay *payload_as_ServerDelay() const {
-    return payload_type() == greengagestair::wire::Payload::ServerDelay ? static_cast<const greengagestair::wire::ServerDelay *>(payload()) : nullptr;
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL_VERSION, 4) &&
@@ -1620,10 +1532,6 @@
   return payload_as_StoreChanges();
 }
 
-template<> inline const greengagestair::wire::ServerDelay *Envelope::payload_as<greengagestair::wire::ServerDelay>() const {
-  return payload_as_ServerDelay();
-}
-
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1747,10 +1655,6 @@
       auto ptr = reinterpret_cast<const greengagestair::wire::StoreChanges *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case Payload::ServerDelay: {
-      auto ptr = reinterpret_cast<const greengagestair::wire::ServerDelay *>(obj);
-      return verifier.VerifyTable(ptr);
-    }
     default: return true;
   }
 }
--- a/src/core/Reducer.cpp
+++ b/src/core/Reducer.cpp
@@ -75,11 +75,6 @@
                  const StoreChanges & /*message*/)
     {
     }
-    /** Only gateways share delays; an entry host alone sends to the servers that it owns. */
-    void receive(StepContext & /*context*/, const PeerEnvelope & /*envelope*/,
-                 const ServerDelay & /*message*/)
-    {
-    }
 
     void deliverLocalMessages(StepContext &context);
     void tickModules(StepContext &context);
--- a/src/gateway/BackendLoad.cpp
+++ b/src/gateway/BackendLoad.cpp
@@ -23,11 +23,6 @@
 /** A refusal says that the server is full, which passes sooner than a fault. */
 static constexpr double kRefusalWeight = 0.3;
 
-/** Another host's report that a server does not answer counts for this time. */
-static constexpr Duration kReportTime = std::chrono::milliseconds(80);
-/** Backend servers keep idle connections open for some seconds. */
-static constexpr Duration kConnectionTime = std::chrono::seconds(8);
-
 static double halved(double value, Duration age, std::chrono::duration<double> halfLife)
 {
     const std::chrono::duration<double> seconds = age;
@@ -76,25 +71,8 @@
 
 void BackendLoad::addAnswer(AttemptId attempt, MonotonicTime now)
 {
-    if (const auto age = takeAge(attempt, now)) {
+    if (const auto age = takeAge(attempt, now))
         addSample(*age, now);
-        m_lastAnswer = now;
-    }
-}
-
-void BackendLoad::addReport(const ServerDelay &delay, MonotonicTime now)
-{
-    if (delay.answered) {
-        addSample(delay.elapsed, now);
-        return;
-    }
-    m_waitedSince = now - delay.elapsed;
-    m_waitingUntil = now + kReportTime;
-}
-
-bool BackendLoad::isConnected(MonotonicTime now) const
-{
-    return m_lastAnswer && now - *m_lastAnswer < kConnectionTime;
 }
 
 void BackendLoad::addRefusal(AttemptId attempt, MonotonicTime now)
@@ -125,8 +103,6 @@
     }
     for (const auto &[attempt, startedAt] : m_started)
         expected = std::max(expected, now - startedAt);
-    if (now < m_waitingUntil)
-        expected = std::max(expected, now - m_waitedSince);
     const std::size_t capacity = std::max<std::size_t>(slots, 1);
     expected += expected * static_cast<Duration::rep>(m_started.size())
             / static_cast<Duration::rep>(capacity);
--- a/src/gateway/BackendLoad.h
+++ b/src/gateway/BackendLoad.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "greengagestair/Messages.h"
 #include "greengagestair/Types.h"
 
 #include <cstddef>
@@ -24,12 +23,6 @@
     /** The attempt was given up; it says nothing of the server but its age. */
     void addAbandoned(AttemptId attempt, MonotonicTime now);
 
-    /** Another host's experience. */
-    void addReport(const ServerDelay &delay, MonotonicTime now);
-
-    /** True if a connection from an earlier request is probably still open. */
-    bool isConnected(MonotonicTime now) const;
-
     std::size_t inFlight() const { return m_started.size(); }
 
     /**
@@ -55,9 +48,6 @@
     Duration m_average {};
     MonotonicTime m_lastSample;
     bool m_hasSample = false;
-    std::optional<MonotonicTime> m_lastAnswer;
-    MonotonicTime m_waitedSince;  ///< by another host, as it reported
-    MonotonicTime m_waitingUntil; ///< until then the report counts
     double m_penalty = 0;
     MonotonicTime m_penaltyAt;
     std::deque<MonotonicTime> m_coldStarts;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -179,12 +179,6 @@
     m_flow.addReportedLoss(event.reporter, event.loss);
 }
 
-void Gateway::on(const DelayReported &event)
-{
-    if (const auto backend = m_directory.find(event.delay.server))
-        backend->load.addReport(event.delay, m_now);
-}
-
 void Gateway::on(const LimitsChanged &event)
 {
     m_ownDomain = event.options.selector.failureDomain;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -48,7 +48,6 @@
     void on(const RegistrationRemoved &event);
     void on(const HostsRead &event);
     void on(const LossReported &event);
-    void on(const DelayReported &event);
     void on(const LimitsChanged &event);
     void on(const GatewayStopRequested &event);
     void on(const TimeAdvanced &event);
--- a/src/gateway/GatewayEffect.h
+++ b/src/gateway/GatewayEffect.h
@@ -51,12 +51,6 @@
     SignatureLoss loss;
 };
 
-/** Tell the hosts of the own failure domain that a server is slow. */
-struct ReportDelay
-{
-    ServerDelay delay;
-};
-
 /** How much a log line matters when lines have to be dropped. */
 enum class LogWeight {
     State,   ///< a change of what the process believes
@@ -73,7 +67,7 @@
 };
 
 using GatewayEffect = std::variant<StartAttempt, ReleaseAttempt, ReplyToCaller, ForgetServer,
-                                   ReportLoss, ReportDelay, LogDecision>;
+                                   ReportLoss, LogDecision>;
 using GatewayEffects = std::vector<GatewayEffect>;
 
 } // namespace greengagestair
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -77,12 +77,6 @@
     SignatureLoss loss;
 };
 
-/** A host of the same failure domain waits, or waited, long for a server. */
-struct DelayReported
-{
-    ServerDelay delay;
-};
-
 /** The settings have changed. */
 struct LimitsChanged
 {
@@ -99,9 +93,9 @@
 {
 };
 
-using GatewayEvent = std::variant<CallerArrived, CallerLeft, AttemptEnded, ConfigurationRead,
-                                  EvacuationsRead, RegistrationsRead, RegistrationWritten,
-                                  RegistrationRemoved, HostsRead, LossReported, DelayReported,
-                                  LimitsChanged, GatewayStopRequested, TimeAdvanced>;
+using GatewayEvent =
+        std::variant<CallerArrived, CallerLeft, AttemptEnded, ConfigurationRead, EvacuationsRead,
+                     RegistrationsRead, RegistrationWritten, RegistrationRemoved, HostsRead,
+                     LossReported, LimitsChanged, GatewayStopRequested, TimeAdvanced>;
 
 } // namespace greengagestair
--- a/src/gateway/RequestFlow.cpp
+++ b/src/gateway/RequestFlow.cpp
@@ -19,8 +19,6 @@
 static constexpr Duration kLoserLinger = std::chrono::milliseconds(1500);
 /** A part that takes less than this share of the latency target needs no second attempt. */
 static constexpr int kLeastHedgeDivisor = 4;
-/** Multiple of the usual time of a part from which on a server counts as slow. */
-static constexpr int kSlowFactor = 4;
 /** Attempts of one part that may fail before a byte is sent. */
 static constexpr std::size_t kMaxUnsent = 3;
 /** Without samples, a part is expected to take this share of the latency target. */
@@ -240,9 +238,7 @@
     backend->load.addStart(attempt, m_now);
     if (m_now < backend->coldUntil)
         backend->load.addColdStart(m_now);
-    m_attempts.emplace(
-            attempt,
-            AttemptRecord { exchange.id, index, backend, m_now, typicalTime(*exchange.route) });
+    m_attempts.emplace(attempt, AttemptRecord { exchange.id, index, backend, m_now });
     const bool isOwnDomain = m_selector.isOwnDomain(*backend);
     m_counters.add(isOwnDomain ? "attempts_total{failureDomain=\"own\"}"
                                : "attempts_total{failureDomain=\"other\"}");
@@ -264,7 +260,6 @@
             !part.isSettled && !part.open.empty() && part.sent < exchange.route->maxAttempts;
     if (!isUseful)
         return;
-    reportWaiting(part);
     if (!m_selector.hasServer(*part.service, part.tried))
         return;
     if (!budgetOf(part.service->name).takeRepeat(m_now)) {
@@ -275,26 +270,6 @@
         m_counters.add("hedges_total");
 }
 
-/** Tells the other hosts of the failure domain, which would run into the same pause. */
-void RequestFlow::reportWaiting(const Part &part)
-{
-    for (const AttemptId attempt : part.open) {
-        const AttemptRecord &record = m_attempts.at(attempt);
-        m_effects->push_back(ReportDelay {
-                { record.backend->registration.server, m_now - record.startedAt, false } });
-    }
-}
-
-/** A response that took several times the usual time is worth telling the other hosts. */
-void RequestFlow::reportIfSlow(const AttemptRecord &record)
-{
-    const Duration elapsed = m_now - record.startedAt;
-    if (elapsed > record.typical * kSlowFactor) {
-        m_effects->push_back(
-                ReportDelay { { record.backend->registration.server, elapsed, true } });
-    }
-}
-
 void RequestFlow::sendAgain(Exchange &exchange, std::size_t index)
 {
     Part &part = exchange.parts[index];
@@ -362,7 +337,6 @@
     const AttemptRecord record = found->second;
     m_attempts.erase(found);
     recordLoad(record, event.attempt, event.result);
-    reportIfSlow(record);
     Exchange *exchange = find(record.exchange);
     if (exchange) {
         Part &part = exchange->parts[record.part];
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -63,7 +63,6 @@
         std::size_t part = 0;
         std::shared_ptr<Backend> backend;
         MonotonicTime startedAt;
-        Duration typical {}; ///< usual time of such a part when it was sent
     };
 
     void addTimer(MonotonicTime at, const Timer &timer);
@@ -76,8 +75,6 @@
     /** Sends a part to a server; false if none can take it. */
     bool send(Exchange &exchange, std::size_t index);
     void startPart(Exchange &exchange, std::size_t index);
-    void reportWaiting(const Part &part);
-    void reportIfSlow(const AttemptRecord &record);
     void waitForRoom(Exchange &exchange, std::size_t index);
     /** Sends a part once more after a failure, or settles it. */
     void sendAgain(Exchange &exchange, std::size_t index);
--- a/src/gateway/StoreRelay.cpp
+++ b/src/gateway/StoreRelay.cpp
@@ -26,7 +26,6 @@
         if (host.failureDomain == m_self.failureDomain)
             near.push_back(host);
     }
-    m_neighbours.assign(near.begin() + 1, near.end());
     const std::string &key = m_self.failureDomain.value;
     std::sort(near.begin(), near.end(), [&](const HostEntry &left, const HostEntry &right) {
         return rendezvousScore(key, left.host.value) > rendezvousScore(key, right.host.value);
--- a/src/gateway/StoreRelay.h
+++ b/src/gateway/StoreRelay.h
@@ -22,15 +22,12 @@
     bool isSharing() const { return !m_readers.empty(); }
     /** Hosts that rely on this one. */
     const std::vector<HostEntry> &readers() const { return m_readers; }
-    /** The other hosts of the own failure domain. */
-    const std::vector<HostEntry> &neighbours() const { return m_neighbours; }
     /** All other hosts that are present. */
     const std::vector<HostEntry> &others() const { return m_others; }
 
 private:
     HostEntry m_self;
     std::vector<HostEntry> m_readers;
-    std::vector<HostEntry> m_neighbours;
     std::vector<HostEntry> m_others;
 };
 
