Count a new connection as 7 ms in the choice of a server

Cause: hedges went to whichever server of another failure domain was next, so each host opened a connection to nearly every server.

--- a/src/gateway/BackendLoad.cpp
+++ b/src/gateway/BackendLoad.cpp
@@ -23,6 +23,9 @@
 /** A refusal says that the server is full, which passes sooner than a fault. */
 static constexpr double kRefusalWeight = 0.3;
 
+/** Backend servers keep idle connections open for some seconds. */
+static constexpr Duration kConnectionTime = std::chrono::seconds(8);
+
 static double halved(double value, Duration age, std::chrono::duration<double> halfLife)
 {
     const std::chrono::duration<double> seconds = age;
@@ -71,8 +74,15 @@
 
 void BackendLoad::addAnswer(AttemptId attempt, MonotonicTime now)
 {
-    if (const auto age = takeAge(attempt, now))
+    if (const auto age = takeAge(attempt, now)) {
         addSample(*age, now);
+        m_lastAnswer = now;
+    }
+}
+
+bool BackendLoad::isConnected(MonotonicTime now) const
+{
+    return m_lastAnswer && now - *m_lastAnswer < kConnectionTime;
 }
 
 void BackendLoad::addRefusal(AttemptId attempt, MonotonicTime now)
--- a/src/gateway/BackendLoad.h
+++ b/src/gateway/BackendLoad.h
@@ -23,6 +23,9 @@
     /** The attempt was given up; it says nothing of the server but its age. */
     void addAbandoned(AttemptId attempt, MonotonicTime now);
 
+    /** True if a connection from an earlier request is probably still open. */
+    bool isConnected(MonotonicTime now) const;
+
     std::size_t inFlight() const { return m_started.size(); }
 
     /**
@@ -48,6 +51,7 @@
     Duration m_average {};
     MonotonicTime m_lastSample;
     bool m_hasSample = false;
+    std::optional<MonotonicTime> m_lastAnswer;
     double m_penalty = 0;
     MonotonicTime m_penaltyAt;
     std::deque<MonotonicTime> m_coldStarts;
--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -7,6 +7,8 @@
 
 /** What a request to another failure domain has to save to be worth its traffic. */
 static constexpr Duration kCrossDomainCost = std::chrono::milliseconds(15);
+/** A new connection takes a round trip, and the server some milliseconds of a slot. */
+static constexpr Duration kConnectCost = std::chrono::milliseconds(7);
 /** A cold server is used when others are expected to take longer by this time. */
 static constexpr Duration kColdCost = std::chrono::milliseconds(15);
 /** A server whose registration has disappeared is probably gone. */
@@ -51,6 +53,8 @@
     Duration cost = backend.load.expectedTime(typical, registration.slots, now);
     if (registration.failureDomain != m_options.failureDomain)
         cost += kCrossDomainCost;
+    if (!backend.load.isConnected(now))
+        cost += kConnectCost;
     if (now < backend.coldUntil)
         cost += kColdCost;
     if (backend.removeAt)
