--- a/src/gateway/RequestFlow.cpp
+++ b/src/gateway/RequestFlow.cpp
@@ -74,6 +74,11 @@
     return timesOf(route).typicalPartTime(route.latencyTarget / kInitialTimeDivisor);
 }
 
+std::string RequestFlow::microsSince(MonotonicTime start) const
+{
+    return std::to_string((m_now - start).count());
+}
+
 void RequestFlow::addTimer(MonotonicTime at, const Timer &timer)
 {
     m_timers.emplace(at, timer);
@@ -266,8 +271,18 @@
         m_counters.add("hedges_refused_total");
         return;
     }
-    if (send(exchange, index))
-        m_counters.add("hedges_total");
+    const AttemptId late = part.open.front();
+    if (!send(exchange, index))
+        return;
+    m_counters.add("hedges_total");
+    m_effects->push_back(
+            LogDecision { LogWeight::Detail,
+                          "hedged",
+                          { { "requestId", exchange.request->requestId },
+                            { "service", part.service->name.value },
+                            { "server", part.tried.back().value },
+                            { "lateServer", part.tried.front().value },
+                            { "waitedMicros", microsSince(m_attempts.at(late).startedAt) } } });
 }
 
 void RequestFlow::sendAgain(Exchange &exchange, std::size_t index)
@@ -396,7 +411,8 @@
                                        "attemptFailed",
                                        { { "requestId", exchange.request->requestId },
                                          { "server", server.value },
-                                         { "failure", toText(failure) } } });
+                                         { "failure", toText(failure) },
+                                         { "waitedMicros", microsSince(record.startedAt) } } });
     if (failure == AttemptFailure::NotSent) {
         --part.sent;
         ++part.unsent;
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -65,6 +65,8 @@
         MonotonicTime startedAt;
     };
 
+    /** For log lines. */
+    std::string microsSince(MonotonicTime start) const;
     void addTimer(MonotonicTime at, const Timer &timer);
     void onTimer(const Timer &timer);
     void onHedge(Exchange &exchange, std::size_t index);
--- a/src/gateway/RequestReplies.cpp
+++ b/src/gateway/RequestReplies.cpp
@@ -97,7 +97,7 @@
     m_effects->push_back(LogDecision { LogWeight::Failure,
                                        "refused",
                                        { { "requestId", request.requestId },
-                                         { "host", request.host },
+                                         { "hostHeader", request.host },
                                          { "target", request.target },
                                          { "reason", toText(reason) } } });
     m_effects->push_back(ReplyToCaller { exchange, RefusedReply { reason, retryAfter },
