Hedge while a second attempt can still be in time

Cause: while many servers of a site are slow, the 97th percentile of response times passes the latency target, and hedges come too late to help.

--- a/src/gateway/RequestFlow.cpp
+++ b/src/gateway/RequestFlow.cpp
@@ -250,14 +250,22 @@
     m_effects->push_back(StartAttempt { attempt, registration.server, registration.endpoint,
                                         exchange.request, exchange.deadlineAt - m_now });
     if (exchange.route->repeatable && part.sent < exchange.route->maxAttempts) {
-        const Duration least = exchange.route->latencyTarget / kLeastHedgeDivisor;
-        // A third, since the estimator triples it while it has few samples.
-        const Duration usual = timesOf(*exchange.route).hedgeDelay(least / 3);
-        addTimer(m_now + std::max(usual, least), { TimerKind::Hedge, exchange.id, index });
+        addTimer(m_now + hedgeDelay(*exchange.route), { TimerKind::Hedge, exchange.id, index });
     }
     return true;
 }
 
+/** When a part that has no answer is sent once more, from its first attempt on. */
+Duration RequestFlow::hedgeDelay(const GatewayRoute &route)
+{
+    const Duration least = route.latencyTarget / kLeastHedgeDivisor;
+    // A third, since the estimator triples it while it has few samples.
+    const Duration usual = std::max(timesOf(route).hedgeDelay(least / 3), least);
+    // While many servers are slow, the usual time is too long for a second attempt to help.
+    const Duration latest = route.latencyTarget - kCallerRoundTrip - 2 * typicalTime(route);
+    return std::min(usual, std::max(latest, least));
+}
+
 void RequestFlow::onHedge(Exchange &exchange, std::size_t index)
 {
     Part &part = exchange.parts[index];
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -102,6 +102,7 @@
     RepeatBudget &budgetOf(const ServiceId &service);
     PartTimeEstimator &timesOf(const GatewayRoute &route);
     Duration typicalTime(const GatewayRoute &route);
+    Duration hedgeDelay(const GatewayRoute &route);
 
     BackendSelector &m_selector;
     RepeatLimits m_repeatLimits;
