Give the page handler a file of its own and compare names in one place

Read as a newcomer: two classes stood in one file pair, host names and header names had a comparison each, and the frames of a lost server and of the store's changes had no test of the codec.

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -17,17 +17,6 @@
 static constexpr Duration kLeastStopTime = std::chrono::milliseconds(3200);
 static constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
 
-GatewayPages::GatewayPages(Page page, Send send)
-    : m_page(std::move(page))
-    , m_send(std::move(send))
-{
-}
-
-void GatewayPages::onRequest(ExchangeId exchange, HttpServerRequest request)
-{
-    m_send(exchange, m_page(request.target));
-}
-
 static MonotonicTime now()
 {
     return EventLoop::currentInstant().now;
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -4,6 +4,7 @@
 #include "app/GatewaySettings.h"
 #include "app/JsonLineLog.h"
 #include "app/LatencyHistogram.h"
+#include "app/PageHandler.h"
 #include "app/SeedReader.h"
 #include "gateway/Gateway.h"
 #include "gateway/HostAnnouncer.h"
@@ -26,24 +27,6 @@
 
 namespace greengagestair {
 
-/** Answers GET requests of operators and of the platform's readiness checks. */
-class GatewayPages : public HttpServerHandler
-{
-public:
-    using Page = std::function<HttpServerResponse(std::string_view path)>;
-    /** Sends a response on the server that the request came from. */
-    using Send = std::function<void(ExchangeId exchange, const HttpServerResponse &response)>;
-
-    GatewayPages(Page page, Send send);
-    void onRequest(ExchangeId exchange, HttpServerRequest request) override;
-    void onCallerLeft(ExchangeId /*exchange*/) override { }
-    void onBadRequest(int /*status*/) override { }
-
-private:
-    Page m_page;
-    Send m_send;
-};
-
 /** One gateway process: the reducer with its sockets, timers and signals, on one thread. */
 class GatewayServer : private EventQueue
 {
@@ -94,9 +77,9 @@
     Gateway m_gateway;
     GatewayFrontEnd m_frontEnd;
     HttpServer m_callers;
-    GatewayPages m_readinessPages;
+    PageHandler m_readinessPages;
     HttpServer m_readiness;
-    GatewayPages m_adminPages;
+    PageHandler m_adminPages;
     HttpServer m_admin;
     BackendPool m_backends;
     SeedReader m_seeds;
--- a/src/gateway/HttpMessage.h
+++ b/src/gateway/HttpMessage.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -18,6 +19,9 @@
 
 using Headers = std::vector<HeaderField>;
 
+/** Compares ASCII text as header names, host names and tokens are compared. */
+bool equalsIgnoringCase(std::string_view left, std::string_view right);
+
 /** A caller's request as it is passed on to backend servers. */
 struct GatewayRequest
 {
--- a/src/gateway/RoutingConfiguration.cpp
+++ b/src/gateway/RoutingConfiguration.cpp
@@ -1,6 +1,6 @@
 #include "gateway/RoutingConfiguration.h"
 
-#include <algorithm>
+#include "gateway/HttpMessage.h"
 
 namespace greengagestair {
 
@@ -10,13 +10,6 @@
     return colon == std::string_view::npos ? host : host.substr(0, colon);
 }
 
-static bool equalHosts(std::string_view left, std::string_view right)
-{
-    const auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? char(c - 'A' + 'a') : c; };
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                      [&](char a, char b) { return lower(a) == lower(b); });
-}
-
 const GatewayRoute *findRoute(const RoutingConfiguration &configuration, std::string_view host,
                               std::string_view target)
 {
@@ -26,7 +19,7 @@
     for (const GatewayRoute &route : configuration.routes) {
         if (best && best->prefix.size() >= route.prefix.size())
             continue;
-        if (path.starts_with(route.prefix) && equalHosts(route.host, name))
+        if (path.starts_with(route.prefix) && equalsIgnoringCase(route.host, name))
             best = &route;
     }
     return best;
--- a/src/http/HttpFields.cpp
+++ b/src/http/HttpFields.cpp
@@ -5,15 +5,6 @@
 
 namespace greengagestair {
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right)
-{
-    const auto lower = [](char c) {
-        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-    };
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                      [&](char a, char b) { return lower(a) == lower(b); });
-}
-
 bool isHopByHop(std::string_view name)
 {
     static constexpr std::array<std::string_view, 11> kNames = { "Connection",
--- a/src/http/HttpFields.h
+++ b/src/http/HttpFields.h
@@ -6,9 +6,6 @@
 
 namespace greengagestair {
 
-/** Compares ASCII text as header names and tokens are compared. */
-bool equalsIgnoringCase(std::string_view left, std::string_view right);
-
 /** True for fields that concern one connection only (RFC 9110, section 7.6.1). */
 bool isHopByHop(std::string_view name);
 
--- a/tests/app/CommandLineTest.cpp
+++ b/tests/app/CommandLineTest.cpp
@@ -28,6 +28,9 @@
 TEST_CASE("subcommands take their options in any place", "[command-line]")
 {
     REQUIRE(std::get<ServeCommand>(*parse({ "serve", "--settings", "f" })).settingsFile == "f");
+    REQUIRE(std::get<GatewayCommand>(*parse({ "gateway", "--settings", "f" })).settingsFile == "f");
+    REQUIRE(std::holds_alternative<CheckGatewaySettingsCommand>(
+            *parse({ "check-gateway-settings", "--settings", "f" })));
     const auto apply = parse({ "config", "--platform=127.0.0.1:7500", "apply", "f" });
     REQUIRE(std::get<ConfigApplyCommand>(*apply).declarationFile == "f");
     REQUIRE(std::get<ConfigApplyCommand>(*apply).platform == Endpoint { "127.0.0.1", 7500 });
@@ -48,6 +51,8 @@
         { "serve", "--settings", "f", "--settings", "g" },
         { "serve", "--settings", "f", "--expect", "g" },
         { "serve", "--colour", "f" },
+        { "gateway" },
+        { "check-gateway-settings", "--settings" },
         { "config" },
         { "config", "apply", "--platform", "127.0.0.1:7500" },
         { "config", "apply", "f", "--platform", "platform:7500" },
--- a/tests/codec/FrameCodecTest.cpp
+++ b/tests/codec/FrameCodecTest.cpp
@@ -51,6 +51,8 @@
                      { { 7 }, { 8 } },
                      milliseconds(2),
                      "answer" },
+        SignatureLoss { { 0x00c0ffee }, { "counter-lookup-0-shubra" } },
+        StoreChanges { { 11 }, { 13 }, { "{\"key\":\"a\"}", "" } },
     };
 }
 
