Turn callers away while a host reaches no other failure domain

Cause: in a failure domain without replicas (yaba at Lagos, grown), a cut left every lookup without a server, but the gateways stayed ready and callers stayed with them until the cut ended. Attempts also went on to servers behind a cut.

Change: DomainReachability follows which failure domains answer. One whose servers are all silent is doubted, connection attempts decide, and the doubt is told to the hosts of the own failure domain. Unreachable servers are not chosen. A host that reaches no other failure domain and thereby lacks a route's shards is not ready and closes its callers' connections with their answers, so that the platform sends them elsewhere.

--- a/include/greengagestair/Messages.h
+++ b/include/greengagestair/Messages.h
@@ -163,6 +163,14 @@
     bool operator==(const SignatureLoss &) const = default;
 };
 
+/** The sender cannot reach the servers of a failure domain. */
+struct UnreachableDomain
+{
+    FailureDomainId failureDomain;
+
+    bool operator==(const UnreachableDomain &) const = default;
+};
+
 /** Changes of the platform's store that one gateway has read for others. */
 struct StoreChanges
 {
@@ -174,9 +182,9 @@
 };
 
 /** Any message between entry hosts. */
-using PeerMessage =
-        std::variant<Heartbeat, HeartbeatAck, JoinRequest, DocumentRequest, DocumentPush,
-                     PartRequest, PartCancel, PartAnswer, SignatureLoss, StoreChanges>;
+using PeerMessage = std::variant<Heartbeat, HeartbeatAck, JoinRequest, DocumentRequest,
+                                 DocumentPush, PartRequest, PartCancel, PartAnswer, SignatureLoss,
+                                 StoreChanges, UnreachableDomain>;
 
 /** A message with its sender. */
 struct PeerEnvelope
--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -51,6 +51,10 @@
                  [this](AttemptId attempt, AttemptResult result) {
                      enqueue(AttemptEnded { attempt, std::move(result) });
                  })
+    , m_prober(context,
+               [this](const ServerId &server, bool isConnected) {
+                   enqueue(ServerProbed { server, isConnected });
+               })
     , m_seeds(
               m_settings.seeds,
               [&context](std::function<void()> function) {
@@ -144,6 +148,8 @@
         m_follower.takeShared(*changes, now());
     else if (const auto *loss = std::get_if<SignatureLoss>(&envelope.message))
         enqueue(LossReported { envelope.sender, *loss });
+    else if (const auto *doubt = std::get_if<UnreachableDomain>(&envelope.message))
+        enqueue(DomainDoubted { doubt->failureDomain });
 }
 
 void GatewayServer::share(const StoreChanges &changes)
@@ -158,6 +164,19 @@
         m_peers->send(host.host, host.peer, effect.loss);
 }
 
+void GatewayServer::applyEffect(const ProbeServer &effect)
+{
+    m_prober.probe(effect.server, effect.endpoint);
+}
+
+void GatewayServer::applyEffect(const ReportDoubt &effect)
+{
+    for (const HostEntry &host : m_relay.others()) {
+        if (host.failureDomain == m_settings.options.selector.failureDomain)
+            m_peers->send(host.host, host.peer, UnreachableDomain { effect.failureDomain });
+    }
+}
+
 void GatewayServer::updateLimits()
 {
     if (const RoutingConfiguration *configuration = m_gateway.configuration())
@@ -183,6 +202,8 @@
 void GatewayServer::applyEffect(const ReplyToCaller &effect)
 {
     m_latencies[effect.outcome].add(effect.elapsed);
+    // Callers that keep a connection would stay with a host that cannot serve them.
+    m_callers.setClosing(m_isStopping || m_gateway.isCutOff());
     m_callers.reply(effect.exchange, m_frontEnd.render(effect.reply));
 }
 
@@ -280,7 +301,7 @@
     m_stopSince = now();
     m_stopAt = m_stopSince + m_settings.stopTimeout - kStopMargin;
     enqueue(GatewayStopRequested {});
-    m_callers.beginClosing();
+    m_callers.setClosing(true);
     m_announcer.leave();
     checkStop();
 }
--- a/src/codec/FrameCodec.cpp
+++ b/src/codec/FrameCodec.cpp
@@ -123,6 +123,12 @@
             .Union();
 }
 
+static Offset<void> writePayload(FlatBufferBuilder &builder, const UnreachableDomain &message)
+{
+    const auto failureDomain = writeString(builder, message.failureDomain);
+    return wire::CreateUnreachableDomain(builder, failureDomain).Union();
+}
+
 static Offset<void> writePayload(FlatBufferBuilder &builder, const SignatureLoss &message)
 {
     const auto server = writeString(builder, message.server);
@@ -359,6 +365,11 @@
     return StoreChanges { { wire.after() }, { wire.revision() }, reader.texts(wire.entries()) };
 }
 
+static PeerMessage readPayload(FieldReader &reader, const wire::UnreachableDomain &wire)
+{
+    return UnreachableDomain { reader.name<FailureDomainId>(wire.failure_domain()) };
+}
+
 static PeerMessage readPayload(FieldReader &reader, const wire::SignatureLoss &wire)
 {
     return SignatureLoss { Signature { wire.signature() }, reader.name<ServerId>(wire.server()) };
@@ -411,6 +422,8 @@
         return readIfPresent(reader, envelope.payload_as_SignatureLoss());
     case wire::Payload::StoreChanges:
         return readIfPresent(reader, envelope.payload_as_StoreChanges());
+    case wire::Payload::UnreachableDomain:
+        return readIfPresent(reader, envelope.payload_as_UnreachableDomain());
     case wire::Payload::PartCancel:
         return readIfPresent(reader, envelope.payload_as_PartCancel());
     case wire::Payload::PartAnswer:
--- a/src/codec/Peer_generated.h
+++ b/src/codec/Peer_generated.h
@@ -52,6 +52,9 @@
 struct StoreChanges;
 struct StoreChangesBuilder;
 
+struct UnreachableDomain;
+struct UnreachableDomainBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -241,11 +244,12 @@
   PartAnswer = 8,
   SignatureLoss = 9,
   StoreChanges = 10,
+  UnreachableDomain = 11,
   MIN = NONE,
-  MAX = StoreChanges
+  MAX = UnreachableDomain
 };
 
-inline const Payload (&EnumValuesPayload())[11] {
+inline const Payload (&EnumValuesPayload())[12] {
   static const Payload values[] = {
     Payload::NONE,
     Payload::Heartbeat,
@@ -257,13 +261,14 @@
     Payload::PartCancel,
     Payload::PartAnswer,
     Payload::SignatureLoss,
-    Payload::StoreChanges
+    Payload::StoreChanges,
+    Payload::UnreachableDomain
   };
   return values;
 }
 
 inline const char * const *EnumNamesPayload() {
-  static const char * const names[12] = {
+  static const char * const names[13] = {
     "NONE",
     "Heartbeat",
     "HeartbeatAck",
@@ -275,13 +280,14 @@
     "PartAnswer",
     "SignatureLoss",
     "StoreChanges",
+    "UnreachableDomain",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePayload(Payload e) {
-  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::StoreChanges)) return "";
+  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::UnreachableDomain)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPayload()[index];
 }
@@ -330,6 +336,10 @@
   static const Payload enum_value = Payload::StoreChanges;
 };
 
+template<> struct PayloadTraits<greengagestair::wire::UnreachableDomain> {
+  static const Payload enum_value = Payload::UnreachableDomain;
+};
+
 bool VerifyPayload(flatbuffers::Verifier &verifier, const void *obj, Payload type);
 bool VerifyPayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Payload> *types);
 
@@ -1413,6 +1423,57 @@
       entries__);
 }
 
+struct UnreachableDomain FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UnreachableDomainBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FAILURE_DOMAIN = 4
+  };
+  const flatbuffers::String *failure_domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
+           verifier.VerifyString(failure_domain()) &&
+           verifier.EndTable();
+  }
+};
+
+struct UnreachableDomainBuilder {
+  typedef UnreachableDomain Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
+    fbb_.AddOffset(UnreachableDomain::VT_FAILURE_DOMAIN, failure_domain);
+  }
+  explicit UnreachableDomainBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UnreachableDomain> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UnreachableDomain>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UnreachableDomain> CreateUnreachableDomain(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> failure_domain = 0) {
+  UnreachableDomainBuilder builder_(_fbb);
+  builder_.add_failure_domain(failure_domain);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<UnreachableDomain> CreateUnreachableDomainDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *failure_domain = nullptr) {
+  auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
+  return greengagestair::wire::CreateUnreachableDomain(
+      _fbb,
+      failure_domain__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1476,6 +1537,9 @@
   const greengagestair::wire::StoreChanges *payload_as_StoreChanges() const {
     return payload_type() == greengagestair::wire::Payload::StoreChanges ? static_cast<const greengagestair::wire::StoreChanges *>(payload()) : nullptr;
   }
+  const greengagestair::wire::UnreachableDomain *payload_as_UnreachableDomain() const {
+    return payload_type() == greengagestair::wire::Payload::UnreachableDomain ? static_cast<const greengagestair::wire::UnreachableDomain *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL_VERSION, 4) &&
@@ -1532,6 +1596,10 @@
   return payload_as_StoreChanges();
 }
 
+template<> inline const greengagestair::wire::UnreachableDomain *Envelope::payload_as<greengagestair::wire::UnreachableDomain>() const {
+  return payload_as_UnreachableDomain();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1655,6 +1723,10 @@
       auto ptr = reinterpret_cast<const greengagestair::wire::StoreChanges *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Payload::UnreachableDomain: {
+      auto ptr = reinterpret_cast<const greengagestair::wire::UnreachableDomain *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/core/Reducer.cpp
+++ b/src/core/Reducer.cpp
@@ -75,6 +75,11 @@
                  const StoreChanges & /*message*/)
     {
     }
+    /** Entry hosts learn of other failure domains from heartbeats. */
+    void receive(StepContext & /*context*/, const PeerEnvelope & /*envelope*/,
+                 const UnreachableDomain & /*message*/)
+    {
+    }
 
     void deliverLocalMessages(StepContext &context);
     void tickModules(StepContext &context);
--- a/src/gateway/BackendDirectory.cpp
+++ b/src/gateway/BackendDirectory.cpp
@@ -99,6 +99,17 @@
     return found == m_byService.end() ? kNone : found->second;
 }
 
+std::vector<std::shared_ptr<Backend>>
+BackendDirectory::serversIn(const FailureDomainId &failureDomain) const
+{
+    std::vector<std::shared_ptr<Backend>> servers;
+    for (const auto &[server, backend] : m_servers) {
+        if (backend->registration.failureDomain == failureDomain)
+            servers.push_back(backend);
+    }
+    return servers;
+}
+
 bool BackendDirectory::isInService(const Backend &backend) const
 {
     return !backend.registration.isDraining
--- a/src/gateway/BackendDirectory.h
+++ b/src/gateway/BackendDirectory.h
@@ -59,6 +59,8 @@
 
     /** All registered servers of a service, also those that must not get new work. */
     const std::vector<std::shared_ptr<Backend>> &serversOf(const ServiceId &service) const;
+    /** All registered servers of a failure domain, in no order. */
+    std::vector<std::shared_ptr<Backend>> serversIn(const FailureDomainId &failureDomain) const;
     /** True if the server may get new work. */
     bool isInService(const Backend &backend) const;
     std::shared_ptr<Backend> find(const ServerId &server) const;
--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -18,12 +18,20 @@
 /** Share of the connection limit that entry hosts use; the rest covers hosts that just joined. */
 static constexpr double kUsedConnectionShare = 0.9;
 
-BackendSelector::BackendSelector(SelectorOptions options, BackendDirectory &directory)
+BackendSelector::BackendSelector(SelectorOptions options, const BackendDirectory &directory,
+                                 const DomainReachability &reachability)
     : m_options(std::move(options))
     , m_directory(directory)
+    , m_reachability(reachability)
 {
 }
 
+bool BackendSelector::isUsable(const Backend &backend) const
+{
+    return m_directory.isInService(backend)
+            && m_reachability.isReachable(backend.registration.failureDomain);
+}
+
 std::size_t BackendSelector::connectionShare(const BackendService &service, bool isOwnDomain) const
 {
     const double usable = static_cast<double>(service.connectionLimit) * kUsedConnectionShare;
@@ -75,7 +83,7 @@
         const auto &backend = servers[(offset + m_rotation) % servers.size()];
         const ServerId &server = backend->registration.server;
         const bool isTried = std::find(tried.begin(), tried.end(), server) != tried.end();
-        if (isTried || !m_directory.isInService(*backend) || !hasRoom(service, *backend, now))
+        if (isTried || !isUsable(*backend) || !hasRoom(service, *backend, now))
             continue;
         const Duration expected = cost(*backend, typical, now);
         if (expected < bestCost) {
@@ -92,9 +100,19 @@
     const auto &servers = m_directory.serversOf(service.name);
     return std::any_of(servers.begin(), servers.end(), [&](const auto &backend) {
         const ServerId &server = backend->registration.server;
-        return m_directory.isInService(*backend)
-                && std::find(tried.begin(), tried.end(), server) == tried.end();
+        return isUsable(*backend) && std::find(tried.begin(), tried.end(), server) == tried.end();
+    });
+}
+
+bool BackendSelector::isCutOff(const ServiceId &service) const
+{
+    const auto &servers = m_directory.serversOf(service);
+    const bool isInService = std::any_of(servers.begin(), servers.end(), [&](const auto &backend) {
+        return m_directory.isInService(*backend);
     });
+    const bool hasUsable = std::any_of(servers.begin(), servers.end(),
+                                       [&](const auto &backend) { return isUsable(*backend); });
+    return isInService && !hasUsable;
 }
 
 } // namespace greengagestair
--- a/src/gateway/BackendSelector.h
+++ b/src/gateway/BackendSelector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/BackendDirectory.h"
+#include "gateway/DomainReachability.h"
 #include "gateway/GatewayOptions.h"
 #include "gateway/RoutingConfiguration.h"
 
@@ -13,7 +14,8 @@
 class BackendSelector
 {
 public:
-    BackendSelector(SelectorOptions options, BackendDirectory &directory);
+    BackendSelector(SelectorOptions options, const BackendDirectory &directory,
+                    const DomainReachability &reachability);
 
     void setOptions(const SelectorOptions &options) { m_options = options; }
     void setHostCount(const HostCount &hosts) { m_hosts = hosts; }
@@ -24,8 +26,10 @@
      */
     std::shared_ptr<Backend> choose(const BackendService &service, Duration typical,
                                     const std::vector<ServerId> &tried, MonotonicTime now);
-    /** True if a server of the service is in service, with or without room. */
+    /** True if a server of the service can be used, with or without room. */
     bool hasServer(const BackendService &service, const std::vector<ServerId> &tried) const;
+    /** True if servers of the service are in service, but all in unreachable failure domains. */
+    bool isCutOff(const ServiceId &service) const;
 
     bool isOwnDomain(const Backend &backend) const
     {
@@ -33,12 +37,14 @@
     }
 
 private:
+    bool isUsable(const Backend &backend) const;
     std::size_t connectionShare(const BackendService &service, bool isOwnDomain) const;
     bool hasRoom(const BackendService &service, Backend &backend, MonotonicTime now) const;
     Duration cost(const Backend &backend, Duration typical, MonotonicTime now) const;
 
     SelectorOptions m_options;
-    BackendDirectory &m_directory;
+    const BackendDirectory &m_directory;
+    const DomainReachability &m_reachability;
     HostCount m_hosts;
     std::size_t m_rotation = 0;
 };
--- /dev/null
+++ b/src/gateway/DomainReachability.cpp
@@ -0,0 +1,179 @@
+#include "gateway/DomainReachability.h"
+
+#include <algorithm>
+
+namespace greengagestair {
+
+/** Distinct servers that leave requests unanswered before their failure domain is doubted. */
+static constexpr std::size_t kSilentServers = 4;
+/**
+ * Silence of all servers of a failure domain before it is doubted; longer than usual response
+ * times. A domain that is only slow costs some connection attempts.
+ */
+static constexpr Duration kSilence = std::chrono::milliseconds(250);
+/** Servers that are probed at a time, so that one crashed server proves nothing. */
+static constexpr std::size_t kProbes = 3;
+/** Interval of probes while a failure domain is unreachable. */
+static constexpr Duration kProbeInterval = std::chrono::milliseconds(300);
+
+DomainReachability::DomainReachability(FailureDomainId ownDomain, const BackendDirectory &directory)
+    : m_ownDomain(std::move(ownDomain))
+    , m_directory(directory)
+{
+}
+
+void DomainReachability::beginStep(MonotonicTime now, GatewayEffects &effects)
+{
+    m_now = now;
+    m_effects = &effects;
+}
+
+void DomainReachability::addStart(const BackendRegistration &server)
+{
+    Domain &domain = m_domains[server.failureDomain];
+    if (domain.unanswered.empty())
+        domain.silentSince = m_now;
+    const auto begin = domain.unanswered.begin();
+    const bool isKnown =
+            std::find(begin, domain.unanswered.end(), server.server) != domain.unanswered.end();
+    if (!isKnown && domain.unanswered.size() < kSilentServers)
+        domain.unanswered.push_back(server.server);
+}
+
+void DomainReachability::addResponse(const FailureDomainId &failureDomain)
+{
+    const auto found = m_domains.find(failureDomain);
+    if (found != m_domains.end())
+        setReachable(failureDomain, found->second);
+}
+
+void DomainReachability::setReachable(const FailureDomainId &failureDomain, Domain &domain)
+{
+    domain.unanswered.clear();
+    domain.probed.clear();
+    const State former = std::exchange(domain.state, State::Reachable);
+    if (former != State::Unreachable)
+        return;
+    --m_unreachable;
+    m_effects->push_back(LogDecision {
+            LogWeight::State, "domainReachable", { { "failureDomain", failureDomain.value } } });
+}
+
+void DomainReachability::setUnreachable(const FailureDomainId &failureDomain, Domain &domain)
+{
+    domain.nextProbeAt = m_now + kProbeInterval;
+    const State former = std::exchange(domain.state, State::Unreachable);
+    if (former == State::Unreachable)
+        return;
+    ++m_unreachable;
+    m_effects->push_back(LogDecision {
+            LogWeight::State,
+            "domainUnreachable",
+            { { "failureDomain", failureDomain.value },
+              { "silentMicros", std::to_string((m_now - domain.silentSince).count()) },
+              { "silentServers", std::to_string(domain.unanswered.size()) } } });
+    m_effects->push_back(ReportDoubt { failureDomain });
+}
+
+void DomainReachability::addProbe(const ServerId &server, bool isConnected)
+{
+    for (auto &[failureDomain, domain] : m_domains) {
+        if (std::erase(domain.probed, server) == 0)
+            continue;
+        if (isConnected)
+            setReachable(failureDomain, domain);
+        else if (domain.probed.empty())
+            setUnreachable(failureDomain, domain);
+        return;
+    }
+}
+
+void DomainReachability::addDoubt(const FailureDomainId &failureDomain)
+{
+    Domain &domain = m_domains[failureDomain];
+    if (domain.state != State::Reachable)
+        return;
+    domain.silentSince = m_now;
+    domain.state = State::Doubted;
+    probe(failureDomain, domain);
+}
+
+void DomainReachability::probe(const FailureDomainId &failureDomain, Domain &domain)
+{
+    const auto servers = m_directory.serversIn(failureDomain);
+    if (servers.empty())
+        return setReachable(failureDomain, domain);
+    const std::size_t count = std::min(kProbes, servers.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        const BackendRegistration &server =
+                servers[domain.rotation++ % servers.size()]->registration;
+        domain.probed.push_back(server.server);
+        m_effects->push_back(ProbeServer { server.server, server.endpoint });
+    }
+}
+
+bool DomainReachability::isSilent(const Domain &domain, const FailureDomainId &failureDomain) const
+{
+    if (domain.state != State::Reachable || domain.unanswered.empty()
+        || m_now < domain.silentSince + kSilence)
+        return false;
+    return domain.unanswered.size() >= kSilentServers
+            || domain.unanswered.size() >= m_directory.serversIn(failureDomain).size();
+}
+
+void DomainReachability::advance()
+{
+    for (auto &[failureDomain, domain] : m_domains) {
+        if (isSilent(domain, failureDomain)) {
+            domain.state = State::Doubted;
+            probe(failureDomain, domain);
+        } else if (domain.state == State::Unreachable && domain.probed.empty()
+                   && domain.nextProbeAt <= m_now) {
+            probe(failureDomain, domain);
+        }
+    }
+}
+
+std::optional<MonotonicTime> DomainReachability::nextWakeUp() const
+{
+    std::optional<MonotonicTime> next;
+    const auto consider = [&next](MonotonicTime time) {
+        if (!next || time < *next)
+            next = time;
+    };
+    for (const auto &[failureDomain, domain] : m_domains) {
+        const bool isWatched =
+                domain.state == State::Reachable && domain.unanswered.size() >= kSilentServers;
+        if (isWatched)
+            consider(std::max(domain.silentSince + kSilence, m_now));
+        if (domain.state == State::Unreachable && domain.probed.empty())
+            consider(domain.nextProbeAt);
+    }
+    return next;
+}
+
+bool DomainReachability::isReachable(const FailureDomainId &failureDomain) const
+{
+    if (m_unreachable == 0)
+        return true;
+    const auto found = m_domains.find(failureDomain);
+    return found == m_domains.end() || found->second.state != State::Unreachable;
+}
+
+bool DomainReachability::isIsolated() const
+{
+    if (m_unreachable == 0)
+        return false;
+    bool hasOthers = false;
+    for (const auto &[server, backend] : m_directory.servers()) {
+        const FailureDomainId &failureDomain = backend->registration.failureDomain;
+        if (failureDomain == m_ownDomain)
+            continue;
+        hasOthers = true;
+        if (isReachable(failureDomain))
+            return false;
+    }
+    return hasOthers;
+}
+
+} // namespace greengagestair
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -21,8 +21,9 @@
 }
 
 Gateway::Gateway(const GatewayOptions &options)
-    : m_selector(options.selector, m_directory)
-    , m_flow(m_selector, shareOf(options.repeats, {}))
+    : m_reachability(options.selector.failureDomain, m_directory)
+    , m_selector(options.selector, m_directory, m_reachability)
+    , m_flow(m_selector, m_reachability, shareOf(options.repeats, {}))
     , m_repeats(options.repeats)
     , m_ownDomain(options.selector.failureDomain)
 {
@@ -32,15 +33,18 @@
 {
     m_now = std::max(m_now, now);
     m_effects.clear();
+    m_reachability.beginStep(m_now, m_effects);
     m_flow.beginStep(m_now, m_effects);
     std::visit([&](const auto &typed) { on(typed); }, event);
+    updateCutOff();
     return std::move(m_effects);
 }
 
 std::optional<MonotonicTime> Gateway::nextWakeUp() const
 {
     std::optional<MonotonicTime> next = m_flow.nextWakeUp();
-    for (const auto &other : { m_directory.nextRemoval(), m_fewerHostsAt }) {
+    for (const auto &other :
+         { m_directory.nextRemoval(), m_reachability.nextWakeUp(), m_fewerHostsAt }) {
         if (other && (!next || *other < *next))
             next = other;
     }
@@ -179,9 +183,51 @@
     m_flow.addReportedLoss(event.reporter, event.loss);
 }
 
+void Gateway::on(const DomainDoubted &event)
+{
+    m_reachability.addDoubt(event.failureDomain);
+}
+
+void Gateway::on(const ServerProbed &event)
+{
+    m_reachability.addProbe(event.server, event.isConnected);
+    m_flow.retryWaiting();
+}
+
+bool Gateway::isCutOff(const GatewayRoute &route) const
+{
+    if (!route.gather) {
+        return std::any_of(route.targets.begin(), route.targets.end(), [this](const auto &target) {
+            return m_selector.isCutOff(target.service);
+        });
+    }
+    const std::vector<ServiceId> &shards = route.gather->services;
+    const auto lost = std::count_if(shards.begin(), shards.end(), [this](const ServiceId &shard) {
+        return m_selector.isCutOff(shard);
+    });
+    const double covered = 1
+            - static_cast<double>(lost)
+                    / static_cast<double>(std::max<std::size_t>(shards.size(), 1));
+    return covered < route.gather->minCoverage;
+}
+
+void Gateway::updateCutOff()
+{
+    const bool isIsolated = m_configuration && m_reachability.isIsolated();
+    const bool isCutOffNow = isIsolated
+            && std::any_of(m_configuration->routes.begin(), m_configuration->routes.end(),
+                           [this](const GatewayRoute &route) { return isCutOff(route); });
+    if (isCutOffNow == m_isCutOff)
+        return;
+    m_isCutOff = isCutOffNow;
+    m_effects.push_back(
+            LogDecision { LogWeight::State, m_isCutOff ? "cutOff" : "cutOffEnded", {} });
+}
+
 void Gateway::on(const LimitsChanged &event)
 {
     m_ownDomain = event.options.selector.failureDomain;
+    m_reachability.setOwnDomain(m_ownDomain);
     m_selector.setOptions(event.options.selector);
     m_repeats = event.options.repeats;
     m_flow.setRepeatLimits(shareOf(m_repeats, m_hosts));
@@ -202,6 +248,7 @@
                 LogDecision { LogWeight::State, "serverRemoved", { { "server", server.value } } });
         m_effects.push_back(ForgetServer { server });
     }
+    m_reachability.advance();
     m_flow.advance();
     m_flow.retryWaiting();
 }
@@ -227,6 +274,7 @@
                   { "service", registration.service.value },
                   { "failureDomain", registration.failureDomain.value },
                   { "inService", m_directory.isInService(*backend) },
+                  { "reachable", m_reachability.isReachable(registration.failureDomain) },
                   { "cold", now < backend->coldUntil },
                   { "registered", !backend->removeAt.has_value() },
                   { "inFlight", backend->load.inFlight() },
@@ -238,6 +286,7 @@
         outOfService.push_back(boost::json::string(failureDomain.value));
     return { { "ready", isReady() },
              { "stopping", m_isStopping },
+             { "cutOff", m_isCutOff },
              { "configuration", m_configuration ? m_configuration->version : 0 },
              { "requestsInProgress", m_flow.exchanges() },
              { "attemptsInProgress", m_flow.attempts() },
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -28,7 +28,12 @@
     std::optional<MonotonicTime> nextWakeUp() const;
 
     /** True while new callers should be sent here. */
-    bool isReady() const { return m_configuration && !m_isStopping; }
+    bool isReady() const { return m_configuration && !m_isStopping && !m_isCutOff; }
+    /**
+     * True if this host reaches no other failure domain and cannot serve some route without: hosts
+     * elsewhere can serve its callers.
+     */
+    bool isCutOff() const { return m_isCutOff; }
     /** True if no request of a caller is in progress. */
     bool isIdle() const { return m_flow.isIdle(); }
     const RoutingConfiguration *configuration() const { return m_configuration.get(); }
@@ -48,15 +53,20 @@
     void on(const RegistrationRemoved &event);
     void on(const HostsRead &event);
     void on(const LossReported &event);
+    void on(const DomainDoubted &event);
+    void on(const ServerProbed &event);
     void on(const LimitsChanged &event);
     void on(const GatewayStopRequested &event);
     void on(const TimeAdvanced &event);
 
+    bool isCutOff(const GatewayRoute &route) const;
+    void updateCutOff();
     void setHosts(const HostCount &hosts);
     void removeLater(const ServerId &server);
     void logRegistration(const BackendRegistration &registration);
 
     BackendDirectory m_directory;
+    DomainReachability m_reachability;
     BackendSelector m_selector;
     RequestFlow m_flow;
     RepeatLimits m_repeats; ///< of all hosts together
@@ -66,6 +76,7 @@
     std::optional<MonotonicTime> m_fewerHostsAt; ///< when a lower count is believed
     HostCount m_countedHosts;                    ///< the last count
     bool m_isStopping = false;
+    bool m_isCutOff = false;
     MonotonicTime m_now;
     GatewayEffects m_effects;
 };
--- a/src/gateway/GatewayEffect.h
+++ b/src/gateway/GatewayEffect.h
@@ -51,6 +51,19 @@
     SignatureLoss loss;
 };
 
+/** Find out whether a server accepts connections. Ends with one ServerProbed. */
+struct ProbeServer
+{
+    ServerId server;
+    Endpoint endpoint;
+};
+
+/** Tell the hosts of this failure domain that another one cannot be reached from here. */
+struct ReportDoubt
+{
+    FailureDomainId failureDomain;
+};
+
 /** How much a log line matters when lines have to be dropped. */
 enum class LogWeight {
     State,   ///< a change of what the process believes
@@ -67,7 +80,7 @@
 };
 
 using GatewayEffect = std::variant<StartAttempt, ReleaseAttempt, ReplyToCaller, ForgetServer,
-                                   ReportLoss, LogDecision>;
+                                   ReportLoss, ProbeServer, ReportDoubt, LogDecision>;
 using GatewayEffects = std::vector<GatewayEffect>;
 
 } // namespace greengagestair
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -77,6 +77,19 @@
     SignatureLoss loss;
 };
 
+/** Another host of this failure domain cannot reach that one. */
+struct DomainDoubted
+{
+    FailureDomainId failureDomain;
+};
+
+/** A connection attempt to a server has ended. */
+struct ServerProbed
+{
+    ServerId server;
+    bool isConnected = false;
+};
+
 /** The settings have changed. */
 struct LimitsChanged
 {
@@ -93,9 +106,9 @@
 {
 };
 
-using GatewayEvent =
-        std::variant<CallerArrived, CallerLeft, AttemptEnded, ConfigurationRead, EvacuationsRead,
-                     RegistrationsRead, RegistrationWritten, RegistrationRemoved, HostsRead,
-                     LossReported, LimitsChanged, GatewayStopRequested, TimeAdvanced>;
+using GatewayEvent = std::variant<CallerArrived, CallerLeft, AttemptEnded, ConfigurationRead,
+                                  EvacuationsRead, RegistrationsRead, RegistrationWritten,
+                                  RegistrationRemoved, HostsRead, LossReported, DomainDoubted,
+                                  ServerProbed, LimitsChanged, GatewayStopRequested, TimeAdvanced>;
 
 } // namespace greengagestair
--- a/src/gateway/RequestFlow.cpp
+++ b/src/gateway/RequestFlow.cpp
@@ -28,8 +28,10 @@
 static constexpr double kMaxLossReports = 50;
 static constexpr Duration kLossReportWindow = std::chrono::seconds(5);
 
-RequestFlow::RequestFlow(BackendSelector &selector, const RepeatLimits &repeats)
+RequestFlow::RequestFlow(BackendSelector &selector, DomainReachability &reachability,
+                         const RepeatLimits &repeats)
     : m_selector(selector)
+    , m_reachability(reachability)
     , m_repeatLimits(repeats)
     , m_lossReports({ 0, kLossReportWindow, kMaxLossReports })
 {
@@ -241,6 +243,7 @@
     part.tried.push_back(registration.server);
     ++part.sent;
     backend->load.addStart(attempt, m_now);
+    m_reachability.addStart(registration);
     if (m_now < backend->coldUntil)
         backend->load.addColdStart(m_now);
     m_attempts.emplace(attempt, AttemptRecord { exchange.id, index, backend, m_now });
@@ -344,6 +347,7 @@
         const bool isExpired = std::get<AttemptFailure>(result) == AttemptFailure::Expired;
         return isExpired ? load.addAbandoned(attempt, m_now) : load.addFailure(attempt, m_now);
     }
+    m_reachability.addResponse(record.backend->registration.failureDomain);
     if (answer->notExecuted)
         load.addRefusal(attempt, m_now);
     else if (answer->status >= 500)
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -4,6 +4,7 @@
 #include "core/PartTimeEstimator.h"
 #include "gateway/BackendSelector.h"
 #include "gateway/CrashGuard.h"
+#include "gateway/DomainReachability.h"
 #include "gateway/Exchange.h"
 #include "gateway/GatewayEffect.h"
 #include "gateway/GatewayEvent.h"
@@ -24,7 +25,8 @@
 class RequestFlow
 {
 public:
-    RequestFlow(BackendSelector &selector, const RepeatLimits &repeats);
+    RequestFlow(BackendSelector &selector, DomainReachability &reachability,
+                const RepeatLimits &repeats);
 
     void setRepeatLimits(const RepeatLimits &limits);
     /** Begins a step: effects are appended to `effects` until the next call. */
@@ -105,6 +107,7 @@
     Duration hedgeDelay(const GatewayRoute &route);
 
     BackendSelector &m_selector;
+    DomainReachability &m_reachability;
     RepeatLimits m_repeatLimits;
     MonotonicTime m_now;
     GatewayEffects *m_effects = nullptr;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -121,11 +121,6 @@
         connection->reply(response);
 }
 
-void HttpServer::beginClosing()
-{
-    m_isClosing = true;
-}
-
 void HttpServer::closeIdle()
 {
     error_code ignored; // Nothing can be done about a failed close.
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -75,8 +75,8 @@
     const CallerLimits &limits() const { return m_limits; }
 
     void reply(ExchangeId exchange, const HttpServerResponse &response);
-    /** From now on each answer closes its connection; connections are still accepted. */
-    void beginClosing();
+    /** While set, each answer closes its connection; connections are still accepted. */
+    void setClosing(bool isClosing) { m_isClosing = isClosing; }
     bool isClosing() const { return m_isClosing; }
     /** Closes the listening socket and all connections without a request in progress. */
     void closeIdle();
--- a/src/net/Description.h
+++ b/src/net/Description.h
@@ -44,6 +44,7 @@
 BOOST_DESCRIBE_STRUCT(PartCancel, (), (part))
 BOOST_DESCRIBE_STRUCT(SignatureLoss, (), (signature, server))
 BOOST_DESCRIBE_STRUCT(StoreChanges, (), (after, revision, entries))
+BOOST_DESCRIBE_STRUCT(UnreachableDomain, (), (failureDomain))
 BOOST_DESCRIBE_STRUCT(PartAnswer, (),
                       (part, outcome, reason, version, heldVersions, expectedWait, body))
 BOOST_DESCRIBE_STRUCT(PeerEnvelope, (), (sender, incarnation, endpoint, message))
--- a/tests/codec/FrameCodecTest.cpp
+++ b/tests/codec/FrameCodecTest.cpp
@@ -53,6 +53,7 @@
                      "answer" },
         SignatureLoss { { 0x00c0ffee }, { "counter-lookup-0-shubra" } },
         StoreChanges { { 11 }, { 13 }, { "{\"key\":\"a\"}", "" } },
+        UnreachableDomain { { "bulaq" } },
     };
 }
 
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -122,6 +122,10 @@
                 replies.push_back(*reply);
             else if (auto *release = std::get_if<ReleaseAttempt>(&effect))
                 released.push_back(release->attempt);
+            else if (auto *probe = std::get_if<ProbeServer>(&effect))
+                probes.push_back(*probe);
+            else if (auto *doubt = std::get_if<ReportDoubt>(&effect))
+                doubts.push_back(doubt->failureDomain);
             else if (auto *line = std::get_if<LogDecision>(&effect))
                 log.push_back(*line);
         }
@@ -199,6 +203,8 @@
     std::vector<StartAttempt> attempts;
     std::vector<ReplyToCaller> replies;
     std::vector<AttemptId> released;
+    std::vector<ProbeServer> probes;
+    std::vector<FailureDomainId> doubts;
     std::vector<LogDecision> log;
 
 private:
--- a/tests/gateway/GatewayRandomTest.cpp
+++ b/tests/gateway/GatewayRandomTest.cpp
@@ -212,6 +212,8 @@
 
     void deliverDue()
     {
+        for (const ProbeServer &probe : std::exchange(m_fixture.probes, {}))
+            m_fixture.send(ServerProbed { probe.server, !m_servers.at(probe.server.value).isDown });
         while (!m_deliveries.empty() && m_deliveries.top().at <= m_fixture.now) {
             const Delivery delivery = m_deliveries.top();
             m_deliveries.pop();
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -196,7 +196,7 @@
     busy->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     fixture.awaitRequests(1);
     runUntil(fixture.context, [&] { return fixture.server.connections() == 2; });
-    fixture.server.beginClosing();
+    fixture.server.setClosing(true);
     fixture.server.closeIdle();
     runUntil(fixture.context, [&] { return idle->isClosed; });
     fixture.reply(0, "whole");
