Weigh rare response times more and remember them for two seconds

Cause: a gateway with 0.7 queries/s sees a server every 1.4 s. Its average moved by a fifth of each response time and forgot half of it in a second, so a slow server was never left; each query paid a hedge for it until the budget of repeats was used up.

Change: a response time weighs more the older the average is, 0.5 s for one half; the average fades in 2 s. Busy hosts keep the weight of 0.2.

--- a/src/gateway/BackendLoad.cpp
+++ b/src/gateway/BackendLoad.cpp
@@ -5,15 +5,17 @@
 
 namespace greengagestair {
 
-/** Weight of one response time in the moving average. */
-static constexpr double kSampleWeight = 0.2;
+/** Least weight of one response time in the moving average. */
+static constexpr double kLeastSampleWeight = 0.2;
+/** Age at which an average weighs as much as a new response time; rare samples weigh more. */
+static constexpr std::chrono::duration<double> kSampleHalfLife(0.5);
 /**
  * A single response time counts as this multiple of the average at most: a short pause of a server
  * says nothing of its next responses, a slow server is known after some of them.
  */
 static constexpr int kMaxSampleFactor = 3;
 /** Time in which an average without new samples halves its distance to the fallback. */
-static constexpr std::chrono::duration<double> kAverageHalfLife(1.0);
+static constexpr std::chrono::duration<double> kAverageHalfLife(2.0);
 /** Expected extra time per recent failure. */
 static constexpr Duration kFailurePenalty = std::chrono::milliseconds(60);
 /** Failures weigh half as much after this time. */
@@ -53,8 +55,10 @@
         m_average = time;
     } else {
         time = std::min(time, m_average * kMaxSampleFactor);
-        const double mixed = static_cast<double>(m_average.count()) * (1 - kSampleWeight)
-                + static_cast<double>(time.count()) * kSampleWeight;
+        const double weight =
+                std::max(1 - halved(1, now - m_lastSample, kSampleHalfLife), kLeastSampleWeight);
+        const double mixed = static_cast<double>(m_average.count()) * (1 - weight)
+                + static_cast<double>(time.count()) * weight;
         m_average = Duration(static_cast<Duration::rep>(mixed));
     }
     m_hasSample = true;
--- a/tests/gateway/PolicyTest.cpp
+++ b/tests/gateway/PolicyTest.cpp
@@ -1,3 +1,4 @@
+#include "gateway/BackendLoad.h"
 #include "gateway/CrashGuard.h"
 #include "gateway/RecordMerger.h"
 #include "gateway/RepeatBudget.h"
@@ -117,3 +118,41 @@
         guard.addLoss({ i }, "id", { "a" }, MonotonicTime(1s));
     CHECK(guard.size() <= 4096);
 }
+
+// Guards against a host with few requests that never learns that a server is slow.
+TEST_CASE("two slow responses tell a slow server where requests are rare", "[gateway]")
+{
+    constexpr Duration kUsual = 15ms;
+    // What a server of another failure domain costs more, with a new connection.
+    constexpr Duration kDetour = 22ms;
+    BackendLoad load;
+    MonotonicTime now { 1s };
+    auto respond = [&, attempt = std::uint64_t { 0 }](Duration time) mutable {
+        load.addStart({ ++attempt }, now);
+        now += time;
+        load.addAnswer({ attempt }, now);
+        now += 700ms;
+    };
+    for (int i = 0; i < 5; ++i)
+        respond(kUsual);
+    respond(100ms);
+    // One slow response may be a pause of the server.
+    CHECK(load.expectedTime(kUsual, 4, now) < kUsual + kDetour);
+    respond(100ms);
+    CHECK(load.expectedTime(kUsual, 4, now) > kUsual + kDetour);
+    // The server is tried again some seconds later.
+    CHECK(load.expectedTime(kUsual, 4, now + 5s) < kUsual + kDetour);
+}
+
+// Guards against a single pause that moves the requests of a busy host elsewhere.
+TEST_CASE("one slow response among many changes little", "[gateway]")
+{
+    BackendLoad load;
+    MonotonicTime now { 1s };
+    for (std::uint64_t attempt = 1; attempt <= 50; ++attempt) {
+        load.addStart({ attempt }, now);
+        now += attempt == 50 ? Duration(100ms) : Duration(15ms);
+        load.addAnswer({ attempt }, now);
+    }
+    CHECK(load.expectedTime(15ms, 4, now) < 15ms + 22ms);
+}
