Let one gateway of each failure domain call the store, and readers stand in

While the store was down, each gateway called it every 0.4 to 0.8 s.

Change: one caller in each failure domain. A reader that hears nothing for 1.6 to 2.1 s calls and tells its neighbours, until it hears of another. A gateway that learns of a caller waits for its news instead of watching. Readers retry a store that is away after 1.6 to 3.2 s.

Ruled out: a first read that may be stale, at a tenth of the price. It needs a watch right after it, which costs as much as a full read without one.

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -131,7 +131,7 @@
             updateLimits();
         if (const auto *hosts = std::get_if<HostsRead>(&event)) {
             m_relay.update(hosts->hosts);
-            m_follower.setSharing(m_relay.isSharing());
+            m_follower.setRole(m_relay.role(), now());
         }
     }
     m_isDraining = false;
@@ -154,8 +154,8 @@
 
 void GatewayServer::share(const StoreChanges &changes)
 {
-    for (const HostEntry &reader : m_relay.readers())
-        m_peers->send(reader.host, reader.peer, changes);
+    for (const HostEntry &host : m_relay.neighbours())
+        m_peers->send(host.host, host.peer, changes);
 }
 
 void GatewayServer::applyEffect(const ReportLoss &effect)
@@ -171,10 +171,8 @@
 
 void GatewayServer::applyEffect(const ReportDoubt &effect)
 {
-    for (const HostEntry &host : m_relay.others()) {
-        if (host.failureDomain == m_settings.options.selector.failureDomain)
-            m_peers->send(host.host, host.peer, UnreachableDomain { effect.failureDomain });
-    }
+    for (const HostEntry &host : m_relay.neighbours())
+        m_peers->send(host.host, host.peer, UnreachableDomain { effect.failureDomain });
 }
 
 void GatewayServer::updateLimits()
--- a/src/gateway/StoreFollower.cpp
+++ b/src/gateway/StoreFollower.cpp
@@ -15,8 +15,10 @@
 static constexpr Duration kSharingWatchTime = std::chrono::milliseconds(1000);
 /** Changes that are read by another host are waited for this long before an own call. */
 static constexpr Duration kSharedTime = std::chrono::milliseconds(1600);
+/** Spread of that time, so that one reader calls first and the others hear of it. */
+static constexpr Duration kSharedJitter = std::chrono::milliseconds(500);
 /** Changes come in groups; one call then brings several. */
-static constexpr Duration kCallInterval = std::chrono::milliseconds(400);
+static constexpr Duration kCallInterval = std::chrono::milliseconds(500);
 static constexpr Duration kFirstRetry = std::chrono::milliseconds(100);
 /** A configuration has to be in force 3 s after its acceptance. */
 static constexpr Duration kLongestRetry = std::chrono::milliseconds(800);
@@ -36,15 +38,34 @@
 {
     if (m_isCalling)
         return std::nullopt;
+    if (m_role != StoreRole::Caller && m_revision)
+        return std::max(m_nextCallAt, m_newsUntil);
     return m_nextCallAt;
 }
 
+void StoreFollower::setRole(StoreRole role, MonotonicTime now)
+{
+    m_now = std::max(m_now, now);
+    const bool becomesReader = role == StoreRole::Reader && m_role != StoreRole::Reader;
+    m_role = role;
+    if (becomesReader)
+        expectNews();
+}
+
+void StoreFollower::expectNews()
+{
+    std::uniform_int_distribution<Duration::rep> jitter(0, kSharedJitter.count());
+    m_newsUntil = m_now + kSharedTime + Duration(jitter(m_random));
+}
+
 void StoreFollower::advance(MonotonicTime now)
 {
     m_now = now;
-    if (m_isCalling || now < m_nextCallAt)
+    const auto next = nextWakeUp();
+    if (!next || now < *next)
         return;
     m_isCalling = true;
+    m_callRole = m_role;
     if (!m_revision) {
         m_store.readAll([this](const StoreResult<StoreEntries> &result) {
             onRead(result);
@@ -52,7 +73,7 @@
         });
         return;
     }
-    m_store.awaitChanges(*m_revision, m_isSharing ? kSharingWatchTime : kWatchTime,
+    m_store.awaitChanges(*m_revision, m_role == StoreRole::Alone ? kWatchTime : kSharingWatchTime,
                          [this](const StoreResult<StoreEntries> &result) {
                              onWatchEnd(result);
                              m_onCallEnd();
@@ -87,7 +108,8 @@
         shared.entries.push_back(entry.encoded);
     m_revision = changes.revision;
     publishChanges(changes.entries);
-    m_onChanges(std::move(shared));
+    if (m_callRole != StoreRole::Alone)
+        m_onChanges(std::move(shared));
 }
 
 void StoreFollower::publishChanges(const std::vector<StoreEntry> &entries)
@@ -104,9 +126,11 @@
 {
     m_now = std::max(m_now, now);
     // Without the changes in between, this host has to read them itself.
-    if (!m_revision || changes.after > *m_revision)
+    if (!m_revision || changes.after > *m_revision) {
+        m_newsUntil = m_now;
         return;
-    m_nextCallAt = now + kSharedTime;
+    }
+    expectNews();
     if (changes.revision <= *m_revision)
         return;
     m_revision = changes.revision;
@@ -165,8 +189,13 @@
     }
     // A call that was cut is made again at once; only a second failure says that the store is away.
     m_nextCallAt = m_now;
-    if (m_failures > 1)
-        m_nextCallAt += backoffDelay(m_failures - 1, kFirstRetry, kLongestRetry, m_random);
+    if (m_failures <= 1)
+        return;
+    // The caller of the failure domain finds out first that the store is back.
+    const bool isReader = m_role == StoreRole::Reader && m_revision;
+    const Duration first = isReader ? kSharedTime : kFirstRetry;
+    const Duration longest = isReader ? 2 * kSharedTime : kLongestRetry;
+    m_nextCallAt += backoffDelay(m_failures - 1, first, longest, m_random);
 }
 
 void StoreFollower::onSuccess(bool hasEntries)
--- a/src/gateway/StoreFollower.h
+++ b/src/gateway/StoreFollower.h
@@ -3,6 +3,7 @@
 #include "gateway/GatewayEffect.h"
 #include "gateway/GatewayEvent.h"
 #include "gateway/RegistryStore.h"
+#include "gateway/StoreRelay.h"
 #include "greengagestair/Messages.h"
 
 #include <functional>
@@ -24,7 +25,7 @@
 public:
     using OnEvent = std::function<void(GatewayEvent event)>;
     using OnLog = std::function<void(LogDecision decision)>;
-    /** Called after each call that brought this host up to date, also without changes. */
+    /** Called with what the neighbours are to know, also if nothing has changed. */
     using OnChanges = std::function<void(StoreChanges changes)>;
 
     /** Called at the end of each call, when nextWakeUp() has changed. */
@@ -46,8 +47,7 @@
     void takeSnapshot(const StoreChanges &snapshot, MonotonicTime now);
     /** True if the store does not answer and nothing is known yet. */
     bool needsSnapshot() const { return !m_revision && m_failures > 0; }
-    /** Other hosts rely on this one: calls are shorter, so that they hear of it more often. */
-    void setSharing(bool isSharing) { m_isSharing = isSharing; }
+    void setRole(StoreRole role, MonotonicTime now);
     /** True once all entries have been read. */
     bool isSynchronised() const { return m_revision.has_value(); }
 
@@ -55,6 +55,7 @@
     void onRead(const StoreResult<StoreEntries> &result);
     void onWatchEnd(const StoreResult<StoreEntries> &result);
     void publishChanges(const std::vector<StoreEntry> &entries);
+    void expectNews();
     void onFailure(StoreFailure failure);
     void onSuccess(bool hasEntries);
     void remember(const StoreEntry &entry);
@@ -73,7 +74,9 @@
     MonotonicTime m_now;
     MonotonicTime m_nextCallAt;
     bool m_isCalling = false;
-    bool m_isSharing = false;
+    StoreRole m_role = StoreRole::Alone;
+    StoreRole m_callRole = StoreRole::Alone;      ///< as the call in progress began
+    MonotonicTime m_newsUntil;                    ///< a reader makes no call before, others tell it
     int m_failures = 0;                           ///< in a row
     std::map<std::string, std::string> m_encoded; ///< entries as the store encodes them, by key
     std::map<std::string, FailureDomainId> m_evacuations; ///< by key
--- a/src/gateway/StoreRelay.h
+++ b/src/gateway/StoreRelay.h
@@ -6,11 +6,17 @@
 
 namespace greengagestair {
 
+/** A host's part in reading the store for its failure domain. */
+enum class StoreRole {
+    Alone,  ///< no other host is known in the failure domain
+    Caller, ///< calls the store and tells the others of its changes
+    Reader  ///< gets changes from others, and calls the store if none tells it anything
+};
+
 /**
- * Divides the hosts of a failure domain into those that call the store and those that get its
- * changes from them, so that calls do not grow with the number of hosts. The choice is made by
- * rendezvous hashing over the hosts that are present; hosts with different views may choose
- * differently, which costs calls but no change is missed.
+ * Chooses the host of a failure domain that calls the store for all, so that calls do not grow with
+ * the number of hosts. The choice is made by rendezvous hashing over the hosts that are present;
+ * hosts with different views may choose differently, which costs calls but no change is missed.
  */
 class StoreRelay
 {
@@ -18,16 +24,16 @@
     explicit StoreRelay(HostEntry self);
 
     void update(const std::vector<HostEntry> &hosts);
-    /** True if this host calls the store for others. */
-    bool isSharing() const { return !m_readers.empty(); }
-    /** Hosts that rely on this one. */
-    const std::vector<HostEntry> &readers() const { return m_readers; }
+    StoreRole role() const { return m_role; }
+    /** The other hosts of this failure domain. */
+    const std::vector<HostEntry> &neighbours() const { return m_neighbours; }
     /** All other hosts that are present. */
     const std::vector<HostEntry> &others() const { return m_others; }
 
 private:
     HostEntry m_self;
-    std::vector<HostEntry> m_readers;
+    StoreRole m_role = StoreRole::Alone;
+    std::vector<HostEntry> m_neighbours;
     std::vector<HostEntry> m_others;
 };
 
