Check a part's signature again when its turn comes

An isolated part that waited 21 ms for its server to be idle, and a canary that waited 76 ms, crashed a third server although the document had shown two losses for 15 and 43 ms.

Ruled out: the quarantine's own state; both owners knew of both losses.

--- a/src/core/BackendScheduler.cpp
+++ b/src/core/BackendScheduler.cpp
@@ -165,8 +165,14 @@
     for (const QueuedPart &part : server.queue.removeExpired(context.now()))
         refuse(context, part, PartReason::Expired);
     std::erase_if(server.heldSlots, [&](MonotonicTime until) { return until <= context.now(); });
-    while (mayStartNext(server, context.now()))
-        start(context, name, server, server.queue.pop());
+    while (mayStartNext(server, context.now())) {
+        QueuedPart part = server.queue.pop();
+        // The signature may have lost a server while the part waited in the queue.
+        if (m_gate.mayRun(part.request.signature, part.request.isolated))
+            start(context, name, server, std::move(part));
+        else
+            refuse(context, part, PartReason::Quarantined);
+    }
 }
 
 void BackendScheduler::start(StepContext &context, const ServerId &name, Server &server,
--- a/tests/core/BackendSchedulerTest.cpp
+++ b/tests/core/BackendSchedulerTest.cpp
@@ -113,13 +113,16 @@
         action(context);
     }
 
+    /** Signature of all canaries and isolated parts. */
+    static constexpr Signature kTrialSignature { 7 };
+
     PartId submit(Priority priority = Priority::Routine, bool canary = false, bool isolated = false)
     {
         PartRequest request;
         request.part = { ++m_parts };
         request.server = { "lookup-0" };
         request.service = { "counter-lookup" };
-        request.signature = { canary || isolated ? 7u : 100 + m_parts };
+        request.signature = canary || isolated ? kTrialSignature : Signature { 100 + m_parts };
         request.priority = priority;
         request.deadline = m_deadline;
         request.repeatable = m_repeatable;
@@ -334,6 +337,22 @@
     REQUIRE(fixture.m_gate.m_answered == 1);
 }
 
+// Guards against a third server lost to a part that was queued before the first two were.
+TEST_CASE("a queued part whose signature has become suspect is refused as not sent", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.warmUp();
+    fixture.submit();
+    fixture.submit();
+    const std::size_t before = fixture.sends().size();
+    fixture.submit(Priority::Urgent, true);
+    REQUIRE(fixture.sends().size() == before);
+    fixture.m_gate.m_suspects.insert(Fixture::kTrialSignature);
+    fixture.finish(fixture.sends().back());
+    REQUIRE(fixture.sends().size() == before);
+    REQUIRE(fixture.lastReason() == PartReason::Quarantined);
+}
+
 TEST_CASE("an isolated part runs alone on its server", "[scheduler]")
 {
     Fixture fixture;
