Read a member list that does not exist yet each second, and add the fault soak

Missing lists are read again after a second.

Soak: tools/soak runs gateways and the store's stand-in as processes, with loopback proxies, signals and backend servers that record what reaches them.

--- a/src/core/DocumentStore.cpp
+++ b/src/core/DocumentStore.cpp
@@ -27,6 +27,8 @@
 static constexpr Duration kReadTimeout = 2s;
 static constexpr Duration kHostsInterval = 2s;
 static constexpr Duration kSlowReadInterval = 10s;
+/** The same for a member list that does not exist yet. */
+static constexpr Duration kMissingListInterval = 1s;
 /** Up to this many entry hosts each reads every document each kSlowReadInterval; larger fleets read
  * less often, which keeps the load on the platform constant. */
 static constexpr std::size_t kSlowReadHosts = 100;
@@ -321,7 +323,11 @@
     }
     const bool needed = key == membersKey(m_options.failureDomain) || !m_documents.content(key);
     if (answered || (follower.answered && !needed)) {
-        follower.nextRead = context.now() + jittered(slowReadInterval(), context.random);
+        // A cell forms within seconds of its first host, and others need its members to reach it.
+        const bool isMissingList =
+                documentKind(key) == DocumentKind::Members && !m_documents.content(key);
+        const Duration interval = isMissingList ? kMissingListInterval : slowReadInterval();
+        follower.nextRead = context.now() + jittered(interval, context.random);
         if (answered)
             follower.nextWatch = std::min(follower.nextWatch, context.now());
         return;
--- a/tests/core/DocumentStoreTest.cpp
+++ b/tests/core/DocumentStoreTest.cpp
@@ -287,3 +287,21 @@
     REQUIRE(fleet.node("shubra-1").changes[StateChangeKind::PlatformUnreachable] == 1);
     REQUIRE(fleet.node("shubra-1").changes[StateChangeKind::PlatformReachable] == 1);
 }
+
+// Guards against cells that formed together and do not know of each other for ten seconds.
+TEST_CASE("cells that form together learn each other's members within seconds", "[documents]")
+{
+    CellSimulation fleet(20);
+    fleet.platform.setHosts(kHosts);
+    for (const std::string &host : kHosts)
+        fleet.start(host, domainOf(host));
+    const auto knowsBoth = [&](const std::string &host) {
+        const DocumentStore &documents = fleet.node(host).documents;
+        return documents.members({ "shubra" }) && documents.members({ "bulaq" });
+    };
+    const MonotonicTime begin = fleet.now();
+    while (!std::all_of(kHosts.begin(), kHosts.end(), knowsBoth) && fleet.now() - begin < 20s)
+        fleet.run(10ms);
+    // A cell forms in 3.4 s at most.
+    REQUIRE(fleet.now() - begin < 5s);
+}
--- /dev/null
+++ b/tools/soak_parts/ledger.py
@@ -0,0 +1,181 @@
+"""What callers and backend servers saw, and the promises that it is checked against."""
+
+import bisect
+import time
+from collections import defaultdict
+
+from .backends import RECORD_BYTES
+
+TOUCH = 4.0             # seconds without a fault after which a gateway's bounds hold
+DRAIN_BOUND = 3.0       # seconds from the store's acknowledgement of a draining server
+EVACUATE_BOUND = 5.0
+ABANDON_BOUND = 0.5     # seconds after a caller left
+MAX_LATE_ARRIVALS = 3   # requests that may reach servers later than that
+BUDGET_WINDOW = 10.0
+BUDGET_RATIO = 0.2
+BUDGET_SLACK = 60
+RECOVERED_SHARE = 0.95
+LEAST_COVERAGE = 0.75
+TOP_RECORDS = 5
+
+
+class Request:
+    def __init__(self, identifier, gateway, method, path, body, service):
+        self.identifier = identifier
+        self.gateway = gateway
+        self.method, self.path, self.body = method, path, body
+        self.service = service   # of an order; None for a lookup
+        self.sent = time.monotonic()
+        self.left = None
+        self.status = None
+        self.arrivals = []
+        self.runs = []
+
+
+class Ledger:
+    def __init__(self, shard_sets):
+        self.shard_sets = shard_sets  # of every configuration so far
+        self.requests = {}
+        self.parts = {}               # by signature
+        self.violations = []
+        self.arrivals = defaultdict(list)   # (time, request) by service
+        self.evacuated = {}                 # failure domain: since, until
+        self.late_arrivals = 0
+        self.touched = defaultdict(float)   # gateway: time until which it is disturbed
+
+    def violation(self, text):
+        self.violations.append(f"{time.monotonic():.3f} {text}")
+
+    # Faults
+
+    def touch(self, gateways, until=None):
+        now = time.monotonic()
+        for gateway in gateways:
+            self.touched[gateway] = max(self.touched[gateway], until or now)
+
+    def in_touch(self, gateway, since=None):
+        """Whether the gateway was undisturbed for some seconds, and from `since` on."""
+        now = time.monotonic()
+        return self.touched[gateway] + TOUCH <= (since if since is not None else now)
+
+    # Backend servers
+
+    def arrived(self, identifier, server, method, path, body):
+        now = time.monotonic()
+        request = self.requests.get(identifier)
+        if request is None:
+            self.violation(f"UNASKED {identifier!r} reached {server.identifier}")
+            return
+        if (method, path, body) != (request.method, request.path, request.body):
+            self.violation(f"UNASKED {identifier} reached {server.identifier} changed")
+        request.arrivals.append((now, server.service, server.identifier))
+        self.arrivals[server.service].append((now, identifier))
+        if request.service is not None and server.service != request.service:
+            self.violation(f"ROUTE order {identifier} reached {server.service}")
+        # Bytes that a harmed link holds up arrive late through no fault of the gateway.
+        is_held_up = server.proxy.is_harmed() or now < server.proxy.harmed_at + TOUCH
+        if is_held_up:
+            return
+        if (request.left is not None and now > request.left + ABANDON_BOUND
+                and self.in_touch(request.gateway)):
+            self.late_arrivals += 1
+        for since in (server.draining_since, server.gone_since):
+            if since and now > since + DRAIN_BOUND and self.in_touch(request.gateway, since):
+                self.violation(f"DRAIN {identifier} reached {server.identifier} "
+                               f"{now - since:.2f} s after it began to leave")
+        since, until = self.evacuated.get(server.domain, (None, None))
+        if (since and until is None and now > since + EVACUATE_BOUND
+                and self.in_touch(request.gateway, since)):
+            self.violation(f"EVAC {identifier} reached {server.identifier} in {server.domain} "
+                           f"{now - since:.2f} s after it was taken out")
+
+    def ran(self, identifier, server):
+        request = self.requests.get(identifier)
+        if request is None:
+            return
+        request.runs.append(server.identifier)
+        if request.service is not None and len(request.runs) > 1:
+            self.violation(f"TWICE order {identifier} ran on {request.runs}")
+        if request.status in (429, 503):
+            self.violation(f"REFUSED {identifier} ran after it was refused as not run")
+
+    def answered(self, signature, identifier, server, status, body):
+        self.parts[signature] = (identifier, server.service, status, body)
+
+    # Callers
+
+    def received(self, request, status, headers, body):
+        request.status = status
+        if status in (429, 503) and request.runs:
+            self.violation(f"REFUSED {request.identifier} is said not to have run")
+        if status in (429, 503) and "retry-after" not in headers:
+            self.violation(f"REFUSED {request.identifier} lacks the time to come back")
+        if status != 200:
+            signature = headers.get("x-backend-signature")
+            if signature and self.parts.get(signature, (0, 0, 0))[2] != status:
+                self.violation(f"MIXED {request.identifier} has another status than its server")
+            return
+        if request.service is None:
+            self.check_merged(request, headers, body)
+            return
+        part = self.parts.get(headers.get("x-backend-signature", ""))
+        if part is None or part[0] != request.identifier or part[2:] != (200, body):
+            self.violation(f"MIXED order {request.identifier} got another answer")
+
+    def check_merged(self, request, headers, body):
+        signatures = [text.strip() for text in headers.get("x-shard-stamps", "").split(",")]
+        parts = [self.parts.get(signature) for signature in signatures]
+        if any(part is None or part[0] != request.identifier or part[2] != 200 for part in parts):
+            self.violation(f"MIXED {request.identifier} names a part that is none of its own")
+            return
+        services = [part[1] for part in parts]
+        missing = int(headers.get("x-missing-shards", "0"))
+        fits = [shards for shards in self.shard_sets
+                if set(services) <= set(shards) and len(services) + missing == len(shards)]
+        if len(set(services)) != len(services) or not fits:
+            self.violation(f"MIXED {request.identifier} is not of one snapshot: {services} "
+                           f"and {missing} missing")
+            return
+        if len(services) / (len(services) + missing) < LEAST_COVERAGE - 1e-9:
+            self.violation(f"MIXED {request.identifier} covers too little")
+        records = sorted((part[3][at:at + RECORD_BYTES] for part in parts
+                          for at in range(0, len(part[3]) - RECORD_BYTES + 1, RECORD_BYTES)),
+                         reverse=True)
+        if body != b"".join(records[:TOP_RECORDS]):
+            self.violation(f"MIXED {request.identifier} lacks its greatest records")
+
+    # At the end
+
+    def check_budget(self):
+        for service, arrivals in self.arrivals.items():
+            first, extra = {}, []
+            for at, identifier in sorted(arrivals):
+                if identifier in first:
+                    extra.append(at)
+                else:
+                    first[identifier] = at
+            sent = sorted(self.requests[identifier].sent for identifier in first)
+
+            def count(times, begin):
+                return (bisect.bisect_left(times, begin + BUDGET_WINDOW)
+                        - bisect.bisect_left(times, begin))
+
+            for begin in extra:
+                requests = max(count(sent, begin - back)
+                               for back in (0, BUDGET_WINDOW / 2, BUDGET_WINDOW))
+                allowed = BUDGET_RATIO * requests + BUDGET_SLACK
+                if count(extra, begin) > allowed:
+                    self.violation(f"BUDGET {service} got {count(extra, begin)} repeats in "
+                                   f"{BUDGET_WINDOW} s, allowed are {allowed:.0f}")
+                    break
+
+    def check_end(self, recovery_since):
+        self.check_budget()
+        if self.late_arrivals > MAX_LATE_ARRIVALS:
+            self.violation(f"GONE {self.late_arrivals} requests reached servers after their "
+                           "callers had left")
+        late = [request for request in self.requests.values()
+                if request.sent >= recovery_since and request.left is None]
+        served = sum(request.status == 200 for request in late)
+        if not late or served < RECOVERED_SHARE * len(late):
+            self.violation(f"RECOVER {served} of {len(late)} requests served after the faults")
