--- a/bench/ReducerCost.cpp
+++ b/bench/ReducerCost.cpp
@@ -2,7 +2,7 @@
 // fakes at their interfaces. Prints one line for each size; docs/CAPACITY.md uses the slopes.
 
 #include "codec/FrameCodec.h"
-#include "core/DocumentParsers.h"
+#include "core/documents/DocumentParsers.h"
 #include "greengagestair/Reducer.h"
 #include "tests/random/FakePlatform.h"
 #include "tests/random/VirtualTime.h"
--- a/src/app/DeclarationCheck.cpp
+++ b/src/app/DeclarationCheck.cpp
@@ -1,6 +1,6 @@
 #include "app/DeclarationCheck.h"
 
-#include "core/DocumentParsers.h"
+#include "core/documents/DocumentParsers.h"
 
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -22,6 +22,12 @@
     return EventLoop::currentInstant().now;
 }
 
+static GatewayOptions withRandomSeed(GatewayOptions options)
+{
+    options.randomSeed = std::random_device {}();
+    return options;
+}
+
 static HostEntry hostEntryOf(const GatewaySettings &settings)
 {
     return { settings.host, settings.options.selector.failureDomain, settings.peerEndpoint };
@@ -34,7 +40,7 @@
     , m_settings(std::move(settings))
     , m_settingsFile(std::move(settingsFile))
     , m_log(logDescriptor, m_settings.host.value)
-    , m_gateway(m_settings.options)
+    , m_gateway(withRandomSeed(m_settings.options))
     , m_frontEnd(names, [this](GatewayEvent event) { enqueue(std::move(event)); })
     , m_callers(context, m_frontEnd)
     , m_readinessPages([this](std::string_view) { return readinessPage(); },
@@ -47,14 +53,14 @@
                        m_admin.reply(exchange, response);
                    })
     , m_admin(context, m_adminPages)
-    , m_backends(context, names,
-                 [this](AttemptId attempt, AttemptResult result) {
-                     enqueue(AttemptEnded { attempt, std::move(result) });
-                 })
-    , m_prober(context,
-               [this](const ServerId &server, bool isConnected) {
-                   enqueue(ServerProbed { server, isConnected });
-               })
+    , m_backends(
+              context, names,
+              [this](AttemptId attempt, AttemptResult result) {
+                  enqueue(AttemptEnded { attempt, std::move(result) });
+              },
+              [this](const ServerId &server, bool isConnected) {
+                  enqueue(ConnectionTried { server, isConnected });
+              })
     , m_seeds(
               m_settings.seeds,
               [&context](std::function<void()> function) {
@@ -164,9 +170,9 @@
         m_peers->send(host.host, host.peer, effect.loss);
 }
 
-void GatewayServer::applyEffect(const ProbeServer &effect)
+void GatewayServer::applyEffect(const OpenConnection &effect)
 {
-    m_prober.probe(effect.server, effect.endpoint);
+    m_backends.openAhead(effect);
 }
 
 void GatewayServer::applyEffect(const ReportDoubt &effect)
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -11,7 +11,6 @@
 #include "gateway/StoreFollower.h"
 #include "gateway/StoreRelay.h"
 #include "http/BackendPool.h"
-#include "http/ConnectionProber.h"
 #include "http/HttpServer.h"
 #include "net/TcpPeerTransport.h"
 
@@ -57,7 +56,7 @@
     void applyEffect(const ReplyToCaller &effect);
     void applyEffect(const ForgetServer &effect);
     void applyEffect(const ReportLoss &effect);
-    void applyEffect(const ProbeServer &effect);
+    void applyEffect(const OpenConnection &effect);
     void applyEffect(const ReportDoubt &effect);
     void applyEffect(const LogDecision &effect);
     void log(const LogDecision &decision);
@@ -85,7 +84,6 @@
     PageHandler m_adminPages;
     HttpServer m_admin;
     BackendPool m_backends;
-    ConnectionProber m_prober;
     SeedReader m_seeds;
     StoreRelay m_relay;
     StoreFollower m_follower;
--- a/src/app/GatewaySettings.cpp
+++ b/src/app/GatewaySettings.cpp
@@ -1,6 +1,6 @@
 #include "app/GatewaySettings.h"
 
-#include "core/JsonReader.h"
+#include "core/documents/JsonReader.h"
 
 #include <boost/leaf/error.hpp>
 
--- a/src/core/Reducer.cpp
+++ b/src/core/Reducer.cpp
@@ -1,14 +1,14 @@
 #include "greengagestair/Reducer.h"
 
-#include "core/AdmissionControl.h"
 #include "core/Assert.h"
-#include "core/BackendScheduler.h"
-#include "core/DocumentStore.h"
-#include "core/Membership.h"
-#include "core/PlatformCalls.h"
-#include "core/Quarantine.h"
-#include "core/QueryEngine.h"
-#include "core/RequestLedger.h"
+#include "core/documents/DocumentStore.h"
+#include "core/documents/PlatformCalls.h"
+#include "core/ledger/RequestLedger.h"
+#include "core/membership/Membership.h"
+#include "core/quarantine/Quarantine.h"
+#include "core/query/AdmissionControl.h"
+#include "core/query/QueryEngine.h"
+#include "core/sending/BackendScheduler.h"
 
 #include <boost/json.hpp>
 
--- a/src/core/DocumentChanges.cpp
+++ b/src/core/documents/DocumentChanges.cpp
@@ -1,4 +1,4 @@
-#include "core/DocumentChanges.h"
+#include "core/documents/DocumentChanges.h"
 
 #include "core/Assert.h"
 #include "core/Backoff.h"
--- a/src/core/DocumentParsers.cpp
+++ b/src/core/documents/DocumentParsers.cpp
@@ -1,6 +1,6 @@
-#include "core/DocumentParsers.h"
+#include "core/documents/DocumentParsers.h"
 
-#include "core/JsonReader.h"
+#include "core/documents/JsonReader.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
--- a/src/core/DocumentSet.cpp
+++ b/src/core/documents/DocumentSet.cpp
@@ -1,4 +1,4 @@
-#include "core/DocumentSet.h"
+#include "core/documents/DocumentSet.h"
 
 #include "core/Assert.h"
 
--- a/src/core/DocumentSet.h
+++ b/src/core/documents/DocumentSet.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/DocumentParsers.h"
 #include "core/Interfaces.h"
+#include "core/documents/DocumentParsers.h"
 
 #include <map>
 #include <memory>
--- a/src/core/DocumentStore.cpp
+++ b/src/core/documents/DocumentStore.cpp
@@ -1,4 +1,4 @@
-#include "core/DocumentStore.h"
+#include "core/documents/DocumentStore.h"
 
 #include "core/Assert.h"
 #include "core/Backoff.h"
--- a/src/core/DocumentStore.h
+++ b/src/core/documents/DocumentStore.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/DocumentChanges.h"
-#include "core/DocumentSet.h"
 #include "core/Interfaces.h"
+#include "core/documents/DocumentChanges.h"
+#include "core/documents/DocumentSet.h"
 
 #include <boost/json/fwd.hpp>
 
--- a/src/core/JsonReader.cpp
+++ b/src/core/documents/JsonReader.cpp
@@ -1,4 +1,4 @@
-#include "core/JsonReader.h"
+#include "core/documents/JsonReader.h"
 
 #include <arpa/inet.h>
 
--- a/src/core/JsonReader.h
+++ b/src/core/documents/JsonReader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/DocumentParsers.h"
+#include "core/documents/DocumentParsers.h"
 #include "greengagestair/Types.h"
 
 #include <boost/json/value.hpp>
--- a/src/core/PlatformCalls.cpp
+++ b/src/core/documents/PlatformCalls.cpp
@@ -1,4 +1,4 @@
-#include "core/PlatformCalls.h"
+#include "core/documents/PlatformCalls.h"
 
 #include "core/Assert.h"
 
--- a/src/core/LedgerBucket.cpp
+++ b/src/core/ledger/LedgerBucket.cpp
@@ -1,6 +1,6 @@
-#include "core/LedgerBucket.h"
+#include "core/ledger/LedgerBucket.h"
 
-#include "core/LedgerIdentifier.h"
+#include "core/ledger/LedgerIdentifier.h"
 
 #include <boost/json.hpp>
 #include <boost/leaf/error.hpp>
--- a/src/core/LedgerIdentifier.cpp
+++ b/src/core/ledger/LedgerIdentifier.cpp
@@ -1,4 +1,4 @@
-#include "core/LedgerIdentifier.h"
+#include "core/ledger/LedgerIdentifier.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
--- /dev/null
+++ b/src/core/ledger/LedgerUpdate.cpp
@@ -0,0 +1,177 @@
+#include "core/ledger/LedgerUpdate.h"
+
+#include <utility>
+
+namespace greengagestair {
+
+/** A bucket above this takes no new entries. The rest up to the platform's bound of 1 MB is for the
+ * results of claims that are in it. */
+static constexpr std::size_t kMaxBucketBytes = 900'000;
+static constexpr std::size_t kMaxValueBytes = 1'000'000;
+
+/** Longer results are not recorded. */
+static constexpr std::size_t kMaxResultBytes = 4096;
+
+ClaimResult resultOf(ClaimResult::Verdict verdict, QueryReason reason)
+{
+    ClaimResult result;
+    result.verdict = verdict;
+    result.reason = reason;
+    return result;
+}
+
+ClaimResult notRun(QueryReason reason)
+{
+    return resultOf(ClaimResult::Verdict::NotRun, reason);
+}
+
+ClaimResult mayHaveRun(QueryReason reason)
+{
+    return resultOf(ClaimResult::Verdict::MayHaveRun, reason);
+}
+
+/** What a finished request came to. */
+static ClaimResult doneResult(const LedgerEntry &entry)
+{
+    if (entry.resultOmitted)
+        return mayHaveRun(QueryReason::ClaimedElsewhere);
+    ClaimResult result;
+    result.verdict = ClaimResult::Verdict::Done;
+    result.snapshot = entry.snapshot;
+    result.body = entry.body;
+    return result;
+}
+
+static LedgerEntry entryOf(const StepContext &context, const IdempotencyKey &key, LedgerState state,
+                           const ClaimToken &token)
+{
+    LedgerEntry entry;
+    entry.key = key;
+    entry.state = state;
+    entry.token = token;
+    entry.time = context.instant.wall;
+    return entry;
+}
+
+static bool applyClaim(StepContext &context, LedgerUpdate &update, LedgerBucket &content)
+{
+    const IdempotencyKey &key = update.request.second;
+    const LedgerEntry *entry = content.find(key);
+    ClaimResult &result = update.settlement->result;
+    if (!entry && content.bytes() > kMaxBucketBytes) {
+        result = notRun(QueryReason::Overloaded);
+        return false;
+    }
+    if (!entry || entry->state == LedgerState::Released) {
+        content.put(entryOf(context, key, LedgerState::Claimed, update.token));
+        result = resultOf(ClaimResult::Verdict::Claimed, QueryReason::None);
+        return true;
+    }
+    if (entry->state == LedgerState::Done)
+        result = doneResult(*entry);
+    else if (entry->state == LedgerState::NotRun)
+        result = notRun(QueryReason::None);
+    else if (entry->token == update.token)
+        result = resultOf(ClaimResult::Verdict::Claimed, QueryReason::None);
+    else
+        result = mayHaveRun(QueryReason::ClaimedElsewhere);
+    return false;
+}
+
+/**
+ * Releases a claim that may or may not have been written. Where it is not found, an entry is
+ * written nevertheless: that raises the revision, so that the write of the claim cannot take effect
+ * any more if it is still on its way.
+ */
+static bool applyAbandon(StepContext &context, LedgerUpdate &update, LedgerBucket &content)
+{
+    const IdempotencyKey &key = update.request.second;
+    const LedgerEntry *entry = content.find(key);
+    const bool own = entry && entry->token == update.token;
+    const bool released = entry && entry->state == LedgerState::Released;
+    const bool ownClaim = own && entry->state == LedgerState::Claimed;
+    const bool mayStillArrive = !entry || (released && !own);
+    if (!ownClaim && !mayStillArrive)
+        return false;
+    content.put(entryOf(context, key, LedgerState::Released, update.token));
+    return true;
+}
+
+static bool applyDone(StepContext &context, LedgerUpdate &update, LedgerBucket &content)
+{
+    const IdempotencyKey &key = update.request.second;
+    const LedgerEntry *entry = content.find(key);
+    const bool own = !entry || entry->token.sameProcess(update.token);
+    const bool done = entry && entry->state == LedgerState::Done;
+    const bool claimed = !entry || entry->state == LedgerState::Claimed;
+    update.settlement->recorded = own && (done || claimed);
+    if (!own || !claimed)
+        return false;
+    LedgerEntry finished = entryOf(context, key, LedgerState::Done, update.token);
+    finished.snapshot = update.snapshot;
+    finished.body = update.body;
+    const std::size_t bytes = content.bytes() + LedgerBucket::entryBytes(finished);
+    if (finished.body.size() > kMaxResultBytes || bytes > kMaxValueBytes) {
+        finished.body.clear();
+        finished.resultOmitted = true;
+        context.counters.add("ledger_results_omitted_total");
+    }
+    content.put(std::move(finished));
+    return true;
+}
+
+static bool applyRelease(StepContext &context, LedgerUpdate &update, LedgerBucket &content)
+{
+    const IdempotencyKey &key = update.request.second;
+    const LedgerEntry *entry = content.find(key);
+    const bool ownClaim =
+            entry && entry->state == LedgerState::Claimed && entry->token.sameProcess(update.token);
+    if (!ownClaim)
+        return false;
+    content.put(entryOf(context, key, LedgerState::Released, entry->token));
+    return true;
+}
+
+static bool applyOutcome(StepContext &context, LedgerUpdate &update, LedgerBucket &content)
+{
+    const IdempotencyKey &key = update.request.second;
+    const LedgerEntry *entry = content.find(key);
+    ClaimResult &result = update.settlement->result;
+    if (entry && entry->state == LedgerState::Claimed) {
+        result = mayHaveRun(QueryReason::ClaimedElsewhere);
+        return false;
+    }
+    if (entry && entry->state == LedgerState::Done) {
+        result = doneResult(*entry);
+        return false;
+    }
+    if (!entry && content.bytes() > kMaxBucketBytes) {
+        result = mayHaveRun(QueryReason::Overloaded);
+        return false;
+    }
+    result = notRun(QueryReason::None);
+    if (entry && entry->state == LedgerState::NotRun)
+        return false;
+    content.put(entryOf(context, key, LedgerState::NotRun, update.token));
+    return true;
+}
+
+bool applyUpdate(StepContext &context, LedgerUpdate &update, LedgerBucket &content)
+{
+    update.settlement = LedgerUpdate::Settlement { ClaimResult(), false };
+    switch (update.kind) {
+    case LedgerUpdate::Kind::Claim:
+        return applyClaim(context, update, content);
+    case LedgerUpdate::Kind::Abandon:
+        return applyAbandon(context, update, content);
+    case LedgerUpdate::Kind::RecordDone:
+        return applyDone(context, update, content);
+    case LedgerUpdate::Kind::Release:
+        return applyRelease(context, update, content);
+    case LedgerUpdate::Kind::FindOutcome:
+        return applyOutcome(context, update, content);
+    }
+    return false;
+}
+
+} // namespace greengagestair
--- a/src/core/RequestLedger.cpp
+++ b/src/core/ledger/RequestLedger.cpp
@@ -1,7 +1,7 @@
-#include "core/RequestLedger.h"
+#include "core/ledger/RequestLedger.h"
 
 #include "core/Assert.h"
-#include "core/LedgerIdentifier.h"
+#include "core/ledger/LedgerIdentifier.h"
 
 #include <boost/json/object.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -35,44 +35,6 @@
 /** Bound on updates and waiting requests of this host; further claims are refused. */
 static constexpr std::size_t kMaxPending = 4096;
 
-/** A bucket above this takes no new entries. The rest up to the platform's bound of 1 MB is for the
- * results of claims that are in it. */
-static constexpr std::size_t kMaxBucketBytes = 900'000;
-static constexpr std::size_t kMaxValueBytes = 1'000'000;
-
-/** Longer results are not recorded. */
-static constexpr std::size_t kMaxResultBytes = 4096;
-
-static ClaimResult resultOf(ClaimResult::Verdict verdict, QueryReason reason)
-{
-    ClaimResult result;
-    result.verdict = verdict;
-    result.reason = reason;
-    return result;
-}
-
-static ClaimResult notRun(QueryReason reason)
-{
-    return resultOf(ClaimResult::Verdict::NotRun, reason);
-}
-
-static ClaimResult mayHaveRun(QueryReason reason)
-{
-    return resultOf(ClaimResult::Verdict::MayHaveRun, reason);
-}
-
-/** What a finished request came to. */
-static ClaimResult doneResult(const LedgerEntry &entry)
-{
-    if (entry.resultOmitted)
-        return mayHaveRun(QueryReason::ClaimedElsewhere);
-    ClaimResult result;
-    result.verdict = ClaimResult::Verdict::Done;
-    result.snapshot = entry.snapshot;
-    result.body = entry.body;
-    return result;
-}
-
 RequestLedger::RequestLedger(const ReducerOptions &options, PlatformCaller &platform)
     : m_process { options.host, options.incarnation, 0 }
     , m_mechanisms(options.mechanisms)
@@ -128,7 +90,7 @@
                                                  ClaimHandler handler)
 {
     Update update;
-    update.kind = UpdateKind::Claim;
+    update.kind = LedgerUpdate::Kind::Claim;
     update.request = request;
     update.token = m_process;
     update.token.counter = ++m_lastCounter;
@@ -148,7 +110,7 @@
         return;
     }
     Update update;
-    update.kind = UpdateKind::RecordDone;
+    update.kind = LedgerUpdate::Kind::RecordDone;
     update.request = { service, key };
     update.token = m_process;
     update.snapshot = snapshot;
@@ -169,7 +131,7 @@
     if (!m_mechanisms.ledgerClaims)
         return;
     Update update;
-    update.kind = UpdateKind::Release;
+    update.kind = LedgerUpdate::Kind::Release;
     update.request = { service, key };
     update.token = m_process;
     update.deadline = context.now() + kBackgroundTime;
@@ -209,7 +171,7 @@
         return;
     }
     Update update;
-    update.kind = UpdateKind::FindOutcome;
+    update.kind = LedgerUpdate::Kind::FindOutcome;
     update.request = request;
     update.token = m_process;
     update.deadline = deadline;
@@ -309,7 +271,7 @@
     bucket.next.dropExpired(context.instant.wall);
     bool changed = false;
     for (Update &update : bucket.updates) {
-        const bool changedByThis = apply(context, update, bucket.next);
+        const bool changedByThis = applyUpdate(context, update, bucket.next);
         changed = changed || changedByThis;
     }
     if (changed) {
@@ -390,140 +352,6 @@
     wakeUpAt(bucket.retryAt);
 }
 
-// Updates. Each apply function returns whether it changed the content.
-
-bool RequestLedger::apply(StepContext &context, Update &update, LedgerBucket &content) const
-{
-    update.settlement = Settlement { ClaimResult(), false };
-    switch (update.kind) {
-    case UpdateKind::Claim:
-        return applyClaim(context, update, content);
-    case UpdateKind::Abandon:
-        return applyAbandon(context, update, content);
-    case UpdateKind::RecordDone:
-        return applyDone(context, update, content);
-    case UpdateKind::Release:
-        return applyRelease(context, update, content);
-    case UpdateKind::FindOutcome:
-        return applyOutcome(context, update, content);
-    }
-    return false;
-}
-
-static LedgerEntry entryOf(const StepContext &context, const IdempotencyKey &key, LedgerState state,
-                           const ClaimToken &token)
-{
-    LedgerEntry entry;
-    entry.key = key;
-    entry.state = state;
-    entry.token = token;
-    entry.time = context.instant.wall;
-    return entry;
-}
-
-bool RequestLedger::applyClaim(StepContext &context, Update &update, LedgerBucket &content) const
-{
-    const IdempotencyKey &key = update.request.second;
-    const LedgerEntry *entry = content.find(key);
-    ClaimResult &result = update.settlement->result;
-    if (!entry && content.bytes() > kMaxBucketBytes) {
-        result = notRun(QueryReason::Overloaded);
-        return false;
-    }
-    if (!entry || entry->state == LedgerState::Released) {
-        content.put(entryOf(context, key, LedgerState::Claimed, update.token));
-        result = resultOf(ClaimResult::Verdict::Claimed, QueryReason::None);
-        return true;
-    }
-    if (entry->state == LedgerState::Done)
-        result = doneResult(*entry);
-    else if (entry->state == LedgerState::NotRun)
-        result = notRun(QueryReason::None);
-    else if (entry->token == update.token)
-        result = resultOf(ClaimResult::Verdict::Claimed, QueryReason::None);
-    else
-        result = mayHaveRun(QueryReason::ClaimedElsewhere);
-    return false;
-}
-
-/**
- * Releases a claim that may or may not have been written. Where it is not found, an entry is
- * written nevertheless: that raises the revision, so that the write of the claim cannot take effect
- * any more if it is still on its way.
- */
-bool RequestLedger::applyAbandon(StepContext &context, Update &update, LedgerBucket &content) const
-{
-    const IdempotencyKey &key = update.request.second;
-    const LedgerEntry *entry = content.find(key);
-    const bool own = entry && entry->token == update.token;
-    const bool released = entry && entry->state == LedgerState::Released;
-    const bool ownClaim = own && entry->state == LedgerState::Claimed;
-    const bool mayStillArrive = !entry || (released && !own);
-    if (!ownClaim && !mayStillArrive)
-        return false;
-    content.put(entryOf(context, key, LedgerState::Released, update.token));
-    return true;
-}
-
-bool RequestLedger::applyDone(StepContext &context, Update &update, LedgerBucket &content) const
-{
-    const IdempotencyKey &key = update.request.second;
-    const LedgerEntry *entry = content.find(key);
-    const bool own = !entry || entry->token.sameProcess(update.token);
-    const bool done = entry && entry->state == LedgerState::Done;
-    const bool claimed = !entry || entry->state == LedgerState::Claimed;
-    update.settlement->recorded = own && (done || claimed);
-    if (!own || !claimed)
-        return false;
-    LedgerEntry finished = entryOf(context, key, LedgerState::Done, update.token);
-    finished.snapshot = update.snapshot;
-    finished.body = update.body;
-    const std::size_t bytes = content.bytes() + LedgerBucket::entryBytes(finished);
-    if (finished.body.size() > kMaxResultBytes || bytes > kMaxValueBytes) {
-        finished.body.clear();
-        finished.resultOmitted = true;
-        context.counters.add("ledger_results_omitted_total");
-    }
-    content.put(std::move(finished));
-    return true;
-}
-
-bool RequestLedger::applyRelease(StepContext &context, Update &update, LedgerBucket &content) const
-{
-    const IdempotencyKey &key = update.request.second;
-    const LedgerEntry *entry = content.find(key);
-    const bool ownClaim =
-            entry && entry->state == LedgerState::Claimed && entry->token.sameProcess(update.token);
-    if (!ownClaim)
-        return false;
-    content.put(entryOf(context, key, LedgerState::Released, entry->token));
-    return true;
-}
-
-bool RequestLedger::applyOutcome(StepContext &context, Update &update, LedgerBucket &content) const
-{
-    const IdempotencyKey &key = update.request.second;
-    const LedgerEntry *entry = content.find(key);
-    ClaimResult &result = update.settlement->result;
-    if (entry && entry->state == LedgerState::Claimed) {
-        result = mayHaveRun(QueryReason::ClaimedElsewhere);
-        return false;
-    }
-    if (entry && entry->state == LedgerState::Done) {
-        result = doneResult(*entry);
-        return false;
-    }
-    if (!entry && content.bytes() > kMaxBucketBytes) {
-        result = mayHaveRun(QueryReason::Overloaded);
-        return false;
-    }
-    result = notRun(QueryReason::None);
-    if (entry && entry->state == LedgerState::NotRun)
-        return false;
-    content.put(entryOf(context, key, LedgerState::NotRun, update.token));
-    return true;
-}
-
 // Ends of updates
 
 /** Takes out the updates whose settlement is in the platform. */
@@ -544,15 +372,15 @@
     const ClaimResult &result = update.settlement->result;
     const bool claimed = result.verdict == ClaimResult::Verdict::Claimed;
     if (update.claimHandler) {
-        if (update.kind == UpdateKind::Claim)
+        if (update.kind == LedgerUpdate::Kind::Claim)
             context.counters.add(claimed ? "ledger_claims_total" : "ledger_claims_refused_total");
         answers.push_back([handler = std::move(update.claimHandler), result](StepContext &later) {
             handler(later, result);
         });
     }
-    if (update.kind == UpdateKind::Claim && !claimed)
+    if (update.kind == LedgerUpdate::Kind::Claim && !claimed)
         endProgress(update.request, result, answers);
-    if (update.kind != UpdateKind::RecordDone)
+    if (update.kind != LedgerUpdate::Kind::RecordDone)
         return;
     const bool recorded = update.settlement->recorded;
     if (!recorded)
@@ -622,17 +450,17 @@
 {
     const QueryReason reason =
             update.failures > 0 ? QueryReason::PlatformUnavailable : QueryReason::DeadlinePassed;
-    if (update.kind == UpdateKind::Claim) {
+    if (update.kind == LedgerUpdate::Kind::Claim) {
         refuseClaim(update, reason, answers);
         return abandon(context, update);
     }
-    if (update.kind == UpdateKind::FindOutcome) {
+    if (update.kind == LedgerUpdate::Kind::FindOutcome) {
         answers.push_back([handler = std::move(update.claimHandler), reason](StepContext &later) {
             handler(later, mayHaveRun(reason));
         });
         return false;
     }
-    if (update.kind != UpdateKind::RecordDone || !update.recordHandler) {
+    if (update.kind != LedgerUpdate::Kind::RecordDone || !update.recordHandler) {
         context.counters.add("ledger_updates_given_up_total");
         return false;
     }
@@ -661,7 +489,7 @@
     if (!mayExist || !m_mechanisms.refusalProof)
         return false;
     context.counters.add("ledger_abandoned_claims_total");
-    update.kind = UpdateKind::Abandon;
+    update.kind = LedgerUpdate::Kind::Abandon;
     update.settlement.reset();
     update.deadline = context.now() + kBackgroundTime;
     wakeUpAt(update.deadline);
--- a/src/core/RequestLedger.h
+++ b/src/core/ledger/RequestLedger.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/Interfaces.h"
-#include "core/LedgerBucket.h"
+#include "core/ledger/LedgerUpdate.h"
 #include "greengagestair/Reducer.h"
 
 #include <boost/json/fwd.hpp>
@@ -50,35 +50,19 @@
     boost::json::object dump(MonotonicTime now) const;
 
 private:
-    using RequestName = std::pair<ServiceId, IdempotencyKey>;
     /** A call of a handler that is made once the state is consistent again. */
     using Answer = std::function<void(StepContext &context)>;
     using Answers = std::vector<Answer>;
 
-    enum class UpdateKind { Claim, Abandon, RecordDone, Release, FindOutcome };
-
-    /** What an update comes to if the content that it was applied to is in the platform. */
-    struct Settlement
-    {
-        ClaimResult result;
-        bool recorded;
-    };
-
-    /** A change that is to be brought into a bucket. */
-    struct Update
+    /** An update with what waits for it. */
+    struct Update : LedgerUpdate
     {
-        UpdateKind kind = UpdateKind::Claim;
-        RequestName request;
-        ClaimToken token;
-        IndexVersion snapshot;
-        std::string body;
         ClaimHandler claimHandler;   ///< of Claim and FindOutcome; empty once called
         RecordHandler recordHandler; ///< of RecordDone; empty once called
         MonotonicTime deadline;      ///< of the handler; without one, the update is given up then
         int failures = 0;            ///< calls to the platform that failed
         bool inWrite = false;        ///< part of the write that is under way
         bool maybeWritten = false;   ///< part of a write whose outcome is not known
-        std::optional<Settlement> settlement; ///< if the write under way takes effect
     };
 
     /** A bucket with updates, or one whose content is still fresh. */
@@ -126,13 +110,6 @@
     void callFailed(StepContext &context, BucketWork &bucket, Answers &answers);
     void refuseAll(BucketWork &bucket, QueryReason reason, Answers &answers);
 
-    bool apply(StepContext &context, Update &update, LedgerBucket &content) const;
-    bool applyClaim(StepContext &context, Update &update, LedgerBucket &content) const;
-    bool applyAbandon(StepContext &context, Update &update, LedgerBucket &content) const;
-    bool applyDone(StepContext &context, Update &update, LedgerBucket &content) const;
-    bool applyRelease(StepContext &context, Update &update, LedgerBucket &content) const;
-    bool applyOutcome(StepContext &context, Update &update, LedgerBucket &content) const;
-
     void settle(StepContext &context, BucketWork &bucket, Answers &answers);
     void settleUpdate(StepContext &context, Update &update, Answers &answers);
     void endProgress(const RequestName &request, const ClaimResult &result, Answers &answers);
--- a/src/core/CellView.cpp
+++ b/src/core/membership/CellView.cpp
@@ -1,4 +1,4 @@
-#include "core/CellView.h"
+#include "core/membership/CellView.h"
 
 #include "core/Assert.h"
 
--- a/src/core/CellView.h
+++ b/src/core/membership/CellView.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "core/GrantCollector.h"
-#include "core/GrantTable.h"
-#include "core/HandoverWaits.h"
-#include "core/RendezvousRanking.h"
 #include "core/StepContext.h"
+#include "core/membership/GrantCollector.h"
+#include "core/membership/GrantTable.h"
+#include "core/membership/HandoverWaits.h"
+#include "core/membership/RendezvousRanking.h"
 
 #include <map>
 #include <set>
--- a/src/core/GrantCollector.cpp
+++ b/src/core/membership/GrantCollector.cpp
@@ -1,4 +1,4 @@
-#include "core/GrantCollector.h"
+#include "core/membership/GrantCollector.h"
 
 #include "core/Assert.h"
 
--- a/src/core/GrantTable.cpp
+++ b/src/core/membership/GrantTable.cpp
@@ -1,4 +1,4 @@
-#include "core/GrantTable.h"
+#include "core/membership/GrantTable.h"
 
 #include "core/Assert.h"
 
--- a/src/core/HandoverWaits.cpp
+++ b/src/core/membership/HandoverWaits.cpp
@@ -1,4 +1,4 @@
-#include "core/HandoverWaits.h"
+#include "core/membership/HandoverWaits.h"
 
 #include "core/Hashing.h"
 #include "core/StepContext.h"
--- a/src/core/HandoverWaits.h
+++ b/src/core/membership/HandoverWaits.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/MembershipTimes.h"
+#include "core/membership/MembershipTimes.h"
 #include "greengagestair/Configuration.h"
 
 #include <optional>
--- a/src/core/HostPresence.cpp
+++ b/src/core/membership/HostPresence.cpp
@@ -1,6 +1,6 @@
-#include "core/HostPresence.h"
+#include "core/membership/HostPresence.h"
 
-#include "core/MembershipTimes.h"
+#include "core/membership/MembershipTimes.h"
 
 #include <utility>
 
--- a/src/core/MemberListEditor.cpp
+++ b/src/core/membership/MemberListEditor.cpp
@@ -1,7 +1,7 @@
-#include "core/MemberListEditor.h"
+#include "core/membership/MemberListEditor.h"
 
-#include "core/DocumentParsers.h"
-#include "core/DocumentSet.h"
+#include "core/documents/DocumentParsers.h"
+#include "core/documents/DocumentSet.h"
 
 #include <boost/leaf/handle_errors.hpp>
 
--- a/src/core/Membership.cpp
+++ b/src/core/membership/Membership.cpp
@@ -1,4 +1,4 @@
-#include "core/Membership.h"
+#include "core/membership/Membership.h"
 
 #include "core/Assert.h"
 #include "core/Backoff.h"
--- a/src/core/Membership.h
+++ b/src/core/membership/Membership.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "core/CellView.h"
-#include "core/GrantCollector.h"
-#include "core/GrantTable.h"
-#include "core/HostPresence.h"
 #include "core/Interfaces.h"
-#include "core/MemberListEditor.h"
-#include "core/PeerContacts.h"
+#include "core/membership/CellView.h"
+#include "core/membership/GrantCollector.h"
+#include "core/membership/GrantTable.h"
+#include "core/membership/HostPresence.h"
+#include "core/membership/MemberListEditor.h"
+#include "core/membership/PeerContacts.h"
 
 #include <boost/json/fwd.hpp>
 
--- a/src/core/PeerContacts.cpp
+++ b/src/core/membership/PeerContacts.cpp
@@ -1,4 +1,4 @@
-#include "core/PeerContacts.h"
+#include "core/membership/PeerContacts.h"
 
 #include <algorithm>
 
--- a/src/core/RendezvousRanking.cpp
+++ b/src/core/membership/RendezvousRanking.cpp
@@ -1,4 +1,4 @@
-#include "core/RendezvousRanking.h"
+#include "core/membership/RendezvousRanking.h"
 
 #include "core/Hashing.h"
 
--- a/src/core/Quarantine.cpp
+++ b/src/core/quarantine/Quarantine.cpp
@@ -1,4 +1,4 @@
-#include "core/Quarantine.h"
+#include "core/quarantine/Quarantine.h"
 
 #include "core/Hashing.h"
 
--- a/src/core/Quarantine.h
+++ b/src/core/quarantine/Quarantine.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/Interfaces.h"
-#include "core/QuarantineUpdate.h"
-#include "core/RecentSet.h"
+#include "core/quarantine/QuarantineUpdate.h"
+#include "core/quarantine/RecentSet.h"
 
 #include <boost/json/fwd.hpp>
 
--- a/src/core/QuarantineUpdate.cpp
+++ b/src/core/quarantine/QuarantineUpdate.cpp
@@ -1,4 +1,4 @@
-#include "core/QuarantineUpdate.h"
+#include "core/quarantine/QuarantineUpdate.h"
 
 #include <boost/json.hpp>
 
--- a/src/core/RecentSet.cpp
+++ b/src/core/quarantine/RecentSet.cpp
@@ -1,4 +1,4 @@
-#include "core/RecentSet.h"
+#include "core/quarantine/RecentSet.h"
 
 #include <utility>
 
--- a/src/core/Signature.cpp
+++ b/src/core/quarantine/Signature.cpp
@@ -1,4 +1,4 @@
-#include "core/Signature.h"
+#include "core/quarantine/Signature.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
--- a/src/core/AdmissionControl.cpp
+++ b/src/core/query/AdmissionControl.cpp
@@ -1,4 +1,4 @@
-#include "core/AdmissionControl.h"
+#include "core/query/AdmissionControl.h"
 
 #include "core/Assert.h"
 
--- a/src/core/AdmissionControl.h
+++ b/src/core/query/AdmissionControl.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/ConcurrencyLimit.h"
 #include "core/Interfaces.h"
-#include "core/QueryId.h"
+#include "core/query/QueryId.h"
+#include "core/sending/ConcurrencyLimit.h"
 
 #include <boost/json/fwd.hpp>
 
--- a/src/core/PartDispatcher.cpp
+++ b/src/core/query/PartDispatcher.cpp
@@ -1,4 +1,4 @@
-#include "core/PartDispatcher.h"
+#include "core/query/PartDispatcher.h"
 
 #include <boost/json.hpp>
 
--- a/src/core/PartDispatcher.h
+++ b/src/core/query/PartDispatcher.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "core/Interfaces.h"
-#include "core/PartTimeEstimator.h"
-#include "core/QueryTable.h"
-#include "core/ReplicaSelector.h"
-#include "core/RetryBudget.h"
-#include "core/SnapshotSelector.h"
+#include "core/query/PartTimeEstimator.h"
+#include "core/query/QueryTable.h"
+#include "core/query/ReplicaSelector.h"
+#include "core/query/RetryBudget.h"
+#include "core/query/SnapshotSelector.h"
 
 #include <boost/json/fwd.hpp>
 
--- a/src/core/PartFlow.cpp
+++ b/src/core/query/PartFlow.cpp
@@ -1,7 +1,7 @@
-#include "core/PartFlow.h"
+#include "core/query/PartFlow.h"
 
 #include "core/Assert.h"
-#include "core/QueryAnswer.h"
+#include "core/query/QueryAnswer.h"
 
 #include <boost/json.hpp>
 
--- a/src/core/PartFlow.h
+++ b/src/core/query/PartFlow.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "core/AdmissionControl.h"
-#include "core/PartDispatcher.h"
-#include "core/Quarantine.h"
-#include "core/QueryTable.h"
+#include "core/quarantine/Quarantine.h"
+#include "core/query/AdmissionControl.h"
+#include "core/query/PartDispatcher.h"
+#include "core/query/QueryTable.h"
 
 #include <boost/json/fwd.hpp>
 
--- a/src/core/PartTimeEstimator.cpp
+++ b/src/core/query/PartTimeEstimator.cpp
@@ -1,4 +1,4 @@
-#include "core/PartTimeEstimator.h"
+#include "core/query/PartTimeEstimator.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/Query.h
+++ b/src/core/query/Query.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/Interfaces.h"
-#include "core/QueryId.h"
-#include "core/SnapshotSelector.h"
+#include "core/query/QueryId.h"
+#include "core/query/SnapshotSelector.h"
 #include "greengagestair/Event.h"
 
 #include <memory>
--- a/src/core/QueryAnswer.cpp
+++ b/src/core/query/QueryAnswer.cpp
@@ -1,4 +1,4 @@
-#include "core/QueryAnswer.h"
+#include "core/query/QueryAnswer.h"
 
 #include "core/Assert.h"
 
--- a/src/core/QueryEngine.cpp
+++ b/src/core/query/QueryEngine.cpp
@@ -1,8 +1,8 @@
-#include "core/QueryEngine.h"
+#include "core/query/QueryEngine.h"
 
 #include "core/Assert.h"
-#include "core/QueryAnswer.h"
-#include "core/Signature.h"
+#include "core/quarantine/Signature.h"
+#include "core/query/QueryAnswer.h"
 
 #include <boost/json.hpp>
 
--- a/src/core/QueryEngine.h
+++ b/src/core/query/QueryEngine.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "core/AdmissionControl.h"
 #include "core/Interfaces.h"
-#include "core/PartFlow.h"
-#include "core/Quarantine.h"
-#include "core/QueryTable.h"
+#include "core/quarantine/Quarantine.h"
+#include "core/query/AdmissionControl.h"
+#include "core/query/PartFlow.h"
+#include "core/query/QueryTable.h"
 #include "greengagestair/Event.h"
 
 #include <boost/json/fwd.hpp>
--- a/src/core/QueryTable.cpp
+++ b/src/core/query/QueryTable.cpp
@@ -1,4 +1,4 @@
-#include "core/QueryTable.h"
+#include "core/query/QueryTable.h"
 
 #include "core/Assert.h"
 
--- a/src/core/QueryTable.h
+++ b/src/core/query/QueryTable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/Query.h"
+#include "core/query/Query.h"
 
 #include <memory>
 #include <queue>
--- a/src/core/ReplicaSelector.cpp
+++ b/src/core/query/ReplicaSelector.cpp
@@ -1,4 +1,4 @@
-#include "core/ReplicaSelector.h"
+#include "core/query/ReplicaSelector.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/core/RetryBudget.cpp
+++ b/src/core/query/RetryBudget.cpp
@@ -1,4 +1,4 @@
-#include "core/RetryBudget.h"
+#include "core/query/RetryBudget.h"
 
 #include <algorithm>
 
--- a/src/core/SnapshotSelector.cpp
+++ b/src/core/query/SnapshotSelector.cpp
@@ -1,4 +1,4 @@
-#include "core/SnapshotSelector.h"
+#include "core/query/SnapshotSelector.h"
 
 #include <algorithm>
 
--- a/src/core/BackendScheduler.cpp
+++ b/src/core/sending/BackendScheduler.cpp
@@ -1,4 +1,4 @@
-#include "core/BackendScheduler.h"
+#include "core/sending/BackendScheduler.h"
 
 #include "core/Assert.h"
 
--- a/src/core/BackendScheduler.h
+++ b/src/core/sending/BackendScheduler.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "core/Interfaces.h"
-#include "core/PartQueue.h"
-#include "core/ServerLimiter.h"
-#include "core/SignatureTrials.h"
 #include "core/StepContext.h"
+#include "core/sending/PartQueue.h"
+#include "core/sending/ServerLimiter.h"
+#include "core/sending/SignatureTrials.h"
 #include "greengagestair/Event.h"
 
 #include <boost/json/fwd.hpp>
--- a/src/core/ConcurrencyLimit.cpp
+++ b/src/core/sending/ConcurrencyLimit.cpp
@@ -1,4 +1,4 @@
-#include "core/ConcurrencyLimit.h"
+#include "core/sending/ConcurrencyLimit.h"
 
 #include <algorithm>
 
--- a/src/core/PartQueue.cpp
+++ b/src/core/sending/PartQueue.cpp
@@ -1,4 +1,4 @@
-#include "core/PartQueue.h"
+#include "core/sending/PartQueue.h"
 
 #include "core/Assert.h"
 #include "core/StepContext.h"
--- a/src/core/ServerLimiter.cpp
+++ b/src/core/sending/ServerLimiter.cpp
@@ -1,4 +1,4 @@
-#include "core/ServerLimiter.h"
+#include "core/sending/ServerLimiter.h"
 
 #include "core/Assert.h"
 
--- a/src/core/SignatureTrials.cpp
+++ b/src/core/sending/SignatureTrials.cpp
@@ -1,4 +1,4 @@
-#include "core/SignatureTrials.h"
+#include "core/sending/SignatureTrials.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/core/SignatureTrials.h
+++ b/src/core/sending/SignatureTrials.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/PartQueue.h"
+#include "core/sending/PartQueue.h"
 
 #include <deque>
 #include <unordered_map>
--- a/src/gateway/DomainReachability.cpp
+++ b/src/gateway/DomainReachability.cpp
@@ -75,7 +75,7 @@
     m_effects->push_back(ReportDoubt { failureDomain });
 }
 
-void DomainReachability::addProbe(const ServerId &server, bool isConnected)
+void DomainReachability::addConnection(const ServerId &server, bool isConnected)
 {
     for (auto &[failureDomain, domain] : m_domains) {
         if (std::erase(domain.probed, server) == 0)
@@ -108,7 +108,7 @@
         const BackendRegistration &server =
                 servers[domain.rotation++ % servers.size()]->registration;
         domain.probed.push_back(server.server);
-        m_effects->push_back(ProbeServer { server.server, server.endpoint });
+        m_effects->push_back(OpenConnection { server.server, server.endpoint });
     }
 }
 
--- a/src/gateway/DomainReachability.h
+++ b/src/gateway/DomainReachability.h
@@ -29,8 +29,8 @@
     void addStart(const BackendRegistration &server);
     /** A server responded, in whichever way. */
     void addResponse(const FailureDomainId &failureDomain);
-    /** A connection attempt of ProbeServer has ended. */
-    void addProbe(const ServerId &server, bool isConnected);
+    /** An attempt to open a connection has ended, whoever asked for it. */
+    void addConnection(const ServerId &server, bool isConnected);
     /** Another host of this failure domain found a domain unreachable; this host looks for itself.
      */
     void addDoubt(const FailureDomainId &failureDomain);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -23,6 +23,7 @@
 Gateway::Gateway(const GatewayOptions &options)
     : m_reachability(options.selector.failureDomain, m_directory)
     , m_selector(options.selector, m_directory, m_reachability)
+    , m_warmer(m_directory, options.randomSeed)
     , m_flow(m_selector, m_reachability, shareOf(options.repeats, {}))
     , m_repeats(options.repeats)
     , m_ownDomain(options.selector.failureDomain)
@@ -43,8 +44,8 @@
 std::optional<MonotonicTime> Gateway::nextWakeUp() const
 {
     std::optional<MonotonicTime> next = m_flow.nextWakeUp();
-    for (const auto &other :
-         { m_directory.nextRemoval(), m_reachability.nextWakeUp(), m_fewerHostsAt }) {
+    for (const auto &other : { m_directory.nextRemoval(), m_reachability.nextWakeUp(),
+                               m_warmer.nextWakeUp(), m_fewerHostsAt }) {
         if (other && (!next || *other < *next))
             next = other;
     }
@@ -98,10 +99,14 @@
 void Gateway::on(const RegistrationsRead &event)
 {
     std::set<ServerId> listed;
+    std::vector<ServerId> fresh;
     for (const BackendRegistration &registration : event.registrations) {
         listed.insert(registration.server);
+        if (!m_directory.find(registration.server) && isRouted(registration.service))
+            fresh.push_back(registration.server);
         m_directory.put(registration, m_now);
     }
+    warmUp(std::move(fresh));
     for (const ServerId &server : m_directory.absentFrom(listed))
         removeLater(server);
     m_effects.push_back(LogDecision { LogWeight::State,
@@ -114,10 +119,38 @@
 void Gateway::on(const RegistrationWritten &event)
 {
     logRegistration(event.registration);
+    const bool isFresh = !m_directory.find(event.registration.server);
     m_directory.put(event.registration, m_now);
+    // Also without a route: one may be about to name the service.
+    if (isFresh)
+        warmUp({ event.registration.server });
     m_flow.retryWaiting();
 }
 
+bool Gateway::isRouted(const ServiceId &service) const
+{
+    if (!m_configuration)
+        return false;
+    const auto names = [&service](const GatewayRoute &route) {
+        if (route.gather) {
+            const std::vector<ServiceId> &shards = route.gather->services;
+            return std::find(shards.begin(), shards.end(), service) != shards.end();
+        }
+        return std::any_of(route.targets.begin(), route.targets.end(),
+                           [&service](const auto &target) { return target.service == service; });
+    };
+    return std::any_of(m_configuration->routes.begin(), m_configuration->routes.end(), names);
+}
+
+void Gateway::warmUp(std::vector<ServerId> servers)
+{
+    // Servers elsewhere get few requests from here.
+    std::erase_if(servers, [this](const ServerId &server) {
+        return !m_selector.isOwnDomain(*m_directory.find(server));
+    });
+    m_warmer.add(std::move(servers), m_now);
+}
+
 void Gateway::logRegistration(const BackendRegistration &registration)
 {
     const auto known = m_directory.find(registration.server);
@@ -188,9 +221,9 @@
     m_reachability.addDoubt(event.failureDomain);
 }
 
-void Gateway::on(const ServerProbed &event)
+void Gateway::on(const ConnectionTried &event)
 {
-    m_reachability.addProbe(event.server, event.isConnected);
+    m_reachability.addConnection(event.server, event.isConnected);
     m_flow.retryWaiting();
 }
 
@@ -249,6 +282,7 @@
         m_effects.push_back(ForgetServer { server });
     }
     m_reachability.advance();
+    m_warmer.advance(m_now, m_effects);
     m_flow.advance();
     m_flow.retryWaiting();
 }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -3,6 +3,7 @@
 #include "core/CounterSet.h"
 #include "gateway/BackendDirectory.h"
 #include "gateway/BackendSelector.h"
+#include "gateway/ConnectionWarmer.h"
 #include "gateway/GatewayEffect.h"
 #include "gateway/GatewayEvent.h"
 #include "gateway/RequestFlow.h"
@@ -54,7 +55,7 @@
     void on(const HostsRead &event);
     void on(const LossReported &event);
     void on(const DomainDoubted &event);
-    void on(const ServerProbed &event);
+    void on(const ConnectionTried &event);
     void on(const LimitsChanged &event);
     void on(const GatewayStopRequested &event);
     void on(const TimeAdvanced &event);
@@ -62,12 +63,15 @@
     bool isCutOff(const GatewayRoute &route) const;
     void updateCutOff();
     void setHosts(const HostCount &hosts);
+    bool isRouted(const ServiceId &service) const;
+    void warmUp(std::vector<ServerId> servers);
     void removeLater(const ServerId &server);
     void logRegistration(const BackendRegistration &registration);
 
     BackendDirectory m_directory;
     DomainReachability m_reachability;
     BackendSelector m_selector;
+    ConnectionWarmer m_warmer;
     RequestFlow m_flow;
     RepeatLimits m_repeats; ///< of all hosts together
     std::shared_ptr<const RoutingConfiguration> m_configuration;
--- a/src/gateway/GatewayEffect.h
+++ b/src/gateway/GatewayEffect.h
@@ -51,8 +51,11 @@
     SignatureLoss loss;
 };
 
-/** Find out whether a server accepts connections. Ends with one ServerProbed. */
-struct ProbeServer
+/**
+ * Open a connection to a server and keep it for requests; one that is open already will do. Ends
+ * with one ConnectionTried.
+ */
+struct OpenConnection
 {
     ServerId server;
     Endpoint endpoint;
@@ -80,7 +83,7 @@
 };
 
 using GatewayEffect = std::variant<StartAttempt, ReleaseAttempt, ReplyToCaller, ForgetServer,
-                                   ReportLoss, ProbeServer, ReportDoubt, LogDecision>;
+                                   ReportLoss, OpenConnection, ReportDoubt, LogDecision>;
 using GatewayEffects = std::vector<GatewayEffect>;
 
 } // namespace greengagestair
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -83,8 +83,8 @@
     FailureDomainId failureDomain;
 };
 
-/** A connection attempt to a server has ended. */
-struct ServerProbed
+/** An attempt to open a connection has ended. */
+struct ConnectionTried
 {
     ServerId server;
     bool isConnected = false;
@@ -106,9 +106,10 @@
 {
 };
 
-using GatewayEvent = std::variant<CallerArrived, CallerLeft, AttemptEnded, ConfigurationRead,
-                                  EvacuationsRead, RegistrationsRead, RegistrationWritten,
-                                  RegistrationRemoved, HostsRead, LossReported, DomainDoubted,
-                                  ServerProbed, LimitsChanged, GatewayStopRequested, TimeAdvanced>;
+using GatewayEvent =
+        std::variant<CallerArrived, CallerLeft, AttemptEnded, ConfigurationRead, EvacuationsRead,
+                     RegistrationsRead, RegistrationWritten, RegistrationRemoved, HostsRead,
+                     LossReported, DomainDoubted, ConnectionTried, LimitsChanged,
+                     GatewayStopRequested, TimeAdvanced>;
 
 } // namespace greengagestair
--- a/src/gateway/GatewayOptions.h
+++ b/src/gateway/GatewayOptions.h
@@ -4,6 +4,7 @@
 #include "greengagestair/Types.h"
 
 #include <cstddef>
+#include <cstdint>
 
 namespace greengagestair {
 
@@ -29,6 +30,7 @@
 {
     SelectorOptions selector;
     RepeatLimits repeats; ///< the slack is that of all hosts together
+    std::uint64_t randomSeed = 0;
 };
 
 } // namespace greengagestair
--- a/src/gateway/RequestFlow.cpp
+++ b/src/gateway/RequestFlow.cpp
@@ -1,7 +1,7 @@
 #include "gateway/RequestFlow.h"
 
 #include "core/Assert.h"
-#include "core/Signature.h"
+#include "core/quarantine/Signature.h"
 
 #include <algorithm>
 
--- a/src/gateway/RequestFlow.h
+++ b/src/gateway/RequestFlow.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/CounterSet.h"
-#include "core/PartTimeEstimator.h"
+#include "core/query/PartTimeEstimator.h"
 #include "gateway/BackendSelector.h"
 #include "gateway/CrashGuard.h"
 #include "gateway/DomainReachability.h"
--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -20,6 +20,8 @@
 static constexpr std::uint64_t kMaxResponseBytes = 16'777'216;
 /** Bound on the header of one response, in bytes. */
 static constexpr std::uint32_t kMaxResponseHeader = 65'536;
+/** A connection without a request so far is kept for this time. */
+static constexpr std::chrono::seconds kUnusedTime(5);
 /** Share of a server's idle timeout for which a connection is kept. */
 static constexpr double kIdleShare = 0.8;
 
@@ -33,6 +35,11 @@
 void BackendConnection::open(const StartAttempt &attempt)
 {
     m_attempt = attempt;
+    open();
+}
+
+void BackendConnection::open()
+{
     m_connecting = std::make_shared<TcpStream::Socket>(m_client.m_context);
     error_code error;
     const auto address = asio::ip::make_address(m_endpoint.address, error);
@@ -63,7 +70,10 @@
     m_connecting.reset();
     configureSocket(socket);
     startStream(std::move(socket));
-    send(*m_attempt);
+    if (m_attempt)
+        return send(*m_attempt);
+    m_idleUntil = Clock::now() + kUnusedTime;
+    m_client.endOpening(shared_from_this(), true);
 }
 
 void BackendConnection::startStream(TcpStream::Socket socket)
@@ -257,7 +267,7 @@
     if (m_stream)
         m_stream->close();
     if (!m_attempt)
-        return m_client.dropIdle(this);
+        return m_client.endOpening(self, false);
     const AttemptId attempt = m_attempt->attempt;
     m_attempt.reset();
     m_client.endAttempt(attempt, failure);
--- a/src/http/BackendConnection.h
+++ b/src/http/BackendConnection.h
@@ -23,6 +23,8 @@
 
     /** Connects and sends the request. */
     void open(const StartAttempt &attempt);
+    /** Connects without a request. */
+    void open();
     /** Sends another request on the open connection. */
     void send(const StartAttempt &attempt);
     /** Closes the connection; an attempt in progress ends with `failure`. */
--- a/src/http/BackendPool.cpp
+++ b/src/http/BackendPool.cpp
@@ -11,10 +11,12 @@
 /** Idle connections are checked for their end at this interval. */
 static constexpr std::chrono::milliseconds kIdleCheckInterval(500);
 
-BackendPool::BackendPool(boost::asio::io_context &context, HeaderNames names, OnEnded onEnded)
+BackendPool::BackendPool(boost::asio::io_context &context, HeaderNames names, OnEnded onEnded,
+                         OnTried onTried)
     : m_context(context)
     , m_names(std::move(names))
     , m_onEnded(std::move(onEnded))
+    , m_onTried(std::move(onTried))
     , m_timer(context)
 {
 }
@@ -23,12 +25,7 @@
 
 void BackendPool::start(const StartAttempt &attempt)
 {
-    ServerConnections &server = m_servers[attempt.server];
-    if (server.endpoint != attempt.endpoint) {
-        forget(attempt.server);
-        m_servers[attempt.server].endpoint = attempt.endpoint;
-    }
-    auto &idle = m_servers[attempt.server].idle;
+    auto &idle = connectionsOf(attempt.server, attempt.endpoint).idle;
     if (!idle.empty()) {
         const auto connection = idle.back();
         idle.pop_back();
@@ -45,6 +42,38 @@
     closeAt(Clock::now() + kConnectTimeout, { attempt.attempt, false });
 }
 
+BackendPool::ServerConnections &BackendPool::connectionsOf(const ServerId &server,
+                                                           const Endpoint &endpoint)
+{
+    if (m_servers[server].endpoint != endpoint) {
+        forget(server);
+        m_servers[server].endpoint = endpoint;
+    }
+    return m_servers[server];
+}
+
+void BackendPool::openAhead(const OpenConnection &wanted)
+{
+    connectionsOf(wanted.server, wanted.endpoint);
+    const auto connection =
+            std::make_shared<BackendConnection>(*this, wanted.server, wanted.endpoint);
+    ++m_counters.opened;
+    m_opening.emplace_back(Clock::now() + kConnectTimeout, connection);
+    connection->open();
+    armTimer();
+}
+
+void BackendPool::endOpening(const std::shared_ptr<BackendConnection> &connection, bool isConnected)
+{
+    const auto removed = std::erase_if(
+            m_opening, [&](const auto &opening) { return opening.second == connection; });
+    if (removed == 0)
+        return dropIdle(connection.get());
+    if (isConnected)
+        keep(connection);
+    m_onTried(connection->server(), isConnected);
+}
+
 void BackendPool::release(const ReleaseAttempt &attempt)
 {
     if (m_active.contains(attempt.attempt))
@@ -67,6 +96,8 @@
     m_timer.cancel();
     while (!m_servers.empty())
         forget(ServerId(m_servers.begin()->first));
+    while (!m_opening.empty())
+        m_opening.front().second->abort(AttemptFailure::NotSent);
     while (!m_active.empty())
         m_active.begin()->second->abort(AttemptFailure::Expired);
 }
@@ -118,6 +149,8 @@
     Clock::time_point next = m_idleCheckAt;
     if (!m_closings.empty())
         next = std::min(next, m_closings.begin()->first);
+    if (!m_opening.empty())
+        next = std::min(next, m_opening.front().first);
     if (next >= m_timerAt)
         return;
     m_timerAt = next;
@@ -144,6 +177,8 @@
         else if (closing.isReleased)
             connection->abort(AttemptFailure::Expired);
     }
+    while (!m_opening.empty() && m_opening.front().first <= now)
+        m_opening.front().second->abort(AttemptFailure::NotSent);
     if (m_idleCheckAt <= now)
         closeExpiredIdle(now);
     armTimer();
--- a/src/http/BackendPool.h
+++ b/src/http/BackendPool.h
@@ -8,10 +8,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace greengagestair {
@@ -34,11 +36,16 @@
 {
 public:
     using OnEnded = std::function<void(AttemptId attempt, AttemptResult result)>;
+    /** Reports the end of openAhead(). */
+    using OnTried = std::function<void(const ServerId &server, bool isConnected)>;
 
-    BackendPool(boost::asio::io_context &context, HeaderNames names, OnEnded onEnded);
+    BackendPool(boost::asio::io_context &context, HeaderNames names, OnEnded onEnded,
+                OnTried onTried);
     ~BackendPool();
 
     void start(const StartAttempt &attempt);
+    /** Opens a connection for later requests; never reports from within this call. */
+    void openAhead(const OpenConnection &wanted);
     /** Closes the connection of the attempt unless it has ended after `linger`. */
     void release(const ReleaseAttempt &attempt);
     /** Closes the idle connections to a server that has left. */
@@ -67,6 +74,9 @@
     };
 
     void endAttempt(AttemptId attempt, AttemptResult result);
+    /** A connection that was opened ahead is open, or will not be. */
+    void endOpening(const std::shared_ptr<BackendConnection> &connection, bool isConnected);
+    ServerConnections &connectionsOf(const ServerId &server, const Endpoint &endpoint);
     void keep(const std::shared_ptr<BackendConnection> &connection);
     void dropIdle(const BackendConnection *connection);
     void closeAt(Clock::time_point at, const Closing &closing);
@@ -77,8 +87,11 @@
     boost::asio::io_context &m_context;
     HeaderNames m_names;
     OnEnded m_onEnded;
+    OnTried m_onTried;
     std::unordered_map<ServerId, ServerConnections> m_servers;
     std::unordered_map<AttemptId, std::shared_ptr<BackendConnection>> m_active;
+    /** Connections that are opened ahead, the oldest one first. */
+    std::deque<std::pair<Clock::time_point, std::shared_ptr<BackendConnection>>> m_opening;
     std::multimap<Clock::time_point, Closing> m_closings;
     boost::asio::steady_timer m_timer;
     Clock::time_point m_timerAt = Clock::time_point::max();
--- a/tests/core/BackendSchedulerTest.cpp
+++ b/tests/core/BackendSchedulerTest.cpp
@@ -1,4 +1,4 @@
-#include "core/BackendScheduler.h"
+#include "core/sending/BackendScheduler.h"
 
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
--- a/tests/core/CellSimulation.cpp
+++ b/tests/core/CellSimulation.cpp
@@ -1,7 +1,7 @@
 #include "core/CellSimulation.h"
 
-#include "core/DocumentParsers.h"
 #include "core/Hashing.h"
+#include "core/documents/DocumentParsers.h"
 
 #include <boost/json/serialize.hpp>
 
--- a/tests/core/CellSimulation.h
+++ b/tests/core/CellSimulation.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "core/DocumentStore.h"
 #include "core/FakePlatform.h"
-#include "core/Membership.h"
-#include "core/PlatformCalls.h"
+#include "core/documents/DocumentStore.h"
+#include "core/documents/PlatformCalls.h"
+#include "core/membership/Membership.h"
 
 #include <functional>
 #include <map>
--- a/tests/core/DocumentParsersTest.cpp
+++ b/tests/core/DocumentParsersTest.cpp
@@ -1,4 +1,4 @@
-#include "core/DocumentParsers.h"
+#include "core/documents/DocumentParsers.h"
 #include "core/CellSimulation.h"
 
 #include <boost/leaf/handle_errors.hpp>
--- a/tests/core/DocumentStoreTest.cpp
+++ b/tests/core/DocumentStoreTest.cpp
@@ -1,5 +1,5 @@
 #include "core/CellSimulation.h"
-#include "core/DocumentParsers.h"
+#include "core/documents/DocumentParsers.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/core/EntryRoleFixture.h
+++ b/tests/core/EntryRoleFixture.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/QueryEngine.h"
+#include "core/query/QueryEngine.h"
 
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
--- a/tests/core/FakePlatform.cpp
+++ b/tests/core/FakePlatform.cpp
@@ -1,6 +1,6 @@
 #include "core/FakePlatform.h"
 
-#include "core/DocumentParsers.h"
+#include "core/documents/DocumentParsers.h"
 
 #include <algorithm>
 
--- a/tests/core/GrantTest.cpp
+++ b/tests/core/GrantTest.cpp
@@ -1,8 +1,8 @@
-#include "core/GrantCollector.h"
-#include "core/GrantTable.h"
-#include "core/HandoverWaits.h"
-#include "core/RendezvousRanking.h"
 #include "core/StepContext.h"
+#include "core/membership/GrantCollector.h"
+#include "core/membership/GrantTable.h"
+#include "core/membership/HandoverWaits.h"
+#include "core/membership/RendezvousRanking.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/core/MembershipTest.cpp
+++ b/tests/core/MembershipTest.cpp
@@ -1,6 +1,6 @@
 #include "core/CellSimulation.h"
-#include "core/DocumentParsers.h"
-#include "core/HostPresence.h"
+#include "core/documents/DocumentParsers.h"
+#include "core/membership/HostPresence.h"
 
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
--- a/tests/core/PartQueueTest.cpp
+++ b/tests/core/PartQueueTest.cpp
@@ -1,4 +1,4 @@
-#include "core/PartQueue.h"
+#include "core/sending/PartQueue.h"
 #include "core/StepContext.h"
 
 #include <catch2/catch.hpp>
--- a/tests/core/QuarantineTest.cpp
+++ b/tests/core/QuarantineTest.cpp
@@ -1,6 +1,6 @@
 #include "EntryRoleFixture.h"
 
-#include "core/Signature.h"
+#include "core/quarantine/Signature.h"
 
 #include <boost/json.hpp>
 
--- a/tests/core/QueryEngineTest.cpp
+++ b/tests/core/QueryEngineTest.cpp
@@ -1,5 +1,5 @@
 #include "EntryRoleFixture.h"
-#include "core/Signature.h"
+#include "core/quarantine/Signature.h"
 
 using namespace greengagestair;
 using namespace greengagestair::test;
--- a/tests/core/ReplicaChoiceTest.cpp
+++ b/tests/core/ReplicaChoiceTest.cpp
@@ -1,6 +1,6 @@
-#include "core/PartTimeEstimator.h"
-#include "core/ReplicaSelector.h"
-#include "core/SnapshotSelector.h"
+#include "core/query/PartTimeEstimator.h"
+#include "core/query/ReplicaSelector.h"
+#include "core/query/SnapshotSelector.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/core/RequestLedgerRandomTest.cpp
+++ b/tests/core/RequestLedgerRandomTest.cpp
@@ -1,5 +1,5 @@
-#include "core/LedgerIdentifier.h"
-#include "core/RequestLedger.h"
+#include "core/ledger/LedgerIdentifier.h"
+#include "core/ledger/RequestLedger.h"
 
 #include <boost/json/object.hpp>
 #include <catch2/catch.hpp>
--- a/tests/gateway/DomainReachabilityTest.cpp
+++ b/tests/gateway/DomainReachabilityTest.cpp
@@ -19,13 +19,15 @@
         servers.registrations.push_back(registration("orders", "shubra"));
         send(ConfigurationRead { std::make_shared<const RoutingConfiguration>(configuration) });
         send(servers);
+        wait(100ms);
+        connections.clear(); // opened ahead
     }
 
     /** Ends all connection attempts in progress in the same way. */
     void endProbes(bool isConnected)
     {
-        for (const ProbeServer &probe : std::exchange(probes, {}))
-            send(ServerProbed { probe.server, isConnected });
+        for (const OpenConnection &wanted : std::exchange(connections, {}))
+            send(ConnectionTried { wanted.server, isConnected });
     }
 
     /** Sends a lookup that no server answers, and lets the connection attempts fail. */
@@ -33,7 +35,7 @@
     {
         lookup();
         wait(260ms);
-        REQUIRE(probes.size() == 3);
+        REQUIRE(connections.size() == 3);
         endProbes(false);
     }
 };
@@ -62,11 +64,11 @@
     CutOffFixture fixture;
     fixture.loseBulaq();
     fixture.wait(310ms);
-    REQUIRE(fixture.probes.size() == 3);
+    REQUIRE(fixture.connections.size() == 3);
     fixture.endProbes(false);
     CHECK(fixture.gateway().isCutOff());
     fixture.wait(310ms);
-    REQUIRE(fixture.probes.size() == 3);
+    REQUIRE(fixture.connections.size() == 3);
     fixture.endProbes(true);
     CHECK(fixture.gateway().isReady());
     fixture.takeAttempts();
@@ -80,10 +82,10 @@
     CutOffFixture fixture;
     fixture.lookup();
     fixture.wait(260ms);
-    REQUIRE(fixture.probes.size() == 3);
-    fixture.send(ServerProbed { fixture.probes[0].server, false });
-    fixture.send(ServerProbed { fixture.probes[1].server, true });
-    fixture.send(ServerProbed { fixture.probes[2].server, false });
+    REQUIRE(fixture.connections.size() == 3);
+    fixture.send(ConnectionTried { fixture.connections[0].server, false });
+    fixture.send(ConnectionTried { fixture.connections[1].server, true });
+    fixture.send(ConnectionTried { fixture.connections[2].server, false });
     CHECK(fixture.gateway().isReady());
     fixture.takeAttempts();
     fixture.lookup();
@@ -99,7 +101,7 @@
     fixture.wait(200ms);
     fixture.shed(attempts.front());
     fixture.wait(100ms);
-    CHECK(fixture.probes.empty());
+    CHECK(fixture.connections.empty());
 }
 
 // Guards against hosts with few callers, which would keep a whole failure domain in rotation.
@@ -107,7 +109,7 @@
 {
     CutOffFixture fixture;
     fixture.send(DomainDoubted { { "bulaq" } });
-    REQUIRE(fixture.probes.size() == 3);
+    REQUIRE(fixture.connections.size() == 3);
     CHECK(fixture.gateway().isReady());
     fixture.endProbes(false);
     CHECK_FALSE(fixture.gateway().isReady());
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -122,8 +122,8 @@
                 replies.push_back(*reply);
             else if (auto *release = std::get_if<ReleaseAttempt>(&effect))
                 released.push_back(release->attempt);
-            else if (auto *probe = std::get_if<ProbeServer>(&effect))
-                probes.push_back(*probe);
+            else if (auto *connection = std::get_if<OpenConnection>(&effect))
+                connections.push_back(*connection);
             else if (auto *doubt = std::get_if<ReportDoubt>(&effect))
                 doubts.push_back(doubt->failureDomain);
             else if (auto *line = std::get_if<LogDecision>(&effect))
@@ -203,7 +203,7 @@
     std::vector<StartAttempt> attempts;
     std::vector<ReplyToCaller> replies;
     std::vector<AttemptId> released;
-    std::vector<ProbeServer> probes;
+    std::vector<OpenConnection> connections;
     std::vector<FailureDomainId> doubts;
     std::vector<LogDecision> log;
 
--- a/tests/gateway/GatewayRandomTest.cpp
+++ b/tests/gateway/GatewayRandomTest.cpp
@@ -212,8 +212,9 @@
 
     void deliverDue()
     {
-        for (const ProbeServer &probe : std::exchange(m_fixture.probes, {}))
-            m_fixture.send(ServerProbed { probe.server, !m_servers.at(probe.server.value).isDown });
+        for (const OpenConnection &wanted : std::exchange(m_fixture.connections, {}))
+            m_fixture.send(
+                    ConnectionTried { wanted.server, !m_servers.at(wanted.server.value).isDown });
         while (!m_deliveries.empty() && m_deliveries.top().at <= m_fixture.now) {
             const Delivery delivery = m_deliveries.top();
             m_deliveries.pop();
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -72,6 +72,28 @@
     CHECK(fixture.replies.size() == 1);
 }
 
+// Guards against handshakes in the time of the first requests after a restart.
+TEST_CASE("connections to the servers of the own failure domain are opened ahead", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.addService("unused");
+    fixture.start();
+    fixture.wait(100ms);
+    std::set<std::string> servers;
+    for (const OpenConnection &wanted : std::exchange(fixture.connections, {}))
+        servers.insert(wanted.server.value);
+    CHECK(servers
+          == std::set<std::string> { "orders-shubra", "shard-0-shubra", "shard-1-shubra",
+                                     "shard-2-shubra", "shard-3-shubra" });
+    // A new server may be about to be named by a route; a known one is connected when it is used.
+    for (const char *domain : { "shubra", "bulaq" })
+        fixture.send(RegistrationWritten { GatewayFixture::registration("shard-9", domain) });
+    fixture.send(RegistrationWritten { GatewayFixture::registration("shard-1", "shubra") });
+    fixture.wait(100ms);
+    REQUIRE(fixture.connections.size() == 1);
+    CHECK(fixture.connections.front().server.value == "shard-9-shubra");
+}
+
 // Guards against more servers per part than the route allows.
 TEST_CASE("a part reaches no more servers than the route allows", "[gateway]")
 {
--- a/tests/http/BackendPoolTest.cpp
+++ b/tests/http/BackendPoolTest.cpp
@@ -14,9 +14,14 @@
 public:
     PoolFixture()
         : server(context)
-        , pool(context, names(), [this](AttemptId attempt, AttemptResult result) {
-            ended.emplace(attempt.value, std::move(result));
-        })
+        , pool(
+                  context, names(),
+                  [this](AttemptId attempt, AttemptResult result) {
+                      ended.emplace(attempt.value, std::move(result));
+                  },
+                  [this](const ServerId &server, bool isConnected) {
+                      tried.emplace_back(server.value, isConnected);
+                  })
     {
     }
 
@@ -77,6 +82,7 @@
     boost::asio::io_context context { 1 };
     RawServer server;
     std::map<std::uint64_t, AttemptResult> ended;
+    std::vector<std::pair<std::string, bool>> tried;
     BackendPool pool;
 };
 
@@ -103,6 +109,38 @@
     CHECK(sent.ends_with("Content-Length: 4\r\n\r\nbody"));
 }
 
+// Guards against handshakes in the time of the first requests after a restart.
+TEST_CASE("a connection that was opened ahead carries the next request", "[http]")
+{
+    PoolFixture fixture;
+    fixture.pool.openAhead({ { "s" }, { "127.0.0.1", fixture.server.port() } });
+    CHECK(fixture.tried.empty());
+    runUntil(fixture.context, [&] { return !fixture.tried.empty(); });
+    CHECK(fixture.tried.front() == std::pair<std::string, bool>("s", true));
+    CHECK(fixture.pool.idleConnections() == 1);
+    fixture.start(1);
+    fixture.respond(1, response(1, "a"));
+    CHECK(fixture.answer(1).body == "a");
+    CHECK(fixture.server.peers.size() == 1);
+}
+
+// Guards against a failure domain that stays doubted because an attempt to connect never ends.
+TEST_CASE("servers that refuse or cannot be addressed are reported as not connected", "[http]")
+{
+    PoolFixture fixture;
+    std::uint16_t closedPort = 0;
+    {
+        RawServer other(fixture.context);
+        closedPort = other.port();
+    }
+    fixture.pool.openAhead({ { "closed" }, { "127.0.0.1", closedPort } });
+    fixture.pool.openAhead({ { "nowhere" }, { "nowhere", 80 } });
+    runUntil(fixture.context, [&] { return fixture.tried.size() == 2; });
+    for (const auto &[server, isConnected] : fixture.tried)
+        CHECK_FALSE(isConnected);
+    CHECK(fixture.pool.idleConnections() == 0);
+}
+
 TEST_CASE("a connection is used again", "[http]")
 {
     PoolFixture fixture;
--- a/tools/soak_parts/ledger.py
+++ b/tools/soak_parts/ledger.py
@@ -24,7 +24,8 @@
         self.identifier = identifier
         self.gateway = gateway
         self.method, self.path, self.body = method, path, body
-        self.service = service   # of an order; None for a lookup
+        self.service = service   # None for a lookup
+        self.is_order = service is not None
         self.sent = time.monotonic()
         self.left = None
         self.status = None
@@ -94,7 +95,7 @@
         if request is None:
             return
         request.runs.append(server.identifier)
-        if request.service is not None and len(request.runs) > 1:
+        if request.is_order and len(request.runs) > 1:
             self.violation(f"TWICE order {identifier} ran on {request.runs}")
         if request.status in (429, 503):
             self.violation(f"REFUSED {identifier} ran after it was refused as not run")
--- a/tools/soak_parts/scenario.py
+++ b/tools/soak_parts/scenario.py
@@ -77,7 +77,7 @@
             probe = Caller(gateway.name, gateway.callers.listen, self.ledger, self.rng)
             request = probe.new_request()
             request.method, request.path, request.body = "GET", f"/new-{version}/x", b""
-            request.service = "orders"
+            request.service, request.is_order = "orders", False
             self.ledger.requests[request.identifier] = request
             status = await self.probe(probe, request)
             if status == 404 and self.version == version:
