Keep fewer idle connections on crowded servers, count the wait of a request to be read

Connections: servers keep the connections of hosts that lost power for seconds, and reset new ones over their cap. With 90 gateways a server of 77 connections was full of dead ones after a power loss of all machines. Where the share of a gateway is below one connection, an idle one is now kept for that share of 4 s, and no more than the share otherwise.

A gateway with 0.12 of a core read a batch of 230 changes of registrations and a configuration; a request that came meanwhile was read 0.68 s later and counted as new. A timer that is overdue shows how far the event loop is behind; that time now counts against the deadline, and a request that comes too late is refused as not run.

--- a/src/app/GatewayFrontEnd.cpp
+++ b/src/app/GatewayFrontEnd.cpp
@@ -6,9 +6,10 @@
 
 namespace greengagestair {
 
-GatewayFrontEnd::GatewayFrontEnd(HeaderNames names, OnEvent onEvent)
+GatewayFrontEnd::GatewayFrontEnd(HeaderNames names, OnEvent onEvent, Lateness lateness)
     : m_names(std::move(names))
     , m_onEvent(std::move(onEvent))
+    , m_lateness(std::move(lateness))
 {
 }
 
@@ -37,7 +38,7 @@
                 || equalsIgnoringCase(field.name, m_names.expectedServer);
     });
     passed->body = std::move(request.body);
-    m_onEvent(CallerArrived { exchange, std::move(passed) });
+    m_onEvent(CallerArrived { exchange, std::move(passed), m_lateness() });
 }
 
 void GatewayFrontEnd::onCallerLeft(ExchangeId exchange)
--- a/src/app/GatewayFrontEnd.h
+++ b/src/app/GatewayFrontEnd.h
@@ -14,7 +14,10 @@
 public:
     using OnEvent = std::function<void(GatewayEvent event)>;
 
-    GatewayFrontEnd(HeaderNames names, OnEvent onEvent);
+    /** How long requests that are read now may have waited. */
+    using Lateness = std::function<Duration()>;
+
+    GatewayFrontEnd(HeaderNames names, OnEvent onEvent, Lateness lateness);
 
     void onRequest(ExchangeId exchange, HttpServerRequest request) override;
     void onCallerLeft(ExchangeId exchange) override;
@@ -31,6 +34,7 @@
 
     HeaderNames m_names;
     OnEvent m_onEvent;
+    Lateness m_lateness;
     std::uint64_t m_badRequests = 0;
 };
 
--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -41,7 +41,9 @@
     , m_settingsFile(std::move(settingsFile))
     , m_log(logDescriptor, m_settings.host.value)
     , m_gateway(withRandomSeed(m_settings.options))
-    , m_frontEnd(names, [this](GatewayEvent event) { enqueue(std::move(event)); })
+    , m_frontEnd(
+              names, [this](GatewayEvent event) { enqueue(std::move(event)); },
+              [this] { return lateness(); })
     , m_callers(context, m_frontEnd)
     , m_readinessPages([this](std::string_view) { return readinessPage(); },
                        [this](ExchangeId exchange, const HttpServerResponse &response) {
@@ -250,6 +252,16 @@
     });
 }
 
+/**
+ * How far the event loop is behind. A timer that is overdue shows that this process was held up;
+ * requests that are read now may have waited as long.
+ */
+Duration GatewayServer::lateness() const
+{
+    const MonotonicTime time = now();
+    return m_timerAt && *m_timerAt < time ? time - *m_timerAt : Duration(0);
+}
+
 void GatewayServer::onTimer()
 {
     const MonotonicTime time = now();
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -63,6 +63,7 @@
     void updateLimits();
     void armTimer();
     void onTimer();
+    Duration lateness() const;
     void awaitSignals();
     void reload();
     void checkStop();
--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -18,6 +18,13 @@
 /** Share of the connection limit that entry hosts use; the rest covers hosts that just joined. */
 static constexpr double kUsedConnectionShare = 0.9;
 
+/**
+ * Where a server has fewer connections than hosts may want, each host keeps an idle one for its
+ * share of this time. Servers keep the connections of hosts that lost power for seconds, and need
+ * room for the new ones of the same hosts.
+ */
+static constexpr Duration kSharedIdleTime = std::chrono::seconds(4);
+
 BackendSelector::BackendSelector(SelectorOptions options, const BackendDirectory &directory,
                                  const DomainReachability &reachability)
     : m_options(std::move(options))
@@ -32,27 +39,40 @@
             && m_reachability.isReachable(backend.registration.failureDomain);
 }
 
-std::size_t BackendSelector::connectionShare(const BackendService &service, bool isOwnDomain) const
+double BackendSelector::connectionShare(const BackendService &service, bool isOwnDomain) const
 {
     const double usable = static_cast<double>(service.connectionLimit) * kUsedConnectionShare;
     const std::size_t others = m_hosts.all - std::min(m_hosts.all, m_hosts.ownDomain);
     const std::size_t sharers = isOwnDomain ? m_hosts.ownDomain : others;
     const double part = isOwnDomain ? kOwnDomainShare : 1 - kOwnDomainShare;
-    const double share = usable * part / static_cast<double>(std::max<std::size_t>(sharers, 1));
-    return std::max<std::size_t>(static_cast<std::size_t>(share), 1);
+    return usable * part / static_cast<double>(std::max<std::size_t>(sharers, 1));
+}
+
+ConnectionAllowance BackendSelector::allowanceFor(const BackendService &service,
+                                                  const Backend &backend) const
+{
+    const double share = connectionShare(service, isOwnDomain(backend));
+    ConnectionAllowance allowance;
+    allowance.idle = std::max<std::size_t>(static_cast<std::size_t>(share), 1);
+    if (share < 1) {
+        const auto time = share * static_cast<double>(kSharedIdleTime.count());
+        allowance.idleTime = Duration(static_cast<Duration::rep>(time));
+    }
+    return allowance;
 }
 
 bool BackendSelector::hasRoom(const BackendService &service, Backend &backend,
                               MonotonicTime now) const
 {
-    if (backend.load.inFlight() >= connectionShare(service, isOwnDomain(backend)))
+    const double share = connectionShare(service, isOwnDomain(backend));
+    if (static_cast<double>(backend.load.inFlight()) >= std::max(std::floor(share), 1.0))
         return false;
     if (now >= backend.coldUntil || service.coldRequestsPerSecond <= 0)
         return true;
     const double allowed =
             service.coldRequestsPerSecond * m_options.coldFactor + m_options.coldSlack;
-    const double share = std::floor(allowed / static_cast<double>(m_hosts.all));
-    return static_cast<double>(backend.load.sentInLastSecond(now)) < share;
+    const double coldShare = std::floor(allowed / static_cast<double>(m_hosts.all));
+    return static_cast<double>(backend.load.sentInLastSecond(now)) < coldShare;
 }
 
 Duration BackendSelector::cost(const Backend &backend, Duration typical, MonotonicTime now) const
--- a/src/gateway/BackendSelector.h
+++ b/src/gateway/BackendSelector.h
@@ -26,6 +26,8 @@
      */
     std::shared_ptr<Backend> choose(const BackendService &service, Duration typical,
                                     const std::vector<ServerId> &tried, MonotonicTime now);
+    /** What this host may keep of the connections that the server accepts from all hosts. */
+    ConnectionAllowance allowanceFor(const BackendService &service, const Backend &backend) const;
     /** True if a server of the service can be used, with or without room. */
     bool hasServer(const BackendService &service, const std::vector<ServerId> &tried) const;
     /** True if servers of the service are in service, but all in unreachable failure domains. */
@@ -38,7 +40,7 @@
 
 private:
     bool isUsable(const Backend &backend) const;
-    std::size_t connectionShare(const BackendService &service, bool isOwnDomain) const;
+    double connectionShare(const BackendService &service, bool isOwnDomain) const;
     bool hasRoom(const BackendService &service, Backend &backend, MonotonicTime now) const;
     Duration cost(const Backend &backend, Duration typical, MonotonicTime now) const;
 
--- a/src/gateway/GatewayEffect.h
+++ b/src/gateway/GatewayEffect.h
@@ -13,6 +13,13 @@
 
 namespace greengagestair {
 
+/** How many idle connections to a server are kept, and for how long. */
+struct ConnectionAllowance
+{
+    std::size_t idle = 1;
+    Duration idleTime = std::chrono::seconds(60); ///< at most; the server may close them sooner
+};
+
 /** Send a request to a backend server. Ends with exactly one AttemptEnded. */
 struct StartAttempt
 {
@@ -21,6 +28,7 @@
     Endpoint endpoint;
     std::shared_ptr<const GatewayRequest> request;
     Duration remaining {}; ///< time left for the response
+    ConnectionAllowance allowance;
 };
 
 /** The response is not needed any more; the connection is closed if it has not come by then. */
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -19,6 +19,7 @@
 {
     ExchangeId exchange;
     std::shared_ptr<const GatewayRequest> request;
+    Duration heldUp {}; ///< time for which it may have waited to be read
 };
 
 /** The caller closed its connection before it had an answer. */
--- a/src/gateway/RequestFlow.cpp
+++ b/src/gateway/RequestFlow.cpp
@@ -147,10 +147,13 @@
     exchange.configuration = configuration;
     exchange.route = route;
     exchange.signature = signature;
-    exchange.arrivedAt = m_now;
+    exchange.arrivedAt = m_now - event.heldUp;
     const Duration callerTime = request.deadline.value_or(route->timeout) - kReplyMargin;
-    exchange.deadlineAt = m_now + std::max(std::min(callerTime, route->timeout), Duration(0));
-    exchange.cutoffAt = m_now + std::max(route->latencyTarget - kCallerRoundTrip, Duration(0));
+    exchange.deadlineAt = exchange.arrivedAt + std::min(callerTime, route->timeout);
+    if (exchange.deadlineAt <= m_now)
+        return refuse(event.exchange, request, RefusalReason::Shed);
+    const MonotonicTime cutoffAt = exchange.arrivedAt + route->latencyTarget - kCallerRoundTrip;
+    exchange.cutoffAt = std::max(cutoffAt, m_now);
     m_exchanges.emplace(exchange.id, std::move(owned));
     if (route->gather) {
         exchange.parts.reserve(route->gather->services.size());
@@ -251,7 +254,8 @@
     m_counters.add(isOwnDomain ? "attempts_total{failureDomain=\"own\"}"
                                : "attempts_total{failureDomain=\"other\"}");
     m_effects->push_back(StartAttempt { attempt, registration.server, registration.endpoint,
-                                        exchange.request, exchange.deadlineAt - m_now });
+                                        exchange.request, exchange.deadlineAt - m_now,
+                                        m_selector.allowanceFor(*part.service, *backend) });
     if (exchange.route->repeatable && part.sent < exchange.route->maxAttempts) {
         addTimer(m_now + hedgeDelay(*exchange.route), { TimerKind::Hedge, exchange.id, index });
     }
--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -125,6 +125,7 @@
 void BackendConnection::send(const StartAttempt &attempt)
 {
     m_attempt = attempt;
+    m_allowance = attempt.allowance;
     m_sentAt = Clock::now();
     resetParser();
     if (m_stream->write(serialize(attempt)))
@@ -243,9 +244,11 @@
     m_attempt.reset();
     if (isReusable) {
         const Clock::time_point now = Clock::now();
+        m_idleUntil = now + m_allowance.idleTime;
         if (m_idleTimeout.count() > 0) {
-            m_idleUntil =
-                    now + std::chrono::duration_cast<Clock::duration>(m_idleTimeout * kIdleShare);
+            const auto kept =
+                    std::chrono::duration_cast<Clock::duration>(m_idleTimeout * kIdleShare);
+            m_idleUntil = std::min(m_idleUntil, now + kept);
         }
         m_client.keep(self);
     } else {
--- a/src/http/BackendConnection.h
+++ b/src/http/BackendConnection.h
@@ -33,6 +33,8 @@
     const ServerId &server() const { return m_server; }
     const Endpoint &endpoint() const { return m_endpoint; }
     bool isConnected() const { return m_stream != nullptr; }
+    /** As of the last request. */
+    const ConnectionAllowance &allowance() const { return m_allowance; }
     /** When an idle connection is to be closed. */
     Clock::time_point idleUntil() const { return m_idleUntil; }
 
@@ -60,6 +62,7 @@
     std::optional<Parser> m_parser;
     std::string m_pending;
     std::optional<StartAttempt> m_attempt;
+    ConnectionAllowance m_allowance;
     Clock::time_point m_sentAt;
     Clock::time_point m_idleUntil = Clock::time_point::max();
     std::chrono::seconds m_idleTimeout { 0 }; ///< as the server states it; 0 if it does not
--- a/src/http/BackendPool.cpp
+++ b/src/http/BackendPool.cpp
@@ -123,7 +123,10 @@
             found != m_servers.end() && found->second.endpoint == connection->endpoint();
     if (!isKnown)
         return connection->abort(AttemptFailure::NotSent);
-    found->second.idle.push_back(connection);
+    auto &idle = found->second.idle;
+    if (idle.size() >= connection->allowance().idle)
+        return connection->abort(AttemptFailure::NotSent);
+    idle.push_back(connection);
     armTimer();
 }
 
--- a/tests/app/GatewaySettingsTest.cpp
+++ b/tests/app/GatewaySettingsTest.cpp
@@ -67,7 +67,8 @@
     HeaderNames names;
     names.partSignatures = "Part-Signatures";
     names.missingParts = "Missing-Parts";
-    const GatewayFrontEnd frontEnd(names, [](const GatewayEvent &) {});
+    const GatewayFrontEnd frontEnd(
+            names, [](const GatewayEvent &) {}, [] { return Duration(0); });
     const auto refused = frontEnd.render(RefusedReply { RefusalReason::Shed, 50ms });
     CHECK(refused.status == 503);
     REQUIRE(refused.headers.size() == 1);
@@ -88,9 +89,10 @@
     names.deadline = "Deadline";
     names.expectedServer = "Expected";
     std::shared_ptr<const GatewayRequest> passed;
-    GatewayFrontEnd frontEnd(names, [&](const GatewayEvent &event) {
-        passed = std::get<CallerArrived>(event).request;
-    });
+    GatewayFrontEnd frontEnd(
+            names,
+            [&](const GatewayEvent &event) { passed = std::get<CallerArrived>(event).request; },
+            [] { return Duration(0); });
     HttpServerRequest request;
     request.method = "GET";
     request.target = "/x";
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -94,6 +94,26 @@
     CHECK(fixture.connections.front().server.value == "shard-9-shubra");
 }
 
+// Guards against servers that work on after the caller has given up, because this host was busy
+// while the request waited to be read.
+TEST_CASE("the time that a request waited to be read counts against its deadline", "[gateway]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    auto request = std::make_shared<GatewayRequest>();
+    request->host = "lookup.example";
+    request->target = "/find/elbow";
+    request->deadline = 300ms;
+    fixture.send(CallerArrived { { 900 }, request, 200ms });
+    const auto attempts = fixture.takeAttempts();
+    REQUIRE(attempts.size() == GatewayFixture::kShards);
+    for (const StartAttempt &attempt : attempts)
+        CHECK(attempt.remaining <= 100ms);
+    fixture.send(CallerArrived { { 901 }, request, 400ms });
+    CHECK(fixture.takeAttempts().empty());
+    CHECK(fixture.refusal() == RefusalReason::Shed);
+}
+
 // Guards against more servers per part than the route allows.
 TEST_CASE("a part reaches no more servers than the route allows", "[gateway]")
 {
--- a/tests/http/BackendPoolTest.cpp
+++ b/tests/http/BackendPoolTest.cpp
@@ -45,7 +45,12 @@
         request->requestId = "id-" + std::to_string(attempt);
         request->headers = { { "Host", "h" }, { "Request-Id", request->requestId } };
         request->body = body;
-        pool.start({ { attempt }, { "s" }, { "127.0.0.1", server.port() }, request, 500ms });
+        pool.start({ { attempt },
+                     { "s" },
+                     { "127.0.0.1", server.port() },
+                     request,
+                     500ms,
+                     allowance });
     }
 
     RawPeer &peer(std::size_t index = 0)
@@ -83,6 +88,7 @@
     RawServer server;
     std::map<std::uint64_t, AttemptResult> ended;
     std::vector<std::pair<std::string, bool>> tried;
+    ConnectionAllowance allowance;
     BackendPool pool;
 };
 
@@ -246,12 +252,28 @@
     CHECK(fixture.answer(1).notExecuted == expected);
 }
 
+// Guards against idle connections that fill a server's limit while hosts restart.
+TEST_CASE("no more idle connections are kept than allowed, nor for longer", "[http]")
+{
+    PoolFixture fixture;
+    fixture.allowance = { 1, 100ms };
+    fixture.start(1);
+    fixture.start(2);
+    runUntil(fixture.context, [&] { return fixture.server.peers.size() == 2; });
+    fixture.respond(1, response(1, "a"), 0);
+    fixture.respond(2, response(2, "b"), 1);
+    CHECK(fixture.answer(1).body == "a");
+    CHECK(fixture.answer(2).body == "b");
+    CHECK(fixture.pool.idleConnections() == 1);
+    runUntil(fixture.context, [&] { return fixture.pool.idleConnections() == 0; });
+}
+
 TEST_CASE("a server that nobody listens for was not reached", "[http]")
 {
     PoolFixture fixture;
     auto request = std::make_shared<GatewayRequest>();
     request->method = "GET";
-    fixture.pool.start({ { 1 }, { "s" }, { "127.0.0.1", 1 }, request, 500ms });
+    fixture.pool.start({ { 1 }, { "s" }, { "127.0.0.1", 1 }, request, 500ms, {} });
     CHECK(fixture.failure(1) == AttemptFailure::NotSent);
 }
 
