Leave the event loop idle during a stop

Cause: a stopping gateway no longer calls the store, but the times of those calls still armed the timer, so the loop woke all the time for the last seconds of each stop.

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -235,10 +235,13 @@
         if (other && (!next || *other < *next))
             next = other;
     };
-    consider(m_follower.nextWakeUp());
-    consider(m_announcer.nextWakeUp());
-    if (m_follower.needsSnapshot())
-        consider(m_seeds.nextQuestionAt());
+    // Nothing of this goes on during a stop; times in the past would keep the loop busy.
+    if (!m_isStopping) {
+        consider(m_follower.nextWakeUp());
+        consider(m_announcer.nextWakeUp());
+        if (m_follower.needsSnapshot())
+            consider(m_seeds.nextQuestionAt());
+    }
     // An earlier wake-up than needed is harmless and cheaper than a new timer each time.
     if (!next || (m_timerAt && *m_timerAt <= *next))
         return;
--- a/tests/app/GatewayServerTest.cpp
+++ b/tests/app/GatewayServerTest.cpp
@@ -31,7 +31,7 @@
         })
     {
         standIn.put("op/config", R"({"version":1,"routes":[
-            {"name":"orders","host":"h","prefix":"/o/","type":"non_idempotent","timeout_ms":2000,
+            {"name":"orders","host":"h","prefix":"/o/","type":"non_idempotent","timeout_ms":7000,
              "target_latency_ms":200,"priority":1,"service":"s","max_attempts":2},
             {"name":"all","host":"h","prefix":"/all/","type":"idempotent","timeout_ms":2000,
              "target_latency_ms":1500,"priority":1,"gather":["s"],"max_attempts":1,"top_k":1,
@@ -50,7 +50,7 @@
         close(null);
     }
 
-    void start(std::vector<Endpoint> seeds = {})
+    void start(std::vector<Endpoint> seeds = {}, Duration stopTimeout = 2s)
     {
         GatewaySettings settings;
         settings.host = { "edge-1" };
@@ -58,7 +58,7 @@
         for (Endpoint *endpoint : { &settings.callerEndpoint, &settings.readinessEndpoint,
                                     &settings.adminEndpoint, &settings.peerEndpoint })
             *endpoint = { "127.0.0.1", 0 };
-        settings.stopTimeout = 2s;
+        settings.stopTimeout = stopTimeout;
         settings.seeds = std::move(seeds);
         server = std::make_unique<GatewayServer>(context, settings, "", platform::headerNames(),
                                                  store, null);
@@ -146,6 +146,26 @@
     CHECK(caller->received.find("Connection: close") != std::string::npos);
 }
 
+// Guards against a process that is never idle while it stops, and takes itself for held up.
+TEST_CASE("a stop that waits for an answer leaves the event loop idle", "[app]")
+{
+    ServerFixture fixture;
+    fixture.start({}, 8s);
+    const auto caller = fixture.connect(fixture.server->callerEndpoint());
+    caller->write("POST /o/7 HTTP/1.1\r\nHost: h\r\nX-Request-Id: r4\r\nContent-Length: 0\r\n\r\n");
+    runUntil(fixture.context, [&] {
+        return std::any_of(
+                fixture.backend.peers.begin(), fixture.backend.peers.end(),
+                [](const auto &peer) { return peer->received.find("r4") != std::string::npos; });
+    });
+    fixture.server->stop();
+    // The call of the store that was under way at the stop has ended by then.
+    fixture.context.restart();
+    fixture.context.run_for(4s);
+    constexpr std::size_t kMostHandlers = 300;
+    CHECK(fixture.context.run_for(300ms) < kMostHandlers);
+}
+
 // Guards against a process that knows nothing until the store is back.
 TEST_CASE("a process starts from another one's entries while the store is away", "[app]")
 {
