Let the host with the widest link tell its neighbours of the store's changes

A batch of 230 changes takes about 100 KB for each of 29 neighbours, which fills a link of 20 Mbit/s for more than a second, and the requests waited behind it.

Change: a host announces its link; the one with the widest calls the store, and hosts with less than half of the widest link tell nobody when they stand in.

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -30,7 +30,8 @@
 
 static HostEntry hostEntryOf(const GatewaySettings &settings)
 {
-    return { settings.host, settings.options.selector.failureDomain, settings.peerEndpoint };
+    return { settings.host, settings.options.selector.failureDomain, settings.peerEndpoint,
+             settings.linkMbps };
 }
 
 GatewayServer::GatewayServer(boost::asio::io_context &context, GatewaySettings settings,
@@ -162,7 +163,7 @@
 
 void GatewayServer::share(const StoreChanges &changes)
 {
-    for (const HostEntry &host : m_relay.neighbours())
+    for (const HostEntry &host : m_relay.audience())
         m_peers->send(host.host, host.peer, changes);
 }
 
--- a/src/app/GatewaySettings.cpp
+++ b/src/app/GatewaySettings.cpp
@@ -54,8 +54,9 @@
     FaultRecorder faults;
     const JsonReader reader(json, "$", faults);
     reader.allowKeys({ "host", "failureDomain", "callerEndpoint", "readinessEndpoint",
-                       "adminEndpoint", "peerEndpoint", "store", "seeds", "stopTimeoutMs",
-                       "repeatRatio", "repeatWindowMs", "repeatSlack", "coldFactor", "coldSlack" });
+                       "adminEndpoint", "peerEndpoint", "store", "linkMbps", "seeds",
+                       "stopTimeoutMs", "repeatRatio", "repeatWindowMs", "repeatSlack",
+                       "coldFactor", "coldSlack" });
     GatewaySettings settings;
     settings.host.value = reader.name("host");
     settings.callerEndpoint = endpointOf(reader, "callerEndpoint");
@@ -63,6 +64,7 @@
     settings.adminEndpoint = endpointOf(reader, "adminEndpoint");
     settings.peerEndpoint = endpointOf(reader, "peerEndpoint");
     settings.store = endpointOf(reader, "store");
+    settings.linkMbps = reader.decimal("linkMbps", 0, kMaxCount);
     settings.seeds = endpointsOf(reader, "seeds");
     settings.stopTimeout = reader.milliseconds("stopTimeoutMs", 100, kMaxStopTimeoutMs);
     settings.options.selector.failureDomain.value = reader.name("failureDomain");
--- a/src/app/GatewaySettings.h
+++ b/src/app/GatewaySettings.h
@@ -14,6 +14,7 @@
     Endpoint adminEndpoint;
     Endpoint peerEndpoint;                          ///< TCP for frames of other gateways
     Endpoint store;                                 ///< the platform's key-value store
+    double linkMbps = 0;                            ///< of the host's network link, in Mbit/s
     std::vector<Endpoint> seeds;                    ///< admin addresses of other gateways
     Duration stopTimeout = std::chrono::seconds(6); ///< from SIGTERM to SIGKILL
     GatewayOptions options;
--- a/src/gateway/RegistryStore.h
+++ b/src/gateway/RegistryStore.h
@@ -37,7 +37,8 @@
 {
     HostId host;
     FailureDomainId failureDomain;
-    Endpoint peer; ///< where it accepts frames of other hosts
+    Endpoint peer;       ///< where it accepts frames of other hosts
+    double linkMbps = 0; ///< bandwidth of its network link, in Mbit/s; 0 if not stated
 
     bool operator==(const HostEntry &) const = default;
 };
--- a/src/gateway/StoreRelay.h
+++ b/src/gateway/StoreRelay.h
@@ -15,8 +15,9 @@
 
 /**
  * Chooses the host of a failure domain that calls the store for all, so that calls do not grow with
- * the number of hosts. The choice is made by rendezvous hashing over the hosts that are present;
- * hosts with different views may choose differently, which costs calls but no change is missed.
+ * the number of hosts. It is one with the widest link, by rendezvous hashing over the hosts that
+ * are present; hosts with different views may choose differently, which costs calls but no change
+ * is missed.
  */
 class StoreRelay
 {
@@ -25,6 +26,11 @@
 
     void update(const std::vector<HostEntry> &hosts);
     StoreRole role() const { return m_role; }
+    /**
+     * Neighbours that are told of changes that this host has read: all, or none if a host with a
+     * much wider link is there to tell them. A batch of changes takes 100 KB for each neighbour.
+     */
+    const std::vector<HostEntry> &audience() const { return m_audience; }
     /** The other hosts of this failure domain. */
     const std::vector<HostEntry> &neighbours() const { return m_neighbours; }
     /** All other hosts that are present. */
@@ -34,6 +40,7 @@
     HostEntry m_self;
     StoreRole m_role = StoreRole::Alone;
     std::vector<HostEntry> m_neighbours;
+    std::vector<HostEntry> m_audience;
     std::vector<HostEntry> m_others;
 };
 
--- a/tests/app/GatewaySettingsTest.cpp
+++ b/tests/app/GatewaySettingsTest.cpp
@@ -11,7 +11,7 @@
     // a comment
     "host": "edge-1", "failureDomain": "shubra", "callerEndpoint": "10.1.0.39:8226",
     "readinessEndpoint": "10.1.0.39:8227", "adminEndpoint": "10.1.0.39:8224",
-    "peerEndpoint": "10.1.0.39:7740", "store": "10.200.1.7:8229", "seeds": ["10.2.0.33:8224"],
+    "peerEndpoint": "10.1.0.39:7740", "store": "10.200.1.7:8229", "linkMbps": 1000.0, "seeds": ["10.2.0.33:8224"],
     "stopTimeoutMs": 6000, "repeatRatio": 0.2,
     "repeatWindowMs": 10000, "repeatSlack": 58, "coldFactor": 1.5, "coldSlack": 5,
 })";
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -108,7 +108,7 @@
         HostsRead read;
         for (int i = 0; i < near + far; ++i)
             read.hosts.push_back(
-                    { { "h" + std::to_string(i) }, { i < near ? "shubra" : "bulaq" }, {} });
+                    { { "h" + std::to_string(i) }, { i < near ? "shubra" : "bulaq" }, {}, 0 });
         return read;
     }
 
--- a/tests/gateway/StoreFollowerTest.cpp
+++ b/tests/gateway/StoreFollowerTest.cpp
@@ -211,7 +211,7 @@
 {
     Follower follower;
     follower.wait(0ms);
-    const HostEntry host { { "a" }, { "shubra" }, { "10.0.0.1", 7000 } };
+    const HostEntry host { { "a" }, { "shubra" }, { "10.0.0.1", 7000 }, 0 };
     follower.store.read(StoreEntries { { { "hosts/a", host, "" } }, { 10 } });
     CHECK(follower.take<HostsRead>().front().hosts == std::vector { host });
 }
@@ -333,8 +333,8 @@
     const std::size_t size = GENERATE(1, 2, 3, 4, 30);
     std::vector<HostEntry> hosts;
     for (std::size_t i = 0; i < size; ++i)
-        hosts.push_back({ { "h" + std::to_string(i) }, { "shubra" }, {} });
-    hosts.push_back({ { "far" }, { "bulaq" }, {} });
+        hosts.push_back({ { "h" + std::to_string(i) }, { "shubra" }, {}, 0 });
+    hosts.push_back({ { "far" }, { "bulaq" }, {}, 0 });
     std::size_t callers = 0;
     for (std::size_t i = 0; i < size; ++i) {
         StoreRelay relay(hosts[i]);
@@ -347,12 +347,32 @@
     CHECK(callers == (size == 1 ? 0 : 1));
 }
 
+// Guards against a narrow link that batches of changes for all neighbours fill for a second, while
+// requests wait behind them.
+TEST_CASE("a host with a wide link calls the store and tells the others", "[gateway]")
+{
+    std::vector<HostEntry> hosts;
+    for (std::size_t i = 0; i < 10; ++i) {
+        const double linkMbps = i < 2 ? 200 : 20;
+        hosts.push_back({ { "h" + std::to_string(i) }, { "shubra" }, {}, linkMbps });
+    }
+    std::size_t callers = 0;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        StoreRelay relay(hosts[i]);
+        relay.update(hosts);
+        callers += relay.role() == StoreRole::Caller ? 1 : 0;
+        CHECK((i < 2 || relay.role() == StoreRole::Reader));
+        CHECK(relay.audience().size() == (i < 2 ? hosts.size() - 1 : 0));
+    }
+    CHECK(callers == 1);
+}
+
 // Guards against a host that stays unknown after its lease ended while it was paused.
 TEST_CASE("a host whose lease ended is announced again", "[gateway]")
 {
     FakeStore store;
     HostAnnouncer announcer(
-            { { "a" }, { "shubra" }, {} }, store, [](const LogDecision &) {}, [] {});
+            { { "a" }, { "shubra" }, {}, 0 }, store, [](const LogDecision &) {}, [] {});
     MonotonicTime now(1s);
     announcer.advance(now);
     store.grant(LeaseGrant { 5, 15s });
--- a/tools/soak_parts/fleet.py
+++ b/tools/soak_parts/fleet.py
@@ -64,7 +64,8 @@
         self.settings = {
             "host": name, "failureDomain": domain, "callerEndpoint": f"{ip}:{port}",
             "readinessEndpoint": f"{ip}:{port + 1}", "adminEndpoint": f"{ip}:{port + 2}",
-            "peerEndpoint": f"{ip}:{port + 3}", "store": f"{ip}:{port + 4}", "seeds": [],
+            "peerEndpoint": f"{ip}:{port + 3}", "store": f"{ip}:{port + 4}", "linkMbps": 1000,
+            "seeds": [],
             "stopTimeoutMs": int(GRACE * 1000), "repeatRatio": 0.2, "repeatWindowMs": 10000,
             "repeatSlack": slack, "coldFactor": 1.5, "coldSlack": 5}
 
