--- a/tools/soak_parts/scenario.py
+++ b/tools/soak_parts/scenario.py
@@ -102,11 +102,15 @@
         store = (f"127.{self.network}.0.1", PORT)
         self.registry = Registry(store, (store[0], PORT + 1), self.folder)
         for _ in range(100):
+            await asyncio.sleep(0.05)
+            # Another process at its address would answer with entries of another run.
+            if self.registry.process.poll() is not None:
+                raise RuntimeError(f"the store's stand-in ended at its start, see {store}")
             try:
                 await self.registry.put("op/config", json.dumps(self.configuration()))
                 break
             except OSError:
-                await asyncio.sleep(0.05)
+                pass
         for number, domain in enumerate(DOMAINS):
             for service in [*SHARD_SETS[0], "orders", "orders"]:
                 await self.add_backend(service, domain)
