--- a/src/gateway/StoreWatcher.cpp
+++ b/src/gateway/StoreWatcher.cpp
@@ -41,7 +41,7 @@
 {
     if (m_isCalling)
         return std::nullopt;
-    if (m_role != StoreRole::Publisher && m_revision)
+    if (m_role != StoreRole::Publisher && m_revision && !m_isHistoryDropped)
         return std::max(m_nextCallAt, m_sharedChangesDueAt);
     return m_nextCallAt;
 }
@@ -74,7 +74,7 @@
         return;
     m_isCalling = true;
     m_callRole = m_role;
-    if (!m_revision) {
+    if (!m_revision || m_isHistoryDropped) {
         m_store.readAll([this](const StoreResult<StoreEntries> &result) {
             onAllRead(result);
             m_onCallEnd();
@@ -98,6 +98,7 @@
     if (m_revision && store.revision < *m_revision)
         return onSuccess(false);
     m_revision = store.revision;
+    m_isHistoryDropped = false;
     onSuccess(!store.entries.empty());
     publishAll(store);
 }
@@ -140,6 +141,7 @@
         return;
     }
     awaitSharedChanges();
+    m_isHistoryDropped = false;
     if (changes.revision <= *m_revision)
         return;
     m_revision = changes.revision;
@@ -188,8 +190,8 @@
 void StoreWatcher::onFailure(StoreFailure failure)
 {
     if (failure == StoreFailure::HistoryDropped) {
-        m_revision.reset();
-        m_nextCallAt = m_now;
+        onSuccess(false);
+        m_isHistoryDropped = true;
         m_onLog({ LogPriority::State, "historyDropped", {} });
         return;
     }
@@ -203,7 +205,7 @@
     // Most subscribers retry more rarely than the publisher and its standby, so that one of these
     // two reaches the store first. The standby alone has to keep the bound on new configurations if
     // the publisher stays cut off from the store.
-    const bool isSubscriber = m_role == StoreRole::Subscriber && m_revision;
+    const bool isSubscriber = m_role == StoreRole::Subscriber && m_revision && !m_isHistoryDropped;
     const Duration first = isSubscriber ? kSharedChangesTimeout : kMinRetryDelay;
     const Duration longest = isSubscriber ? 2 * kSharedChangesTimeout : kMaxRetryDelay;
     m_nextCallAt += backoffDelay(m_consecutiveFailures - 1, first, longest, m_random);
--- a/src/gateway/StoreWatcher.h
+++ b/src/gateway/StoreWatcher.h
@@ -50,7 +50,7 @@
     void applySharedChanges(const StoreChanges &changes, MonotonicTime now);
     /** All known entries, for a host that cannot reach the store; nullopt before the first read. */
     std::optional<StoreChanges> snapshot() const;
-    /** Applies another host's snapshot() instead of a first read; ignored after a first read. */
+    /** Applies another host's snapshot() instead of a first read; ignored if entries are known. */
     void applySnapshot(const StoreChanges &snapshot, MonotonicTime now);
     /** True if a call to the store has failed and no entries are known. */
     bool needsSnapshot() const { return !m_revision && m_consecutiveFailures > 0; }
@@ -82,6 +82,8 @@
     OnCallEnd m_onCallEnd;
     std::mt19937_64 m_random;
     std::optional<Revision> m_revision; ///< all changes up to this revision are applied
+    /** The store has dropped the changes after m_revision, so all entries have to be read again. */
+    bool m_isHistoryDropped = false;
     MonotonicTime m_now;
     MonotonicTime m_nextCallAt;
     bool m_isCalling = false;
--- a/tests/gateway/StoreWatcherTest.cpp
+++ b/tests/gateway/StoreWatcherTest.cpp
@@ -354,6 +354,39 @@
     CHECK(fixture.store.watchedAfter == Revision { 11 });
 }
 
+// Guards against a host that was cut off from the store and then takes the older entries of another
+// host, in which a server that has left is still registered; and against snapshots for all such
+// hosts, which filled the links of the few hosts that answer them.
+TEST_CASE("a host whose history was dropped keeps its entries until it has read all again",
+          "[gateway]")
+{
+    WatcherFixture source;
+    source.wait(0ms);
+    source.store.read(StoreEntries { { server("gone"), server("a") }, { 10 } });
+    const auto older = source.snapshot();
+    REQUIRE(older);
+
+    WatcherFixture fixture;
+    fixture.wait(0ms);
+    fixture.store.read(StoreEntries { { server("a") }, { 12 } });
+    fixture.take<RegistrationsRead>();
+    for (int failures = 0; failures < 3; ++failures) {
+        fixture.wait(4s);
+        std::exchange(fixture.store.watch, nullptr)(StoreFailure::Unreachable);
+    }
+    fixture.wait(4s);
+    std::exchange(fixture.store.watch, nullptr)(StoreFailure::HistoryDropped);
+    CHECK_FALSE(fixture.needsSnapshot());
+    fixture.applySnapshot(*older);
+    CHECK(fixture.take<RegistrationsRead>().empty());
+    fixture.wait(0ms);
+    CHECK(fixture.store.reads == 2);
+    fixture.store.read(StoreEntries { { server("a"), server("b") }, { 40 } });
+    CHECK(fixture.take<RegistrationsRead>().front().registrations.size() == 2);
+    fixture.wait(4s);
+    CHECK(fixture.store.watchedAfter == Revision { 40 });
+}
+
 // Guards against a failure domain in which no host watches the store, or all of them do.
 TEST_CASE("hosts with the same host list elect the same publisher", "[gateway]")
 {
