Bound the memory of responses that do not end

Cause: a server in trouble may send bytes without end. The header and body limits of the parser did not cover a chunk extension, the digits of a chunk size, trailer fields, interim responses and answers to other requests; these were received until the request's deadline. Each body alone could take 16 MiB, so ten servers filled a host of 160 MB.

Change: at most 128 KiB may wait for the end of a line, 8 interim or stray responses may precede an answer, and all responses in progress share 32 MiB, of which a response up to 64 KiB is never refused. The attempt ends as corrupt, the connection is closed.

--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -20,6 +20,14 @@
 static constexpr std::uint64_t kMaxResponseBytes = 16'777'216;
 /** Maximum header size of one response, in bytes. */
 static constexpr std::uint32_t kMaxResponseHeaderBytes = 65'536;
+/** Maximum size of received bytes that the parser has not consumed: a line without its end. */
+static constexpr std::size_t kMaxUnparsedBytes = 131'072;
+/** Interim and stray responses that may precede the response to a request. */
+static constexpr std::size_t kMaxSkippedResponses = 8;
+/** Bound on the received bytes of all responses in progress together. */
+static constexpr std::size_t kMaxBufferedBytes = 33'554'432;
+/** A response up to this size is received even if the others have reached their joint bound. */
+static constexpr std::size_t kGuaranteedResponseBytes = 65'536;
 /** Idle timeout of a connection that has not carried a request yet. */
 static constexpr std::chrono::seconds kUnusedConnectionTimeout(5);
 /** Share of the idle timeout in the Keep-Alive field after which a connection is closed. */
@@ -33,6 +41,11 @@
 {
 }
 
+BackendConnection::~BackendConnection()
+{
+    resetReceived();
+}
+
 void BackendConnection::open(const StartAttempt &attempt)
 {
     m_attempt = attempt;
@@ -130,6 +143,7 @@
     m_attempt = attempt;
     m_idleLimits = attempt.idleLimits;
     m_sentAt = Clock::now();
+    resetReceived();
     resetParser();
     if (m_stream->write(serialize(attempt)))
         return;
@@ -148,8 +162,31 @@
         abort(AttemptFailure::Corrupt);
         return;
     }
+    countReceived(bytes.size());
     m_unparsed += bytes;
     parse();
+    if (m_attempt && exceedsBounds())
+        abort(AttemptFailure::Corrupt);
+}
+
+void BackendConnection::countReceived(std::size_t bytes)
+{
+    m_receivedBytes += bytes;
+    m_pool.m_bufferedBytes += bytes;
+}
+
+void BackendConnection::resetReceived()
+{
+    m_pool.m_bufferedBytes -= m_receivedBytes;
+    m_receivedBytes = 0;
+    m_skippedResponses = 0;
+}
+
+bool BackendConnection::exceedsBounds() const
+{
+    const bool exceedsJointBound = m_pool.m_bufferedBytes > kMaxBufferedBytes
+            && m_receivedBytes > kGuaranteedResponseBytes;
+    return exceedsJointBound || m_unparsed.size() > kMaxUnparsedBytes;
 }
 
 void BackendConnection::parse()
@@ -202,6 +239,8 @@
         resetParser();
         if (!keepsAlive)
             abort(AttemptFailure::Lost);
+        else if (++m_skippedResponses > kMaxSkippedResponses)
+            abort(AttemptFailure::Corrupt);
         return;
     }
     readIdleTimeout();
@@ -247,6 +286,7 @@
     const AttemptId attempt = m_attempt->attempt;
     const auto self = shared_from_this();
     m_attempt.reset();
+    resetReceived();
     if (isReusable) {
         const Clock::time_point now = Clock::now();
         m_idleUntil = now + m_idleLimits.idleTime;
@@ -278,6 +318,8 @@
         return m_pool.finishOpening(self, false);
     const AttemptId attempt = m_attempt->attempt;
     m_attempt.reset();
+    resetReceived();
+    m_unparsed = {};
     m_pool.endAttempt(attempt, failure);
 }
 
--- a/src/http/BackendConnection.h
+++ b/src/http/BackendConnection.h
@@ -25,6 +25,7 @@
 
     /** Creates a connection that is not open yet. `pool` must outlive the connection. */
     BackendConnection(BackendConnectionPool &pool, ServerId server, Endpoint endpoint);
+    ~BackendConnection();
 
     /** Connects, then sends the request. A failed connect ends the attempt as NotSent. */
     void open(const StartAttempt &attempt);
@@ -57,6 +58,11 @@
     void onEnd(StreamEnd end);
     void parse();
     void onResponse();
+    /** Adds bytes received for the current attempt to its own count and to that of the pool. */
+    void countReceived(std::size_t bytes);
+    void resetReceived();
+    /** True if the response, or all responses together, exceed their bounds. */
+    bool exceedsBounds() const;
     bool isStray() const;
     void readIdleTimeout();
     BackendAnswer takeAnswer();
@@ -70,6 +76,8 @@
     std::optional<Parser> m_parser;
     std::string m_unparsed;
     std::optional<StartAttempt> m_attempt;
+    std::size_t m_receivedBytes = 0;    ///< received for the current attempt
+    std::size_t m_skippedResponses = 0; ///< interim and stray responses during the current attempt
     IdleConnectionLimits m_idleLimits;
     Clock::time_point m_sentAt;
     Clock::time_point m_idleUntil = Clock::time_point::max();
--- a/src/http/BackendConnectionPool.h
+++ b/src/http/BackendConnectionPool.h
@@ -70,6 +70,8 @@
 
     /** Counters since the creation of the pool. */
     const BackendConnectionCounters &counters() const { return m_counters; }
+    /** Bytes received so far of all responses in progress. */
+    std::size_t bufferedBytes() const { return m_bufferedBytes; }
     /** Number of idle connections to all servers. */
     std::size_t idleConnections() const;
 
@@ -116,6 +118,7 @@
     boost::asio::steady_timer m_timer;
     Clock::time_point m_timerExpiry = Clock::time_point::max();
     Clock::time_point m_nextIdleCheck;
+    std::size_t m_bufferedBytes = 0;
     BackendConnectionCounters m_counters;
 };
 
--- a/tests/http/BackendConnectionPoolTest.cpp
+++ b/tests/http/BackendConnectionPoolTest.cpp
@@ -344,3 +344,117 @@
     CHECK(fixture.pool.idleConnections() == 0);
     runUntil(fixture.context, [&] { return fixture.peer().isClosed; });
 }
+
+/** Writes `pattern` until the attempt has ended; returns the number of bytes that were taken. */
+static std::size_t flood(PoolFixture &fixture, std::uint64_t attempt, const std::string &beginning,
+                         const std::string &pattern, std::size_t limit)
+{
+    fixture.respond(attempt, beginning, fixture.server.peers.size() - 1);
+    const auto peer = fixture.server.peers.back();
+    std::string block;
+    while (block.size() < 65'536)
+        block += pattern;
+    std::size_t written = 0;
+    std::size_t offset = 0;
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    while (!fixture.ended.contains(attempt) && written < limit
+           && std::chrono::steady_clock::now() < end) {
+        const std::size_t taken = peer->writeSome(block.substr(offset));
+        offset = (offset + taken) % block.size();
+        written += taken;
+        fixture.context.restart();
+        fixture.context.poll();
+    }
+    return written;
+}
+
+// Guards against a server in trouble that sends bytes without end, which would fill the memory of
+// this host (160 MB on the smallest ones) until the request's deadline.
+TEST_CASE("a response without end is ended at a bound", "[http]")
+{
+    PoolFixture fixture;
+    fixture.start(1);
+    fixture.peer();
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    constexpr std::size_t kHeaderBound = 2'000'000;
+    // Kernel buffers hold some megabytes beyond the bound of 16 MiB.
+    constexpr std::size_t kBodyBound = 40'000'000;
+    std::size_t bound = kHeaderBound;
+    std::size_t written = 0;
+    SECTION("status line")
+    {
+        written = flood(fixture, 1, "HTTP/1.1 200 ", "a", bound);
+    }
+    SECTION("bytes that are no HTTP")
+    {
+        written = flood(fixture, 1, "x", "x", bound);
+    }
+    SECTION("header line")
+    {
+        written = flood(fixture, 1, "HTTP/1.1 200 OK\r\nA: ", "a", bound);
+    }
+    SECTION("header fields")
+    {
+        written = flood(fixture, 1, "HTTP/1.1 200 OK\r\n", "A: b\r\n", bound);
+    }
+    SECTION("chunk extension")
+    {
+        written = flood(fixture, 1, chunked + "1;a=", "a", bound);
+    }
+    SECTION("chunk size")
+    {
+        written = flood(fixture, 1, chunked, "0", bound);
+    }
+    SECTION("trailer")
+    {
+        written = flood(fixture, 1, chunked + "0\r\n", "A: b\r\n", bound);
+    }
+    SECTION("interim responses")
+    {
+        written = flood(fixture, 1, "", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", bound);
+    }
+    SECTION("answers to other requests")
+    {
+        written =
+                flood(fixture, 1, "",
+                      "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\na", bound);
+    }
+    SECTION("chunked body")
+    {
+        bound = kBodyBound;
+        written = flood(fixture, 1, chunked, "4\r\nabcd\r\n", bound);
+    }
+    SECTION("body without a length")
+    {
+        bound = kBodyBound;
+        written = flood(fixture, 1, "HTTP/1.1 200 OK\r\n\r\n", "a", bound);
+    }
+    REQUIRE(fixture.ended.contains(1));
+    CHECK(written < bound);
+    CHECK(fixture.failure(1) == AttemptFailure::Corrupt);
+}
+
+// Guards against many servers that send bodies without end at the same time: each response alone
+// stays below its bound, but together they would take more memory than a small host has.
+TEST_CASE("responses in progress share a bound on their memory", "[http]")
+{
+    constexpr std::uint64_t kResponses = 40;
+    constexpr std::size_t kBytesEach = 4'000'000;
+    PoolFixture fixture;
+    for (std::uint64_t attempt = 1; attempt <= kResponses; ++attempt) {
+        fixture.start(attempt);
+        fixture.peer(attempt - 1);
+        flood(fixture, attempt, "HTTP/1.1 200 OK\r\n\r\n", "a", kBytesEach);
+        runUntil(fixture.context, [&] {
+            return fixture.ended.contains(attempt)
+                    || fixture.pool.bufferedBytes()
+                    >= kBytesEach * std::min<std::uint64_t>(attempt, 4);
+        });
+        REQUIRE(fixture.pool.bufferedBytes() <= 34'000'000);
+    }
+    CHECK(fixture.ended.size() >= kResponses / 2);
+    // A short answer is still taken.
+    fixture.start(99);
+    fixture.respond(99, response(99, "short"), kResponses);
+    CHECK(fixture.answer(99).body == "short");
+}
--- a/tests/http/RawPeers.h
+++ b/tests/http/RawPeers.h
@@ -42,6 +42,13 @@
     {
         boost::asio::write(m_socket, boost::asio::buffer(bytes));
     }
+    /** Writes without waiting; returns the number of bytes taken, 0 if the connection is full. */
+    std::size_t writeSome(const std::string &bytes)
+    {
+        boost::system::error_code error;
+        m_socket.non_blocking(true, error);
+        return m_socket.write_some(boost::asio::buffer(bytes), error);
+    }
     void finishWriting() { m_socket.shutdown(Socket::shutdown_send); }
     void close() { m_socket.close(); }
     /** Closes the connection with a TCP reset. */
