Reject callers' chunk lines and trailers without end

The bound on header bytes now also holds for chunk extensions, chunk sizes and trailers; before, a caller could fill memory with them until the idle timeout.

--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -84,8 +84,10 @@
         const std::size_t used = m_parser->put(boost::asio::buffer(m_unparsed), error);
         m_unparsed.erase(0, used);
         if (error == http::error::need_more) {
-            if (!m_parser->is_header_done() && m_unparsed.size() > m_server.limits().maxHeaderBytes)
-                return rejectRequest(431);
+            // What the parser does not consume is a line without its end: of the header, of a chunk
+            // or of the trailer.
+            if (m_unparsed.size() > m_server.limits().maxHeaderBytes)
+                return rejectRequest(m_parser->is_header_done() ? 400 : 431);
             break;
         }
         if (error)
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -227,3 +227,50 @@
     peer->write("ok");
     fixture.awaitRequests(1);
 }
+
+// Guards against callers that send bytes without end inside a body that itself stays short.
+TEST_CASE("a chunked body without end is rejected at a bound", "[http]")
+{
+    ServerFixture fixture;
+    const auto peer = fixture.connect();
+    const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string pattern;
+    SECTION("chunk extension")
+    {
+        peer->write(head + "1;a=");
+        pattern = "a";
+    }
+    SECTION("chunk size")
+    {
+        peer->write(head);
+        pattern = "0";
+    }
+    SECTION("trailer")
+    {
+        peer->write(head + "0\r\n");
+        pattern = "A: b\r\n";
+    }
+    SECTION("body")
+    {
+        peer->write(head);
+        pattern = "4\r\nabcd\r\n";
+    }
+    std::string block;
+    while (block.size() < 65'536)
+        block += pattern;
+    std::size_t written = 0;
+    std::size_t offset = 0;
+    constexpr std::size_t kBound = 12'000'000; // the body limit and what the kernel holds
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    while (fixture.handler.badRequests.empty() && written < kBound
+           && std::chrono::steady_clock::now() < end) {
+        const std::size_t taken = peer->writeSome(block.substr(offset));
+        offset = (offset + taken) % block.size();
+        written += taken;
+        fixture.context.restart();
+        fixture.context.poll();
+    }
+    CHECK(written < kBound);
+    REQUIRE(fixture.handler.badRequests.size() == 1);
+    CHECK(fixture.handler.requests.empty());
+}
