Keep batches of store changes off narrow links

Changes: the countdown of a cold start is not shared again. Changes that would occupy a host's link for more than 100 ms are not sent to others, which notice the gap and read from the store.

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -163,7 +163,10 @@
 
 void GatewayServer::share(const StoreChanges &changes)
 {
-    for (const HostEntry &host : m_roleElection.changeRecipients())
+    std::size_t bytes = 0;
+    for (const std::string &entry : changes.entries)
+        bytes += entry.size();
+    for (const HostEntry &host : m_roleElection.recipientsOf(bytes))
         m_peers->send(host.host, host.peer, changes);
 }
 
--- a/src/gateway/StoreRoleElection.cpp
+++ b/src/gateway/StoreRoleElection.cpp
@@ -10,6 +10,9 @@
 /** A host with less than this share of the highest link bandwidth sends no changes to others. */
 static constexpr double kMinLinkShare = 0.5;
 
+/** Time for which one batch of changes may occupy the host's link; a request waits no longer. */
+static constexpr std::chrono::duration<double> kMaxLinkTime(0.1);
+
 StoreRoleElection::StoreRoleElection(HostEntry self)
     : m_self(std::move(self))
 {
@@ -47,4 +50,13 @@
         m_role = preferredPeers == 1 ? StoreRole::Standby : StoreRole::Subscriber;
 }
 
+const std::vector<HostEntry> &StoreRoleElection::recipientsOf(std::size_t bytes) const
+{
+    constexpr double kBitsPerMegabit = 1e6;
+    const double bits = 8.0 * static_cast<double>(bytes * m_changeRecipients.size());
+    const double limit = m_self.linkMbps * kBitsPerMegabit * kMaxLinkTime.count();
+    const bool isStated = m_self.linkMbps > 0;
+    return isStated && bits > limit ? m_nobody : m_changeRecipients;
+}
+
 } // namespace greengagestair
--- a/src/gateway/StoreRoleElection.h
+++ b/src/gateway/StoreRoleElection.h
@@ -36,6 +36,12 @@
      * 100 KB for each recipient.
      */
     const std::vector<HostEntry> &changeRecipients() const { return m_changeRecipients; }
+    /**
+     * The hosts to which this host sends changes of this size in bytes: changeRecipients(), or none
+     * if that would occupy the host's link for too long. The others then notice the gap with the
+     * next changes and read from the store.
+     */
+    const std::vector<HostEntry> &recipientsOf(std::size_t bytes) const;
     /** The other live hosts of this host's failure domain. */
     const std::vector<HostEntry> &domainPeers() const { return m_domainPeers; }
     /** The other live hosts of all failure domains. */
@@ -47,6 +53,7 @@
     std::vector<HostEntry> m_domainPeers;
     std::vector<HostEntry> m_changeRecipients;
     std::vector<HostEntry> m_otherHosts;
+    std::vector<HostEntry> m_nobody; ///< always empty
 };
 
 } // namespace greengagestair
--- a/src/gateway/StoreWatcher.cpp
+++ b/src/gateway/StoreWatcher.cpp
@@ -22,6 +22,8 @@
 static constexpr Duration kSharedChangesJitter = std::chrono::milliseconds(500);
 /** Delay of the next call after a change. Changes come in groups; one call then reads several. */
 static constexpr Duration kCallInterval = std::chrono::milliseconds(500);
+/** Registrations are read up to a second after they were written, so cold ends scatter. */
+static constexpr Duration kColdTolerance = std::chrono::milliseconds(1000);
 static constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
 /** Maximum retry delay; a configuration has to be in force within 3 s of its acceptance. */
 static constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
@@ -114,14 +116,42 @@
     if (!m_revision || changes.revision < *m_revision)
         return;
     StoreChanges shared { *m_revision, changes.revision, {} };
-    for (const StoreEntry &entry : changes.entries)
-        shared.entries.push_back(entry.encoded);
+    for (const StoreEntry &entry : changes.entries) {
+        if (isWorthSharing(entry))
+            shared.entries.push_back(entry.encoded);
+    }
     m_revision = changes.revision;
     publishChanges(changes.entries);
     if (m_callRole != StoreRole::Standalone)
         m_onChanges(std::move(shared));
 }
 
+static bool isSameServer(const BackendRegistration &left, const BackendRegistration &right)
+{
+    return left.service == right.service && left.endpoint == right.endpoint
+            && left.failureDomain == right.failureDomain && left.slots == right.slots
+            && left.isDraining == right.isDraining && left.startedAt == right.startedAt;
+}
+
+bool StoreWatcher::isWorthSharing(const StoreEntry &entry)
+{
+    if (const auto *absent = std::get_if<AbsentServer>(&entry.value))
+        m_sharedServers.erase(absent->server);
+    const auto *server = std::get_if<ServerEntry>(&entry.value);
+    if (!server)
+        return true;
+    const BackendRegistration &registration = server->registration;
+    const MonotonicTime coldUntil = m_now + registration.coldFor;
+    const auto known = m_sharedServers.find(registration.server);
+    const bool isKnown = known != m_sharedServers.end()
+            && isSameServer(known->second.registration, registration)
+            && coldUntil <= known->second.coldUntil + kColdTolerance;
+    if (isKnown)
+        return false;
+    m_sharedServers.insert_or_assign(registration.server, SharedServer { registration, coldUntil });
+    return true;
+}
+
 void StoreWatcher::publishChanges(const std::vector<StoreEntry> &entries)
 {
     for (const StoreEntry &entry : entries) {
--- a/src/gateway/StoreWatcher.h
+++ b/src/gateway/StoreWatcher.h
@@ -81,6 +81,20 @@
     OnChanges m_onChanges;
     OnCallEnd m_onCallEnd;
     std::mt19937_64 m_random;
+    /** A registration as it was shared last; its countdown of the cold start is left out. */
+    struct SharedServer
+    {
+        BackendRegistration registration;
+        MonotonicTime coldUntil;
+    };
+
+    /**
+     * True if other hosts need the entry. Registrations of cold servers change with each heartbeat,
+     * since they state how much longer the server is cold; the first one suffices.
+     */
+    bool isWorthSharing(const StoreEntry &entry);
+
+    std::unordered_map<ServerId, SharedServer> m_sharedServers;
     std::optional<Revision> m_revision; ///< all changes up to this revision are applied
     /** The store has dropped the changes after m_revision, so all entries have to be read again. */
     bool m_isHistoryDropped = false;
--- a/tests/gateway/StoreWatcherTest.cpp
+++ b/tests/gateway/StoreWatcherTest.cpp
@@ -387,6 +387,43 @@
     CHECK(fixture.store.watchedAfter == Revision { 40 });
 }
 
+// Load pattern: hundreds of new servers count down their cold start with each heartbeat (reshard in
+// a failure domain whose hosts with wide links are cut off). Guards against a publisher whose
+// narrow link is filled by these changes for all hosts, so that requests wait for it.
+TEST_CASE("the countdown of a cold start is not shared with other hosts", "[gateway][load]")
+{
+    const auto cold = [](Duration coldFor, bool isDraining = false) {
+        BackendRegistration registration;
+        registration.server = { "a" };
+        registration.coldFor = coldFor;
+        registration.isDraining = isDraining;
+        return StoreEntry { "servers/a", ServerEntry { registration }, "a" };
+    };
+    WatcherFixture fixture;
+    fixture.setRole(StoreRole::Publisher);
+    fixture.wait(0ms);
+    fixture.store.read(StoreEntries { {}, { 10 } });
+    std::uint64_t revision = 10;
+    const auto sharedEntries = [&](const StoreEntry &entry) {
+        fixture.wait(1200ms);
+        fixture.store.watch(StoreEntries { { entry }, { ++revision } });
+        REQUIRE(fixture.shared.back().revision == Revision { revision });
+        return fixture.shared.back().entries.size();
+    };
+    CHECK(sharedEntries(cold(3000ms)) == 1);
+    CHECK(sharedEntries(cold(1800ms)) == 0);
+    CHECK(sharedEntries(cold(600ms)) == 0);
+    CHECK(sharedEntries(cold(0ms)) == 0);
+    CHECK(sharedEntries(cold(3000ms)) == 1);
+    CHECK(sharedEntries(cold(1800ms, true)) == 1);
+    fixture.wait(1200ms);
+    fixture.store.watch(
+            StoreEntries { { { "servers/a", AbsentServer { { "a" }, {} }, "gone" } }, { 99 } });
+    CHECK(fixture.shared.back().entries.size() == 1);
+    revision = 99;
+    CHECK(sharedEntries(cold(0ms)) == 1);
+}
+
 // Guards against a failure domain in which no host watches the store, or all of them do.
 TEST_CASE("hosts with the same host list elect the same publisher", "[gateway]")
 {
@@ -431,6 +468,33 @@
 }
 
 // Guards against a host that stays unannounced after its lease ended while it was paused.
+// Load pattern: a third of the hosts was cut off and reads all changes since then, while the hosts
+// with wide links are not listed (node_cut "meet" with reshard). Guards against each of them
+// sending 180 KB to 41 others over 20 Mbit/s, behind which requests waited for a second.
+TEST_CASE("changes that would occupy a narrow link are not sent to other hosts", "[gateway][load]")
+{
+    std::vector<HostEntry> hosts;
+    for (std::size_t i = 0; i < 42; ++i)
+        hosts.push_back({ { "h" + std::to_string(i) }, { "ikoyi" }, {}, 20 });
+    StoreRoleElection narrow(hosts.front());
+    narrow.update(hosts);
+    CHECK(narrow.recipientsOf(180'000).empty());
+    CHECK(narrow.recipientsOf(0).size() == 41);
+    // Three registrations.
+    CHECK(narrow.recipientsOf(1500).size() == 41);
+    // The time on the link stays below the time that a hedge waits for a late server.
+    constexpr double kLinkBitsPerSecond = 20e6;
+    for (std::size_t bytes = 0; bytes < 400'000; bytes += 1000) {
+        const double bits = 8.0 * static_cast<double>(bytes * narrow.recipientsOf(bytes).size());
+        REQUIRE(bits / kLinkBitsPerSecond <= 0.1);
+    }
+    for (HostEntry &host : hosts)
+        host.linkMbps = 0;
+    StoreRoleElection unknown(hosts.front());
+    unknown.update(hosts);
+    CHECK(unknown.recipientsOf(180'000).size() == 41);
+}
+
 TEST_CASE("a host whose lease ended is announced again", "[gateway]")
 {
     FakeStore store;
