Answer requests that the kernel holds when a stopping host closes its listener

Cause: at the end of a planned stop the listener was closed with connections that the kernel had accepted, and idle connections with requests that were not read yet; both were reset without an answer.

Change: pending connections are accepted before the listener is closed; idle connections are closed only after completed reads were handled and if the kernel holds no bytes of them. Both cases of the new test failed on the former code.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/leaf/error.hpp>
 
 #include <vector>
@@ -77,15 +78,32 @@
             });
             return;
         }
-        configureSocket(socket);
-        const std::uint64_t id = ++m_lastConnectionId;
-        auto connection = std::make_shared<HttpServerConnection>(id, std::move(socket), *this);
-        m_connections.emplace(id, connection);
-        connection->start();
+        addConnection(std::move(socket));
         accept();
     });
 }
 
+void HttpServer::addConnection(tcp::socket socket)
+{
+    configureSocket(socket);
+    const std::uint64_t id = ++m_lastConnectionId;
+    auto connection = std::make_shared<HttpServerConnection>(id, std::move(socket), *this);
+    m_connections.emplace(id, connection);
+    connection->start();
+}
+
+void HttpServer::acceptPending()
+{
+    error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (!error)
+            addConnection(std::move(socket));
+    }
+}
+
 void HttpServer::scheduleTimeoutCheck()
 {
     m_timeoutTimer.expires_after(kTimeoutCheckInterval);
@@ -124,7 +142,19 @@
 void HttpServer::closeListenerAndIdleConnections()
 {
     error_code ignored; // Nothing can be done about a failed close.
+    if (m_acceptor.is_open())
+        acceptPending();
     m_acceptor.close(ignored);
+    // Reads that have completed are handled before a posted function; their connections are not
+    // idle.
+    asio::post(m_context, [this, alive = std::weak_ptr<const bool>(m_alive)] {
+        if (alive.lock())
+            closeIdleConnections();
+    });
+}
+
+void HttpServer::closeIdleConnections()
+{
     std::vector<std::shared_ptr<HttpServerConnection>> idle;
     for (const auto &[id, connection] : m_connections) {
         if (connection->isIdle())
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -91,7 +91,11 @@
     }
     /** True if connections are closed after their next response. */
     bool closesAfterResponse() const { return m_closesAfterResponse; }
-    /** Closes the listening socket and all connections without a request in progress. */
+    /**
+     * Closes the listening socket at once, and then all connections without a request in progress.
+     * Connections that the kernel has accepted, and those with bytes that were not handled yet, are
+     * kept.
+     */
     void closeListenerAndIdleConnections();
     /** Number of open connections. */
     std::size_t connections() const { return m_connections.size(); }
@@ -102,6 +106,10 @@
     friend class HttpServerConnection;
 
     void accept();
+    /** Accepts the connections that wait in the kernel; closing the listener would reset them. */
+    void acceptPending();
+    void addConnection(boost::asio::ip::tcp::socket socket);
+    void closeIdleConnections();
     void scheduleTimeoutCheck();
     ExchangeId beginExchange(const std::shared_ptr<HttpServerConnection> &connection);
     void remove(std::uint64_t connection);
@@ -117,6 +125,8 @@
     std::uint64_t m_lastConnectionId = 0;
     std::uint64_t m_lastExchangeId = 0;
     bool m_closesAfterResponse = false;
+    /** Expires with the server; posted functions check it. */
+    std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
 };
 
 } // namespace greengagestair
--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -187,6 +187,11 @@
     m_stream->setReading(true);
 }
 
+bool HttpServerConnection::isIdle() const
+{
+    return !m_exchange && m_unparsed.empty() && !m_stream->hasUnreadBytes();
+}
+
 void HttpServerConnection::onEnd()
 {
     close();
--- a/src/http/HttpServerConnection.h
+++ b/src/http/HttpServerConnection.h
@@ -28,10 +28,11 @@
     /** Writes the response to the request in progress, then continues with the next request. */
     void reply(const HttpServerResponse &response);
     /**
-     * True if no request is in progress and all received bytes were parsed. Also true while a
-     * request is incomplete, if all of its bytes so far were parsed.
+     * True if no request is in progress, all received bytes were parsed and the kernel holds no
+     * further ones. Also true while a request is incomplete, if all of its bytes so far were
+     * parsed.
      */
-    bool isIdle() const { return !m_exchange && m_unparsed.empty(); }
+    bool isIdle() const;
     /** Closes the connection at once. A request in progress is reported as disconnected. */
     void close();
     /**
--- a/src/http/TcpStream.cpp
+++ b/src/http/TcpStream.cpp
@@ -62,6 +62,12 @@
     read();
 }
 
+bool TcpStream::hasUnreadBytes() const
+{
+    error_code error;
+    return m_socket.available(error) > 0 && !error;
+}
+
 bool TcpStream::write(std::string bytes)
 {
     if (!m_socket.is_open())
--- a/src/http/TcpStream.h
+++ b/src/http/TcpStream.h
@@ -47,6 +47,8 @@
     bool write(std::string bytes);
     /** Pauses or continues reading. */
     void setReading(bool isEnabled);
+    /** True if bytes or the end of the stream were received, but not read yet. */
+    bool hasUnreadBytes() const;
     /** True if buffered bytes are not sent yet. */
     bool hasUnsentBytes() const { return !m_unsent.empty(); }
     /** Shuts down the sending side once all buffered bytes are sent; reading continues. */
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -228,6 +228,36 @@
     fixture.awaitRequests(1);
 }
 
+// Guards against requests that are cut off because they arrive in the same instant as the stop: on
+// a connection that the process has not accepted yet, or on one whose bytes it has not read yet.
+TEST_CASE("requests that the kernel holds when the listener closes are answered", "[http]")
+{
+    ServerFixture fixture;
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    const auto kept = fixture.connect();
+    runUntil(fixture.context, [&] { return fixture.server.connections() == 1; });
+    SECTION("the connection was not accepted")
+    {
+        const auto pending = fixture.connect();
+        pending->write(request);
+        fixture.server.setCloseAfterResponse(true);
+        fixture.server.closeListenerAndIdleConnections();
+        fixture.awaitRequests(1);
+        fixture.reply(0, "whole");
+        fixture.awaitBytes(*pending, "whole");
+    }
+    SECTION("the bytes were not read")
+    {
+        kept->write(request);
+        fixture.server.setCloseAfterResponse(true);
+        fixture.server.closeListenerAndIdleConnections();
+        fixture.awaitRequests(1);
+        fixture.reply(0, "whole");
+        fixture.awaitBytes(*kept, "whole");
+    }
+    runUntil(fixture.context, [&] { return fixture.server.connections() <= 1; });
+}
+
 // Guards against callers that send bytes without end inside a body that itself stays short.
 TEST_CASE("a chunked body without end is rejected at a bound", "[http]")
 {
