Leave the slack of the limit on repeats to hedges, and weigh other servers less

A response time that kept its weight for 3.5 s kept hosts from servers that had only paused.

Changes: the reserve for retries is taken from the ratio alone; response times keep their weight for 2 s again; a server that a host does not prefer costs 8 ms instead of 12.

--- a/src/gateway/BackendLoad.cpp
+++ b/src/gateway/BackendLoad.cpp
@@ -15,7 +15,7 @@
  */
 static constexpr int kMaxSampleFactor = 3;
 /** Time in which an average without new samples moves half-way to the fallback. */
-static constexpr std::chrono::duration<double> kAverageHalfLife(3.5);
+static constexpr std::chrono::duration<double> kAverageHalfLife(2.0);
 /** Expected extra time per recent failure. */
 static constexpr Duration kFailurePenalty = std::chrono::milliseconds(60);
 /** Half-life of the weight of a failure. */
--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -10,7 +10,7 @@
 /** A new connection takes one round trip, and some milliseconds of a slot on the server. */
 static constexpr Duration kConnectPenalty = std::chrono::milliseconds(7);
 /** A server that this host does not prefer usually needs a new connection, and keeps it briefly. */
-static constexpr Duration kNotPreferredPenalty = std::chrono::milliseconds(12);
+static constexpr Duration kNotPreferredPenalty = std::chrono::milliseconds(8);
 /** A cold server is chosen only if the others are expected to be slower by this time. */
 static constexpr Duration kColdPenalty = std::chrono::milliseconds(15);
 /** Penalty for a server whose registration has disappeared, since it has probably stopped. */
--- a/src/gateway/RepeatBudget.cpp
+++ b/src/gateway/RepeatBudget.cpp
@@ -8,8 +8,11 @@
  */
 static constexpr double kUsableRatioShare = 0.9;
 
-/** Share of the limit that hedges may use. */
-static constexpr double kHedgeLimitShare = 0.75;
+/**
+ * Share of the ratio that hedges may use. The slack is not reduced: a host with few requests has
+ * little else.
+ */
+static constexpr double kHedgeRatioShare = 0.75;
 
 RepeatBudget::RepeatBudget(const RepeatLimits &limits)
     : m_limits(limits)
@@ -48,10 +51,10 @@
 
 bool RepeatBudget::takeHedge(MonotonicTime now)
 {
-    return take(now, kHedgeLimitShare);
+    return take(now, kHedgeRatioShare);
 }
 
-bool RepeatBudget::take(MonotonicTime now, double limitShare)
+bool RepeatBudget::take(MonotonicTime now, double ratioShare)
 {
     Slot &current = currentSlot(now);
     double requests = 0;
@@ -66,8 +69,8 @@
         if (age < static_cast<std::int64_t>(kSlots))
             requests += slot.requests;
     }
-    const double limit = requests * m_limits.ratio * kUsableRatioShare + m_limits.slack;
-    if (repeats + 1 > limit * limitShare)
+    const double ratio = m_limits.ratio * kUsableRatioShare * ratioShare;
+    if (repeats + 1 > requests * ratio + m_limits.slack)
         return false;
     ++current.repeats;
     return true;
--- a/src/gateway/RepeatBudget.h
+++ b/src/gateway/RepeatBudget.h
@@ -39,7 +39,7 @@
     bool takeHedge(MonotonicTime now);
 
 private:
-    bool take(MonotonicTime now, double limitShare);
+    bool take(MonotonicTime now, double ratioShare);
 
     struct Slot
     {
--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -15,6 +15,8 @@
 static constexpr Duration kSlowerAttemptLinger = std::chrono::milliseconds(1500);
 /** A part answered within the latency target divided by this is not hedged. */
 static constexpr int kMinHedgeDelayDivisor = 4;
+/** Typical part times left for a hedge before the latency target; it often opens a connection. */
+static constexpr int kHedgeTimeFactor = 2;
 /** Maximum number of attempts of one part that may fail before any byte is sent. */
 static constexpr std::size_t kMaxUnsentAttempts = 3;
 /** Interval at which waiting parts are tried again, as the limit on repeats grows with time. */
@@ -174,7 +176,8 @@
     // passed.
     const Duration usualDelay = std::max(partTimesOf(route).hedgeDelay(minDelay / 3), minDelay);
     // While many servers are slow, a second attempt after the usual delay would come too late.
-    const Duration maxDelay = route.latencyTarget - kCallerRoundTrip - 2 * typicalTime(route);
+    const Duration maxDelay =
+            route.latencyTarget - kCallerRoundTrip - kHedgeTimeFactor * typicalTime(route);
     return std::min(usualDelay, std::max(maxDelay, minDelay));
 }
 
