--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -4,8 +4,6 @@
 
 namespace greengagestair {
 
-/** Part of the caller's waiting time that this host cannot measure: round trip and queueing. */
-static constexpr Duration kCallerRoundTrip = std::chrono::milliseconds(14);
 /**
  * A request of which nothing was sent within the latency target divided by this is given up, so
  * that its caller can go to another host in time.
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -9,8 +9,6 @@
 
 /** Time that the answer needs to reach the caller before its deadline. */
 static constexpr Duration kReplyMargin = std::chrono::milliseconds(8);
-/** Part of the caller's waiting time that this host cannot measure: round trip and queueing. */
-static constexpr Duration kCallerRoundTrip = std::chrono::milliseconds(14);
 /** Backend servers may continue a request for this time after its caller has disconnected. */
 static constexpr Duration kDisconnectLinger = std::chrono::milliseconds(250);
 /**
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -66,6 +66,12 @@
     const CounterSet &counters() const { return m_counters; }
 
 private:
+    /**
+     * Part of the caller's waiting time that this host cannot measure: a new connection, the round
+     * trip and queueing.
+     */
+    static constexpr Duration kCallerRoundTrip = std::chrono::milliseconds(14);
+
     /** What happens when a timer fires. */
     enum class TimerKind {
         Deadline,      ///< the request has to be answered
--- a/tests/http/BackendConnectionPoolTest.cpp
+++ b/tests/http/BackendConnectionPoolTest.cpp
@@ -350,22 +350,8 @@
                          const std::string &pattern, std::size_t limit)
 {
     fixture.respond(attempt, beginning, fixture.server.peers.size() - 1);
-    const auto peer = fixture.server.peers.back();
-    std::string block;
-    while (block.size() < 65'536)
-        block += pattern;
-    std::size_t written = 0;
-    std::size_t offset = 0;
-    const auto end = std::chrono::steady_clock::now() + 20s;
-    while (!fixture.ended.contains(attempt) && written < limit
-           && std::chrono::steady_clock::now() < end) {
-        const std::size_t taken = peer->writeSome(block.substr(offset));
-        offset = (offset + taken) % block.size();
-        written += taken;
-        fixture.context.restart();
-        fixture.context.poll();
-    }
-    return written;
+    return writeWithoutEnd(fixture.context, *fixture.server.peers.back(), pattern, limit,
+                           [&] { return fixture.ended.contains(attempt); });
 }
 
 // Guards against a server in trouble that sends bytes without end, which would fill the memory of
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -285,21 +285,10 @@
         peer->write(head);
         pattern = "4\r\nabcd\r\n";
     }
-    std::string block;
-    while (block.size() < 65'536)
-        block += pattern;
-    std::size_t written = 0;
-    std::size_t offset = 0;
     constexpr std::size_t kBound = 12'000'000; // the body limit and what the kernel holds
-    const auto end = std::chrono::steady_clock::now() + 20s;
-    while (fixture.handler.badRequests.empty() && written < kBound
-           && std::chrono::steady_clock::now() < end) {
-        const std::size_t taken = peer->writeSome(block.substr(offset));
-        offset = (offset + taken) % block.size();
-        written += taken;
-        fixture.context.restart();
-        fixture.context.poll();
-    }
+    const std::size_t written = writeWithoutEnd(fixture.context, *peer, pattern, kBound, [&] {
+        return !fixture.handler.badRequests.empty();
+    });
     CHECK(written < kBound);
     REQUIRE(fixture.handler.badRequests.size() == 1);
     CHECK(fixture.handler.requests.empty());
--- a/tests/http/RawPeers.h
+++ b/tests/http/RawPeers.h
@@ -78,6 +78,31 @@
     std::array<char, 4096> m_buffer {};
 };
 
+/**
+ * Writes `pattern` again and again, running the event loop in between, until `isDone` or `limit`
+ * bytes; returns the number of bytes taken. Ends after 20 seconds.
+ */
+inline std::size_t writeWithoutEnd(boost::asio::io_context &context, RawPeer &peer,
+                                   const std::string &pattern, std::size_t limit,
+                                   const std::function<bool()> &isDone)
+{
+    constexpr std::size_t kBlockBytes = 65'536;
+    std::string block;
+    while (block.size() < kBlockBytes)
+        block += pattern;
+    std::size_t written = 0;
+    std::size_t offset = 0;
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!isDone() && written < limit && std::chrono::steady_clock::now() < end) {
+        const std::size_t taken = peer.writeSome(block.substr(offset));
+        offset = (offset + taken) % block.size();
+        written += taken;
+        context.restart();
+        context.poll();
+    }
+    return written;
+}
+
 /** Listens on a free port of 127.0.0.1 and wraps each accepted connection in a RawPeer. */
 class RawServer
 {
