--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -60,8 +60,15 @@
     }
     const auto backend =
             m_selector.choose(*part.service, typical, filterFor(exchange, part), m_now);
-    if (!backend || (isRepeat && !budgetOf(part.service->name).takeRepeat(m_now)))
-        return mayWait ? SendResult::Wait : SendResult::Hopeless;
+    const SendResult blocked = mayWait ? SendResult::Wait : SendResult::Hopeless;
+    if (!backend)
+        return blocked;
+    if (isRepeat && !budgetOf(part.service->name).takeRepeat(m_now)) {
+        m_counters.add("retries_refused_total");
+        return blocked;
+    }
+    if (isRepeat)
+        m_counters.add("retries_sent_total");
     send(exchange, index, backend);
     return SendResult::Sent;
 }
@@ -245,8 +252,10 @@
         return isExpired ? load.addAbandoned(attempt, m_now) : load.addFailure(attempt, m_now);
     }
     m_reachability.addResponse(record.backend->registration.failureDomain);
-    if (answer->status == kMisdirectedRequest)
+    if (answer->status == kMisdirectedRequest) {
+        m_counters.add("attempts_misdirected_total");
         record.backend->misdirectedUntil = m_now + kMisdirectedPause;
+    }
     if (answer->notExecuted)
         load.addRefusal(attempt, m_now);
     else if (answer->status >= 500)
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -64,6 +64,8 @@
     std::size_t attempts() const { return m_attempts.size(); }
     /** Counters for the metrics. */
     const CounterSet &counters() const { return m_counters; }
+    /** This host's share of the limits on retries and hedges of each service. */
+    const RepeatLimits &repeatLimits() const { return m_repeatLimits; }
 
 private:
     /**
