--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -6,25 +6,14 @@
 
 /** A live server whose registration expired during an outage registers again within this time. */
 static constexpr Duration kReregistrationTime = std::chrono::milliseconds(2000);
-/** Minimum number of shares into which the joint slack for repeats is divided. */
-static constexpr double kMinSlackShares = 12;
-/** Shares per counted host; the excess is reserved for hosts that are not counted yet. */
-static constexpr double kSlackReserve = 1.25;
-
 /** Delay before a lower host count is used; longer than an outage of the store. */
 static constexpr Duration kLowerHostCountDelay = std::chrono::seconds(30);
 
-static RepeatLimits hostShareOf(RepeatLimits limits, const HostCount &hosts)
-{
-    limits.slack /= std::max(kMinSlackShares, static_cast<double>(hosts.all) * kSlackReserve);
-    return limits;
-}
-
 Gateway::Gateway(const GatewayOptions &options)
     : m_reachability(options.selector.failureDomain, m_directory)
     , m_selector(options.selector, m_directory, m_reachability)
     , m_warmer(m_directory, options.randomSeed)
-    , m_dispatcher(m_selector, m_reachability, hostShareOf(options.repeats, {}))
+    , m_dispatcher(m_selector, m_reachability, shareOfRepeats(options.repeats, 1))
     , m_jointRepeatLimits(options.repeats)
     , m_ownDomain(options.selector.failureDomain)
 {
@@ -209,7 +198,7 @@
     m_hostCount = hosts;
     m_selector.setHostCount(hosts);
     m_dispatcher.setHostCount(hosts.all);
-    m_dispatcher.setRepeatLimits(hostShareOf(m_jointRepeatLimits, hosts));
+    m_dispatcher.setRepeatLimits(shareOfRepeats(m_jointRepeatLimits, hosts.all));
     m_effects.push_back(LogRecord { LogPriority::State,
                                     "hostsCounted",
                                     { { "hosts", std::to_string(hosts.all) },
@@ -268,7 +257,7 @@
     m_reachability.setOwnDomain(m_ownDomain);
     m_selector.setOptions(event.options.selector);
     m_jointRepeatLimits = event.options.repeats;
-    m_dispatcher.setRepeatLimits(hostShareOf(m_jointRepeatLimits, m_hostCount));
+    m_dispatcher.setRepeatLimits(shareOfRepeats(m_jointRepeatLimits, m_hostCount.all));
 }
 
 void Gateway::on(const GatewayStopRequested & /*event*/)
--- a/src/gateway/RepeatBudget.cpp
+++ b/src/gateway/RepeatBudget.cpp
@@ -1,7 +1,20 @@
 #include "gateway/RepeatBudget.h"
 
+#include <algorithm>
+
 namespace greengagestair {
 
+/** Minimum number of shares into which the joint slack for repeats is divided. */
+static constexpr double kMinSlackShares = 12;
+/** Shares per counted host; the excess is reserved for hosts that are not counted yet. */
+static constexpr double kSlackReserve = 1.25;
+
+RepeatLimits shareOfRepeats(RepeatLimits joint, std::size_t hosts)
+{
+    joint.slack /= std::max(kMinSlackShares, static_cast<double>(hosts) * kSlackReserve);
+    return joint;
+}
+
 /**
  * Share of the ratio that is used. The rest covers repeats that no host counts against the requests
  * of the same window: those before a restart, and those of hosts whose callers have moved on.
--- a/src/gateway/RepeatBudget.h
+++ b/src/gateway/RepeatBudget.h
@@ -16,6 +16,9 @@
     double slack = 0; ///< repeats allowed in addition; in RepeatBudget, this host's share
 };
 
+/** This host's share of a joint limit, if `hosts` entry hosts are counted. */
+RepeatLimits shareOfRepeats(RepeatLimits joint, std::size_t hosts);
+
 /**
  * Limits the repeats (retries and hedges) of one service in a sliding window. Each host keeps its
  * repeats within the ratio of its own requests plus its share of the slack. The sum over all hosts
