Replace a server at once when another one registers at its address

What callers saw: nothing; parts of a query reached servers of another shard, which rejected them. At that shard each is an arrival beyond the first, and no host charges it to the limit on repeats there.

Cause: after a crash, a server's registration lasts for seconds, but its address may be given away after two. Class: arrivals that no host counts where they arrive.

Change: a registration that is written removes the other servers at its address, until they register again as another process. Reading all registrations again does not bring them back.

--- a/src/gateway/BackendDirectory.cpp
+++ b/src/gateway/BackendDirectory.cpp
@@ -6,6 +6,9 @@
 
 void BackendDirectory::put(const BackendRegistration &registration, MonotonicTime now)
 {
+    const auto displaced = m_displaced.find(registration.server);
+    if (displaced != m_displaced.end() && displaced->second == registration.startedAt)
+        return;
     const auto found = m_servers.find(registration.server);
     const bool isSameProcess = found != m_servers.end()
             && found->second->registration.startedAt == registration.startedAt
@@ -28,6 +31,26 @@
     m_byService[registration.service].push_back(backend);
 }
 
+std::vector<ServerId> BackendDirectory::displaceOthers(const BackendRegistration &registered)
+{
+    std::vector<ServerId> displaced;
+    for (const auto &[server, backend] : m_servers) {
+        if (server != registered.server && backend->registration.endpoint == registered.endpoint)
+            displaced.push_back(server);
+    }
+    for (const ServerId &server : displaced) {
+        m_displaced[server] = m_servers.at(server)->registration.startedAt;
+        remove(server);
+    }
+    return displaced;
+}
+
+void BackendDirectory::forgetDisplacedExcept(const std::set<ServerId> &listed)
+{
+    std::erase_if(m_displaced,
+                  [&](const auto &displaced) { return !listed.contains(displaced.first); });
+}
+
 void BackendDirectory::detach(const Backend &backend)
 {
     const auto service = m_byService.find(backend.registration.service);
--- a/src/gateway/BackendDirectory.h
+++ b/src/gateway/BackendDirectory.h
@@ -48,9 +48,19 @@
 public:
     /**
      * Adds or updates a server and cancels its removal. The observed load is kept unless the
-     * process, the service or the endpoint has changed.
+     * process, the service or the endpoint has changed. Does nothing if the server was displaced
+     * and its process is still the same.
      */
     void put(const BackendRegistration &registration, MonotonicTime now);
+    /**
+     * Removes the other servers at the address of a server that has just registered: they have
+     * ended, although their registrations have not expired yet. Returns the removed servers.
+     */
+    std::vector<ServerId> displaceOthers(const BackendRegistration &registered);
+    /** Allows put() to add a server again that displaceOthers() has removed. */
+    void forgetDisplaced(const ServerId &server) { m_displaced.erase(server); }
+    /** Calls forgetDisplaced() for all servers that are not in `listed`. */
+    void forgetDisplacedExcept(const std::set<ServerId> &listed);
     /** Removes a server immediately. */
     void remove(const ServerId &server);
     /** Schedules a server's removal; put() cancels it, and a removal scheduled before stays. */
@@ -88,6 +98,7 @@
 
     std::unordered_map<ServerId, std::shared_ptr<Backend>> m_servers;
     std::unordered_map<ServiceId, std::vector<std::shared_ptr<Backend>>> m_byService;
+    std::unordered_map<ServerId, std::uint64_t> m_displaced; ///< start of the removed process
     std::set<FailureDomainId> m_evacuated;
 };
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -99,10 +99,13 @@
     std::vector<ServerId> newServers;
     for (const BackendRegistration &registration : event.registrations) {
         listed.insert(registration.server);
-        if (!m_directory.find(registration.server) && isRouted(registration.service))
-            newServers.push_back(registration.server);
+        const bool wasKnown = m_directory.find(registration.server) != nullptr;
         m_directory.put(registration, m_now);
+        const bool isNew = !wasKnown && m_directory.find(registration.server);
+        if (isNew && isRouted(registration.service))
+            newServers.push_back(registration.server);
     }
+    m_directory.forgetDisplacedExcept(listed);
     warmUp(std::move(newServers));
     for (const ServerId &server : m_directory.absentFrom(listed))
         removeLater(server);
@@ -117,6 +120,8 @@
 {
     logRegistration(event.registration);
     const bool isNew = !m_directory.find(event.registration.server);
+    m_directory.forgetDisplaced(event.registration.server);
+    displaceOthers(event.registration);
     m_directory.put(event.registration, m_now);
     // A server without a route is warmed up, too: the configuration with its route may not have
     // been read yet.
@@ -125,6 +130,18 @@
     m_dispatcher.retryWaiting();
 }
 
+void Gateway::displaceOthers(const BackendRegistration &registered)
+{
+    for (const ServerId &server : m_directory.displaceOthers(registered)) {
+        m_effects.push_back(LogRecord { LogPriority::State,
+                                        "addressTakenOver",
+                                        { { "server", server.value },
+                                          { "by", registered.server.value },
+                                          { "address", registered.endpoint.address } } });
+        m_effects.push_back(CloseIdleConnections { server });
+    }
+}
+
 bool Gateway::isRouted(const ServiceId &service) const
 {
     if (!m_configuration)
@@ -166,6 +183,7 @@
 
 void Gateway::on(const RegistrationRemoved &event)
 {
+    m_directory.forgetDisplaced(event.server);
     removeLater(event.server);
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -76,6 +76,7 @@
     bool isRouted(const ServiceId &service) const;
     void warmUp(std::vector<ServerId> servers);
     void removeLater(const ServerId &server);
+    void displaceOthers(const BackendRegistration &registered);
     void logRegistration(const BackendRegistration &registration);
 
     BackendDirectory m_directory;
--- a/src/gateway/RepeatBudget.cpp
+++ b/src/gateway/RepeatBudget.cpp
@@ -57,8 +57,7 @@
         if (slot.index > newerThan)
             requests += slot.requests;
     }
-    const double savings =
-            m_limits.slack * kSavedSlackShare + ratio * kSavedRatioShare * requests;
+    const double savings = m_limits.slack * kSavedSlackShare + ratio * kSavedRatioShare * requests;
     // A host with few requests may save a whole repeat if it has earned one.
     return std::max(savings, std::min(ratio * kEarnedRatioShare * requests, 1.0));
 }
--- a/tests/gateway/JointLimitTest.cpp
+++ b/tests/gateway/JointLimitTest.cpp
@@ -1,3 +1,4 @@
+#include "GatewayFixture.h"
 #include "gateway/RepeatBudget.h"
 
 #include <catch2/catch.hpp>
@@ -231,3 +232,37 @@
         CHECK(outcome.lastUse >= 0.8);
     }
 }
+
+// Load pattern: servers crash for good and their addresses go to servers of another shard
+// (replace_with_reuse). Guards against parts of the former shard that arrive at the new server,
+// where they count against the joint limit of a service that no host charges. Without this, each
+// host of a fleet sends at least one part before it learns from status 421.
+TEST_CASE("a server that registers at the address of another one replaces it at once",
+          "[gateway][fleet]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const BackendRegistration former = GatewayFixture::registration("shard-0", "shubra");
+    BackendRegistration successor = GatewayFixture::registration("shard-1", "helwan");
+    successor.endpoint = former.endpoint;
+    successor.startedAt = 2;
+    fixture.send(RegistrationWritten { successor });
+    const auto sendsToFormer = [&] {
+        for (int i = 0; i < 10; ++i)
+            fixture.lookup();
+        const auto attempts = fixture.takeAttempts();
+        return std::any_of(attempts.begin(), attempts.end(),
+                           [&](const auto &attempt) { return attempt.server == former.server; });
+    };
+    CHECK_FALSE(sendsToFormer());
+    // The registration of the former server has not expired when all are read again.
+    fixture.send(RegistrationsRead { { former, successor,
+                                       GatewayFixture::registration("shard-0", "bulaq"),
+                                       GatewayFixture::registration("shard-1", "bulaq") } });
+    CHECK_FALSE(sendsToFormer());
+    // A server that registers again lives.
+    BackendRegistration restarted = former;
+    restarted.startedAt = 3;
+    fixture.send(RegistrationWritten { restarted });
+    CHECK(sendsToFormer());
+}
