Read and log the request limits that servers name

No log or metric could tell whether a server had named a limit. The header is decoded, the logs say when a limit begins, changes and ends, and servers_limited is a gauge. Nothing acts on it yet.

http_test "a server's request limit*" covers values that cannot be read.

--- a/src/gateway/BackendDirectory.h
+++ b/src/gateway/BackendDirectory.h
@@ -27,6 +27,14 @@
             0; ///< start of the server's process, milliseconds since the Unix epoch
 };
 
+/** What a backend server has said of itself, as far as this host knows from its own attempts. */
+struct ServerNeeds
+{
+    std::optional<double> requestLimit; ///< requests per second from all entry hosts together
+    MonotonicTime limitStatedAt;        ///< arrival of the last response that named the limit
+    bool hasInvalidStatement = false;   ///< a field could not be read; logged once
+};
+
 /** A registered backend server with the load and failures that this host has observed. */
 struct Backend
 {
@@ -35,6 +43,7 @@
     MonotonicTime misdirectedUntil;        ///< another server answers at the address before then
     std::optional<MonotonicTime> removeAt; ///< set once the registration has disappeared
     BackendLoad load;
+    ServerNeeds needs;
 };
 
 /**
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -316,6 +316,11 @@
     counters.push_back({ "requests_in_progress", m_dispatcher.exchanges() });
     counters.push_back({ "attempts_in_progress", m_dispatcher.attempts() });
     counters.push_back({ "entry_hosts", m_hostCount.all });
+    const auto &servers = m_directory.servers();
+    const auto limited = std::count_if(servers.begin(), servers.end(), [](const auto &server) {
+        return server.second->needs.requestLimit.has_value();
+    });
+    counters.push_back({ "servers_limited", static_cast<std::uint64_t>(limited) });
     const double slackMillis = m_dispatcher.repeatLimits().slack * 1000;
     counters.push_back({ "repeat_slack_millis", static_cast<std::uint64_t>(slackMillis) });
     return counters;
--- a/src/gateway/HttpMessage.h
+++ b/src/gateway/HttpMessage.h
@@ -35,6 +35,14 @@
     std::string body;
 };
 
+/** What a backend server says of itself in a response. */
+struct ServerStatement
+{
+    /** Requests per second that the server takes from all entry hosts together, while it is said */
+    std::optional<double> requestLimit;
+    std::string invalid; ///< a field that could not be read, with its value; empty if none
+};
+
 /** A complete response of a backend server. */
 struct BackendAnswer
 {
@@ -44,6 +52,7 @@
     std::string body;
     std::string signature;    ///< proves that the server ran the request; empty if absent
     bool notExecuted = false; ///< the server states that it did not run the request
+    ServerStatement statement;
 };
 
 /** Why an attempt ended without a complete response. */
--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -242,6 +242,36 @@
     part.openAttempts.clear();
 }
 
+void RequestDispatcher::recordStatement(const AttemptRecord &record,
+                                        const ServerStatement &statement)
+{
+    ServerNeeds &needs = record.backend->needs;
+    const std::string &server = record.backend->registration.server.value;
+    if (!statement.invalid.empty() && !std::exchange(needs.hasInvalidStatement, true))
+        m_effects->push_back(
+                LogRecord { LogPriority::State,
+                            "invalidStatement",
+                            { { "server", server }, { "field", statement.invalid } } });
+    if (statement.requestLimit) {
+        if (needs.requestLimit != statement.requestLimit)
+            m_effects->push_back(
+                    LogRecord { LogPriority::State,
+                                "serverLimit",
+                                { { "server", server },
+                                  { "perSecond", std::to_string(*statement.requestLimit) },
+                                  { "attemptMicros", microsSince(record.startedAt) } } });
+        needs.requestLimit = statement.requestLimit;
+        needs.limitStatedAt = m_now;
+        return;
+    }
+    // A response to an earlier attempt may have been sent before the limit was named.
+    if (!needs.requestLimit || record.startedAt < needs.limitStatedAt)
+        return;
+    needs.requestLimit.reset();
+    m_effects->push_back(
+            LogRecord { LogPriority::State, "serverLimitEnded", { { "server", server } } });
+}
+
 void RequestDispatcher::recordLoad(const AttemptRecord &record, AttemptId attempt,
                                    const AttemptResult &result)
 {
@@ -252,6 +282,7 @@
         return isExpired ? load.addAbandoned(attempt, m_now) : load.addFailure(attempt, m_now);
     }
     m_reachability.addResponse(record.backend->registration.failureDomain);
+    recordStatement(record, answer->statement);
     if (answer->status == kMisdirectedRequest) {
         m_counters.add("attempts_misdirected_total");
         record.backend->misdirectedUntil = m_now + kMisdirectedPause;
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -136,6 +136,8 @@
     /** Sends, queues or settles a part after a failure, unless another attempt is in progress. */
     void retryOrSettle(Exchange &exchange, std::size_t index);
     void onRefusal(Exchange &exchange, std::size_t index, const ServerId &server);
+    /** Updates what is known of the server's needs by what it says in a response. */
+    void recordStatement(const AttemptRecord &record, const ServerStatement &statement);
     void recordLoad(const AttemptRecord &record, AttemptId attempt, const AttemptResult &result);
     void onAnswer(Exchange &exchange, std::size_t index, const AttemptRecord &record,
                   BackendAnswer answer);
--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -1,6 +1,7 @@
 #include "http/BackendConnection.h"
 
 #include "http/HttpFields.h"
+#include "http/ServerStatementReader.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -276,6 +277,7 @@
     Headers headers;
     for (const auto &field : message)
         headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    answer.statement = readServerStatement(headers, names);
     answer.headers = endToEndFields(headers);
     answer.body = std::move(message.body());
     return answer;
--- a/src/http/HeaderNames.h
+++ b/src/http/HeaderNames.h
@@ -15,6 +15,7 @@
     std::string expectedServer; ///< id of the only server that may run the request
     std::string signature;      ///< proof by a backend server that it processed the request
     std::string notExecuted;    ///< present if the server did not run the request
+    std::string requestLimit;   ///< requests per second that a server takes from all hosts
     std::string partSignatures; ///< signatures of the parts that a merged answer includes
     std::string missingParts;   ///< number of parts that are missing from a merged answer
 };
--- a/tests/http/BackendConnectionPoolTest.cpp
+++ b/tests/http/BackendConnectionPoolTest.cpp
@@ -34,6 +34,7 @@
         names.expectedServer = "Expected-Server";
         names.signature = "Signature";
         names.notExecuted = "Not-Executed";
+        names.requestLimit = "Request-Limit";
         return names;
     }
 
@@ -444,3 +445,33 @@
     fixture.respond(99, response(99, "short"), kResponses);
     CHECK(fixture.answer(99).body == "short");
 }
+
+// Guards against a limit that is misread, so that a server gets far more or far fewer requests than
+// it bears.
+TEST_CASE("a server's request limit is read from its responses", "[http]")
+{
+    PoolFixture fixture;
+    std::uint64_t attempt = 0;
+    const auto statementOf = [&](const std::string &fields) {
+        fixture.start(++attempt);
+        fixture.respond(attempt, "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 0\r\n\r\n");
+        return fixture.answer(attempt).statement;
+    };
+    CHECK_FALSE(statementOf("").requestLimit);
+    CHECK(statementOf("request-limit: 26.5\r\n").requestLimit == 26.5);
+    CHECK(statementOf("Request-Limit: 0\r\n").requestLimit == 0);
+    for (const char *invalid :
+         { "-1", "nan", "inf", "1e3", "26.5 a second", "", "1e400", "99999999" }) {
+        const ServerStatement statement =
+                statementOf("Request-Limit: " + std::string(invalid) + "\r\n");
+        CHECK_FALSE(statement.requestLimit);
+        CHECK(statement.invalid == "Request-Limit: " + std::string(invalid));
+    }
+    CHECK_FALSE(statementOf("Request-Limit: 5\r\nRequest-Limit: 6\r\n").requestLimit);
+    // An interim response is no statement.
+    fixture.start(++attempt);
+    fixture.respond(attempt,
+                    "HTTP/1.1 100 Continue\r\nRequest-Limit: 5\r\n\r\n"
+                    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    CHECK_FALSE(fixture.answer(attempt).statement.requestLimit);
+}
