Issue permits for requests to servers that name a limit

Cause: the limit that a server names was not read. Class: a joint limit that no host keeps for all. Dividing it by the hosts, as other joint limits are, would leave it unused where load is uneven: at 295 hosts and 16 requests a second, each had less than one request in 18 s.

Change: one host, elected for each server by rendezvous hashing, issues permits at 0.95 of the limit; the others ask it when they have requests for the server. A permit expires after 0.5 s. A host that takes over waits for 2 s. A tenth of the limit is divided among all hosts for those that get no answer. The newest statement travels with the permits, so that hosts with few requests learn that a limit has ended.

--- a/include/greengagestair/Messages.h
+++ b/include/greengagestair/Messages.h
@@ -182,6 +182,44 @@
     bool operator==(const UnreachableDomain &) const = default;
 };
 
+/** What a host knows of a backend server's request limit from the server's own responses. */
+struct LimitStatement
+{
+    bool isLimited = false; ///< false if the server has named no limit, or names it no more
+    double perSecond = 0;   ///< requests per second from all entry hosts together
+    Duration age {};        ///< time since the response that says so
+
+    bool operator==(const LimitStatement &) const = default;
+};
+
+/**
+ * Asks the host that issues the permits of a backend server with a request limit for some of them,
+ * or only tells it that the limit has ended.
+ */
+struct PermitRequest
+{
+    std::uint64_t id = 0; ///< returned in the answer
+    ServerId server;
+    std::uint64_t serverStartedAt = 0; ///< start of its process, milliseconds since the Unix epoch
+    std::uint32_t permits = 0;         ///< permits that the sender can use soon
+    LimitStatement statement;          ///< as far as the sender knows
+
+    bool operator==(const PermitRequest &) const = default;
+};
+
+/** Answer to a PermitRequest. A permit allows one request to the server and expires soon. */
+struct PermitGrant
+{
+    std::uint64_t id = 0;
+    ServerId server;
+    std::uint64_t serverStartedAt = 0;
+    std::uint32_t permits = 0;
+    Duration pause {};        ///< time until more permits can be had, if none was granted
+    LimitStatement statement; ///< the newest one that reached the issuing host
+
+    bool operator==(const PermitGrant &) const = default;
+};
+
 /** Changes of the platform's key-value store that one gateway has read and passes on to others. */
 struct StoreChanges
 {
@@ -195,7 +233,7 @@
 /** Any message between two entry hosts or two gateways. */
 using PeerMessage = std::variant<Heartbeat, HeartbeatAck, JoinRequest, DocumentRequest,
                                  DocumentPush, PartRequest, PartCancel, PartAnswer, SignatureLoss,
-                                 StoreChanges, UnreachableDomain>;
+                                 StoreChanges, UnreachableDomain, PermitRequest, PermitGrant>;
 
 /** A message between processes together with its sender. */
 struct PeerEnvelope
--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -159,6 +159,10 @@
         enqueue(ServerLossReported { envelope.sender, *loss });
     else if (const auto *doubt = std::get_if<UnreachableDomain>(&envelope.message))
         enqueue(UnreachableDomainReported { doubt->failureDomain });
+    else if (const auto *request = std::get_if<PermitRequest>(&envelope.message))
+        enqueue(PermitsRequested { envelope.sender, *request });
+    else if (const auto *grant = std::get_if<PermitGrant>(&envelope.message))
+        enqueue(PermitsGranted { *grant });
 }
 
 void GatewayServer::share(const StoreChanges &changes)
@@ -187,6 +191,11 @@
         m_peers->send(host.host, host.peer, UnreachableDomain { effect.failureDomain });
 }
 
+void GatewayServer::applyEffect(const SendToHost &effect)
+{
+    m_peers->send(effect.host, effect.endpoint, effect.message);
+}
+
 void GatewayServer::updateLimits()
 {
     if (const RoutingConfiguration *configuration = m_gateway.configuration())
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -58,6 +58,7 @@
     void applyEffect(const ReportServerLoss &effect);
     void applyEffect(const OpenConnection &effect);
     void applyEffect(const ReportUnreachableDomain &effect);
+    void applyEffect(const SendToHost &effect);
     void applyEffect(const LogRecord &effect);
     void log(const LogRecord &decision);
     void updateLimits();
--- a/src/app/TraceJson.cpp
+++ b/src/app/TraceJson.cpp
@@ -152,6 +152,7 @@
 // The decoders return false if the JSON has another form than the encoders give.
 static bool fromJson(const json::value &value, std::string &text);
 static bool fromJson(const json::value &value, bool &flag);
+static bool fromJson(const json::value &value, double &number);
 template <typename Integer>
 requires std::is_integral_v<Integer>
 static bool fromJson(const json::value &value, Integer &number);
@@ -188,6 +189,13 @@
     return true;
 }
 
+static bool fromJson(const json::value &value, double &number)
+{
+    json::error_code error;
+    number = value.to_number<double>(error);
+    return !error;
+}
+
 template <typename Integer>
 requires std::is_integral_v<Integer>
 static bool fromJson(const json::value &value, Integer &number)
--- a/src/codec/FrameCodec.cpp
+++ b/src/codec/FrameCodec.cpp
@@ -5,6 +5,7 @@
 #include <boost/leaf/error.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -132,6 +133,31 @@
     return wire::CreateUnreachableDomain(builder, failureDomain).Union();
 }
 
+static Offset<wire::LimitStatement> writeStatement(FlatBufferBuilder &builder,
+                                                   const LimitStatement &statement)
+{
+    return wire::CreateLimitStatement(builder, statement.isLimited, statement.perSecond,
+                                      statement.age.count());
+}
+
+static Offset<void> writePayload(FlatBufferBuilder &builder, const PermitRequest &message)
+{
+    const auto server = writeString(builder, message.server);
+    const auto statement = writeStatement(builder, message.statement);
+    return wire::CreatePermitRequest(builder, message.id, server, message.serverStartedAt,
+                                     message.permits, statement)
+            .Union();
+}
+
+static Offset<void> writePayload(FlatBufferBuilder &builder, const PermitGrant &message)
+{
+    const auto server = writeString(builder, message.server);
+    const auto statement = writeStatement(builder, message.statement);
+    return wire::CreatePermitGrant(builder, message.id, server, message.serverStartedAt,
+                                   message.permits, message.pause.count(), statement)
+            .Union();
+}
+
 static Offset<void> writePayload(FlatBufferBuilder &builder, const SignatureLoss &message)
 {
     const auto server = writeString(builder, message.server);
@@ -379,6 +405,31 @@
     return UnreachableDomain { reader.name<FailureDomainId>(wire.failure_domain()) };
 }
 
+/** Reads a statement; a rate that is no finite number of requests counts as no statement. */
+static LimitStatement readStatement(FieldReader &reader, const wire::LimitStatement *wire)
+{
+    if (!wire || !std::isfinite(wire->per_second()) || wire->per_second() < 0)
+        return {};
+    return { wire->limited(), wire->per_second(), reader.duration(wire->age()) };
+}
+
+static PeerMessage readPayload(FieldReader &reader, const wire::PermitRequest &wire)
+{
+    return PermitRequest { wire.id(), reader.name<ServerId>(wire.server()),
+                           wire.server_started_at(), wire.permits(),
+                           readStatement(reader, wire.statement()) };
+}
+
+static PeerMessage readPayload(FieldReader &reader, const wire::PermitGrant &wire)
+{
+    return PermitGrant { wire.id(),
+                         reader.name<ServerId>(wire.server()),
+                         wire.server_started_at(),
+                         wire.permits(),
+                         reader.duration(wire.pause()),
+                         readStatement(reader, wire.statement()) };
+}
+
 static PeerMessage readPayload(FieldReader &reader, const wire::SignatureLoss &wire)
 {
     return SignatureLoss { Signature { wire.signature() }, reader.name<ServerId>(wire.server()) };
@@ -433,6 +484,10 @@
         return readIfPresent(reader, envelope.payload_as_StoreChanges());
     case wire::Payload::UnreachableDomain:
         return readIfPresent(reader, envelope.payload_as_UnreachableDomain());
+    case wire::Payload::PermitRequest:
+        return readIfPresent(reader, envelope.payload_as_PermitRequest());
+    case wire::Payload::PermitGrant:
+        return readIfPresent(reader, envelope.payload_as_PermitGrant());
     case wire::Payload::PartCancel:
         return readIfPresent(reader, envelope.payload_as_PartCancel());
     case wire::Payload::PartAnswer:
--- a/src/codec/Peer_generated.h
+++ b/src/codec/Peer_generated.h
@@ -55,6 +55,15 @@
 struct UnreachableDomain;
 struct UnreachableDomainBuilder;
 
+struct LimitStatement;
+struct LimitStatementBuilder;
+
+struct PermitRequest;
+struct PermitRequestBuilder;
+
+struct PermitGrant;
+struct PermitGrantBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -245,11 +254,13 @@
   SignatureLoss = 9,
   StoreChanges = 10,
   UnreachableDomain = 11,
+  PermitRequest = 12,
+  PermitGrant = 13,
   MIN = NONE,
-  MAX = UnreachableDomain
+  MAX = PermitGrant
 };
 
-inline const Payload (&EnumValuesPayload())[12] {
+inline const Payload (&EnumValuesPayload())[14] {
   static const Payload values[] = {
     Payload::NONE,
     Payload::Heartbeat,
@@ -262,13 +273,15 @@
     Payload::PartAnswer,
     Payload::SignatureLoss,
     Payload::StoreChanges,
-    Payload::UnreachableDomain
+    Payload::UnreachableDomain,
+    Payload::PermitRequest,
+    Payload::PermitGrant
   };
   return values;
 }
 
 inline const char * const *EnumNamesPayload() {
-  static const char * const names[13] = {
+  static const char * const names[15] = {
     "NONE",
     "Heartbeat",
     "HeartbeatAck",
@@ -281,13 +294,15 @@
     "SignatureLoss",
     "StoreChanges",
     "UnreachableDomain",
+    "PermitRequest",
+    "PermitGrant",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePayload(Payload e) {
-  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::UnreachableDomain)) return "";
+  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::PermitGrant)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPayload()[index];
 }
@@ -340,6 +355,14 @@
   static const Payload enum_value = Payload::UnreachableDomain;
 };
 
+template<> struct PayloadTraits<greengagestair::wire::PermitRequest> {
+  static const Payload enum_value = Payload::PermitRequest;
+};
+
+template<> struct PayloadTraits<greengagestair::wire::PermitGrant> {
+  static const Payload enum_value = Payload::PermitGrant;
+};
+
 bool VerifyPayload(flatbuffers::Verifier &verifier, const void *obj, Payload type);
 bool VerifyPayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Payload> *types);
 
@@ -1474,6 +1497,279 @@
       failure_domain__);
 }
 
+struct LimitStatement FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LimitStatementBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LIMITED = 4,
+    VT_PER_SECOND = 6,
+    VT_AGE = 8
+  };
+  bool limited() const {
+    return GetField<uint8_t>(VT_LIMITED, 0) != 0;
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  int64_t age() const {
+    return GetField<int64_t>(VT_AGE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_LIMITED, 1) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct LimitStatementBuilder {
+  typedef LimitStatement Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_limited(bool limited) {
+    fbb_.AddElement<uint8_t>(LimitStatement::VT_LIMITED, static_cast<uint8_t>(limited), 0);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(LimitStatement::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_age(int64_t age) {
+    fbb_.AddElement<int64_t>(LimitStatement::VT_AGE, age, 0);
+  }
+  explicit LimitStatementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LimitStatement> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LimitStatement>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LimitStatement> CreateLimitStatement(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool limited = false,
+    double per_second = 0.0,
+    int64_t age = 0) {
+  LimitStatementBuilder builder_(_fbb);
+  builder_.add_age(age);
+  builder_.add_per_second(per_second);
+  builder_.add_limited(limited);
+  return builder_.Finish();
+}
+
+struct PermitRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_SERVER = 6,
+    VT_SERVER_STARTED_AT = 8,
+    VT_PERMITS = 10,
+    VT_STATEMENT = 12
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t server_started_at() const {
+    return GetField<uint64_t>(VT_SERVER_STARTED_AT, 0);
+  }
+  uint32_t permits() const {
+    return GetField<uint32_t>(VT_PERMITS, 0);
+  }
+  const greengagestair::wire::LimitStatement *statement() const {
+    return GetPointer<const greengagestair::wire::LimitStatement *>(VT_STATEMENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_SERVER_STARTED_AT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_PERMITS, 4) &&
+           VerifyOffset(verifier, VT_STATEMENT) &&
+           verifier.VerifyTable(statement()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PermitRequestBuilder {
+  typedef PermitRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(PermitRequest::VT_ID, id, 0);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(PermitRequest::VT_SERVER, server);
+  }
+  void add_server_started_at(uint64_t server_started_at) {
+    fbb_.AddElement<uint64_t>(PermitRequest::VT_SERVER_STARTED_AT, server_started_at, 0);
+  }
+  void add_permits(uint32_t permits) {
+    fbb_.AddElement<uint32_t>(PermitRequest::VT_PERMITS, permits, 0);
+  }
+  void add_statement(flatbuffers::Offset<greengagestair::wire::LimitStatement> statement) {
+    fbb_.AddOffset(PermitRequest::VT_STATEMENT, statement);
+  }
+  explicit PermitRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitRequest> CreatePermitRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t server_started_at = 0,
+    uint32_t permits = 0,
+    flatbuffers::Offset<greengagestair::wire::LimitStatement> statement = 0) {
+  PermitRequestBuilder builder_(_fbb);
+  builder_.add_server_started_at(server_started_at);
+  builder_.add_id(id);
+  builder_.add_statement(statement);
+  builder_.add_permits(permits);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PermitRequest> CreatePermitRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *server = nullptr,
+    uint64_t server_started_at = 0,
+    uint32_t permits = 0,
+    flatbuffers::Offset<greengagestair::wire::LimitStatement> statement = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return greengagestair::wire::CreatePermitRequest(
+      _fbb,
+      id,
+      server__,
+      server_started_at,
+      permits,
+      statement);
+}
+
+struct PermitGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitGrantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_SERVER = 6,
+    VT_SERVER_STARTED_AT = 8,
+    VT_PERMITS = 10,
+    VT_PAUSE = 12,
+    VT_STATEMENT = 14
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t server_started_at() const {
+    return GetField<uint64_t>(VT_SERVER_STARTED_AT, 0);
+  }
+  uint32_t permits() const {
+    return GetField<uint32_t>(VT_PERMITS, 0);
+  }
+  int64_t pause() const {
+    return GetField<int64_t>(VT_PAUSE, 0);
+  }
+  const greengagestair::wire::LimitStatement *statement() const {
+    return GetPointer<const greengagestair::wire::LimitStatement *>(VT_STATEMENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_SERVER_STARTED_AT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_PERMITS, 4) &&
+           VerifyField<int64_t>(verifier, VT_PAUSE, 8) &&
+           VerifyOffset(verifier, VT_STATEMENT) &&
+           verifier.VerifyTable(statement()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PermitGrantBuilder {
+  typedef PermitGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(PermitGrant::VT_ID, id, 0);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(PermitGrant::VT_SERVER, server);
+  }
+  void add_server_started_at(uint64_t server_started_at) {
+    fbb_.AddElement<uint64_t>(PermitGrant::VT_SERVER_STARTED_AT, server_started_at, 0);
+  }
+  void add_permits(uint32_t permits) {
+    fbb_.AddElement<uint32_t>(PermitGrant::VT_PERMITS, permits, 0);
+  }
+  void add_pause(int64_t pause) {
+    fbb_.AddElement<int64_t>(PermitGrant::VT_PAUSE, pause, 0);
+  }
+  void add_statement(flatbuffers::Offset<greengagestair::wire::LimitStatement> statement) {
+    fbb_.AddOffset(PermitGrant::VT_STATEMENT, statement);
+  }
+  explicit PermitGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitGrant> CreatePermitGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t server_started_at = 0,
+    uint32_t permits = 0,
+    int64_t pause = 0,
+    flatbuffers::Offset<greengagestair::wire::LimitStatement> statement = 0) {
+  PermitGrantBuilder builder_(_fbb);
+  builder_.add_pause(pause);
+  builder_.add_server_started_at(server_started_at);
+  builder_.add_id(id);
+  builder_.add_statement(statement);
+  builder_.add_permits(permits);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PermitGrant> CreatePermitGrantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *server = nullptr,
+    uint64_t server_started_at = 0,
+    uint32_t permits = 0,
+    int64_t pause = 0,
+    flatbuffers::Offset<greengagestair::wire::LimitStatement> statement = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return greengagestair::wire::CreatePermitGrant(
+      _fbb,
+      id,
+      server__,
+      server_started_at,
+      permits,
+      pause,
+      statement);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1540,6 +1836,12 @@
   const greengagestair::wire::UnreachableDomain *payload_as_UnreachableDomain() const {
     return payload_type() == greengagestair::wire::Payload::UnreachableDomain ? static_cast<const greengagestair::wire::UnreachableDomain *>(payload()) : nullptr;
   }
+  const greengagestair::wire::PermitRequest *payload_as_PermitRequest() const {
+    return payload_type() == greengagestair::wire::Payload::PermitRequest ? static_cast<const greengagestair::wire::PermitRequest *>(payload()) : nullptr;
+  }
+  const greengagestair::wire::PermitGrant *payload_as_PermitGrant() const {
+    return payload_type() == greengagestair::wire::Payload::PermitGrant ? static_cast<const greengagestair::wire::PermitGrant *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL_VERSION, 4) &&
@@ -1600,6 +1902,14 @@
   return payload_as_UnreachableDomain();
 }
 
+template<> inline const greengagestair::wire::PermitRequest *Envelope::payload_as<greengagestair::wire::PermitRequest>() const {
+  return payload_as_PermitRequest();
+}
+
+template<> inline const greengagestair::wire::PermitGrant *Envelope::payload_as<greengagestair::wire::PermitGrant>() const {
+  return payload_as_PermitGrant();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1727,6 +2037,14 @@
       auto ptr = reinterpret_cast<const greengagestair::wire::UnreachableDomain *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Payload::PermitRequest: {
+      auto ptr = reinterpret_cast<const greengagestair::wire::PermitRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Payload::PermitGrant: {
+      auto ptr = reinterpret_cast<const greengagestair::wire::PermitGrant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/core/Reducer.cpp
+++ b/src/core/Reducer.cpp
@@ -83,6 +83,15 @@
                  const UnreachableDomain & /*message*/)
     {
     }
+    /** Ignored: the servers of entry hosts name no request limits. */
+    void receive(StepContext & /*context*/, const PeerEnvelope & /*envelope*/,
+                 const PermitRequest & /*message*/)
+    {
+    }
+    void receive(StepContext & /*context*/, const PeerEnvelope & /*envelope*/,
+                 const PermitGrant & /*message*/)
+    {
+    }
 
     void deliverLocalMessages(StepContext &context);
     void tickModules(StepContext &context);
--- a/src/gateway/BackendDirectory.h
+++ b/src/gateway/BackendDirectory.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "gateway/BackendLoad.h"
+#include "gateway/PermitHolder.h"
+#include "gateway/ServerNeeds.h"
 #include "greengagestair/Types.h"
 
 #include <cstdint>
@@ -27,14 +29,6 @@
             0; ///< start of the server's process, milliseconds since the Unix epoch
 };
 
-/** What a backend server has said of itself, as far as this host knows from its own attempts. */
-struct ServerNeeds
-{
-    std::optional<double> requestLimit; ///< requests per second from all entry hosts together
-    MonotonicTime limitStatedAt;        ///< arrival of the last response that named the limit
-    bool hasInvalidStatement = false;   ///< a field could not be read; logged once
-};
-
 /** A registered backend server with the load and failures that this host has observed. */
 struct Backend
 {
@@ -44,6 +38,8 @@
     std::optional<MonotonicTime> removeAt; ///< set once the registration has disappeared
     BackendLoad load;
     ServerNeeds needs;
+    PermitHolder permits;             ///< used while the server names a request limit
+    bool hasInvalidStatement = false; ///< a field of a response could not be read; logged once
 };
 
 /**
--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace greengagestair {
 
@@ -33,10 +34,11 @@
 }
 
 BackendSelector::BackendSelector(SelectorOptions options, const BackendDirectory &directory,
-                                 const DomainReachability &reachability)
+                                 const DomainReachability &reachability, JointServerLimits &limits)
     : m_options(std::move(options))
     , m_directory(directory)
     , m_reachability(reachability)
+    , m_limits(limits)
     , m_connections(m_options, directory)
 {
 }
@@ -98,19 +100,21 @@
     return cost;
 }
 
-std::shared_ptr<Backend> BackendSelector::choose(const BackendService &service, Duration typical,
-                                                 const ServerFilter &filter, MonotonicTime now)
+std::shared_ptr<Backend> BackendSelector::cheapest(const BackendService &service, Duration typical,
+                                                   const ServerFilter &filter,
+                                                   const std::vector<const Backend *> &skipped,
+                                                   MonotonicTime now)
 {
     std::shared_ptr<Backend> best;
     Duration bestCost = Duration::max();
     const auto &servers = m_directory.serversOf(service.name);
-    // A different start index each time spreads requests over servers of equal cost.
-    ++m_rotation;
     for (std::size_t offset = 0; offset < servers.size(); ++offset) {
         const auto &backend = servers[(offset + m_rotation) % servers.size()];
         const bool isAllowed =
                 filter.allows(backend->registration.server) && now >= backend->misdirectedUntil;
-        if (!isAllowed || !isUsable(*backend) || !hasCapacity(service, *backend, now))
+        const bool isSkipped =
+                std::find(skipped.begin(), skipped.end(), backend.get()) != skipped.end();
+        if (!isAllowed || isSkipped || !isUsable(*backend) || !hasCapacity(service, *backend, now))
             continue;
         const Duration expected = cost(service, *backend, typical, now);
         if (expected < bestCost) {
@@ -121,6 +125,27 @@
     return best;
 }
 
+std::shared_ptr<Backend> BackendSelector::choose(const BackendService &service, Duration typical,
+                                                 const ServerFilter &filter, MonotonicTime now)
+{
+    // A different start index each time spreads requests over servers of equal cost.
+    ++m_rotation;
+    bool isNewDemand = !filter.isWaiting;
+    std::vector<const Backend *> denied;
+    while (auto backend = cheapest(service, typical, filter, denied, now)) {
+        const Permission former = m_limits.permission(*backend);
+        m_limits.addDemand(*backend, std::exchange(isNewDemand, false),
+                           former == Permission::Pending);
+        const Permission permission = m_limits.permission(*backend);
+        if (permission == Permission::Granted)
+            return backend;
+        if (permission == Permission::Pending && filter.mayWait)
+            return nullptr;
+        denied.push_back(backend.get());
+    }
+    return nullptr;
+}
+
 bool BackendSelector::hasCandidate(const BackendService &service, const ServerFilter &filter,
                                    MonotonicTime now) const
 {
--- a/src/gateway/BackendSelector.h
+++ b/src/gateway/BackendSelector.h
@@ -4,6 +4,7 @@
 #include "gateway/ConnectionPlan.h"
 #include "gateway/DomainReachability.h"
 #include "gateway/GatewayOptions.h"
+#include "gateway/JointServerLimits.h"
 #include "gateway/RoutingConfiguration.h"
 
 #include <memory>
@@ -16,6 +17,8 @@
 {
     const std::vector<ServerId> &excluded;       ///< servers that must not be chosen
     const std::vector<ServerId> *only = nullptr; ///< if set, no other servers may be chosen
+    bool mayWait = false;   ///< the part may wait for a permit of a server with a request limit
+    bool isWaiting = false; ///< the part waits already, so its demand has been counted
 
     /** True if the server may be chosen. */
     bool allows(const ServerId &server) const;
@@ -30,7 +33,7 @@
 {
 public:
     BackendSelector(SelectorOptions options, const BackendDirectory &directory,
-                    const DomainReachability &reachability);
+                    const DomainReachability &reachability, JointServerLimits &limits);
 
     /** Replaces the options given to the constructor. */
     void setOptions(const SelectorOptions &options) { m_options = options; }
@@ -39,8 +42,9 @@
 
     /**
      * The server with the lowest expected cost among those that are in service and reachable, have
-     * capacity and pass the filter; null if there is none. `typical` is the usual time of such a
-     * request, which is assumed for servers without recent responses.
+     * capacity and pass the filter; null if there is none, or if a permit of that server is due in
+     * a moment and the part may wait for it. `typical` is the usual time of such a request, which
+     * is assumed for servers without recent responses.
      */
     std::shared_ptr<Backend> choose(const BackendService &service, Duration typical,
                                     const ServerFilter &filter, MonotonicTime now);
@@ -60,6 +64,11 @@
     }
 
 private:
+    /** The server with the lowest cost, without regard to request limits; null if there is none. */
+    std::shared_ptr<Backend> cheapest(const BackendService &service, Duration typical,
+                                      const ServerFilter &filter,
+                                      const std::vector<const Backend *> &skipped,
+                                      MonotonicTime now);
     bool isUsable(const Backend &backend) const;
     bool hasCapacity(const BackendService &service, Backend &backend, MonotonicTime now) const;
     Duration cost(const BackendService &service, const Backend &backend, Duration typical,
@@ -68,6 +77,7 @@
     SelectorOptions m_options;
     const BackendDirectory &m_directory;
     const DomainReachability &m_reachability;
+    JointServerLimits &m_limits;
     ConnectionPlan m_connections;
     std::size_t m_hostCount = 1;
     std::size_t m_rotation = 0;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -11,10 +11,11 @@
 
 Gateway::Gateway(const GatewayOptions &options)
     : m_reachability(options.selector.failureDomain, m_directory)
-    , m_selector(options.selector, m_directory, m_reachability)
+    , m_serverLimits(options.selector.host, options.randomSeed)
+    , m_selector(options.selector, m_directory, m_reachability, m_serverLimits)
     , m_warmer(m_directory, options.randomSeed)
     , m_jointRepeatLimits(options.repeats)
-    , m_dispatcher(m_selector, m_reachability, repeatShare())
+    , m_dispatcher(m_selector, m_reachability, m_serverLimits, repeatShare())
     , m_ownDomain(options.selector.failureDomain)
 {
 }
@@ -32,6 +33,7 @@
     m_now = std::max(m_now, now);
     m_effects.clear();
     m_reachability.beginStep(m_now, m_effects);
+    m_serverLimits.beginStep(m_now, m_effects);
     m_dispatcher.beginStep(m_now, m_effects);
     std::visit([&](const auto &typed) { on(typed); }, event);
     updateCutOff();
@@ -201,6 +203,7 @@
 
 void Gateway::on(const HostsRead &event)
 {
+    m_serverLimits.setHosts(std::make_shared<const std::vector<HostEntry>>(event.hosts));
     m_lastHostCount = {};
     for (const HostEntry &host : event.hosts)
         ++m_lastHostCount.byDomain[host.failureDomain];
@@ -225,6 +228,7 @@
         return;
     m_hostCount = hosts;
     m_selector.setHostCount(hosts);
+    m_serverLimits.setHostCount(hosts.all);
     m_dispatcher.setHostCount(hosts.all);
     m_dispatcher.setRepeatLimits(repeatShare());
     m_effects.push_back(LogRecord { LogPriority::State,
@@ -243,6 +247,19 @@
     m_reachability.addUnreachableReport(event.failureDomain);
 }
 
+void Gateway::on(const PermitsRequested &event)
+{
+    m_serverLimits.answer(event.sender, event.request);
+}
+
+void Gateway::on(const PermitsGranted &event)
+{
+    if (const auto backend = m_directory.find(event.grant.server)) {
+        m_serverLimits.addGrant(*backend, event.grant);
+        m_dispatcher.retryWaiting();
+    }
+}
+
 void Gateway::on(const ConnectionAttemptEnded &event)
 {
     m_reachability.addConnectionResult(event.server, event.isConnected);
@@ -311,6 +328,8 @@
 std::vector<Counter> Gateway::counters() const
 {
     std::vector<Counter> counters = m_dispatcher.counters().all();
+    for (Counter &counter : m_serverLimits.counters().all())
+        counters.push_back(std::move(counter));
     counters.push_back({ "configuration_version", m_configuration ? m_configuration->version : 0 });
     counters.push_back({ "registered_servers", m_directory.size() });
     counters.push_back({ "requests_in_progress", m_dispatcher.exchanges() });
@@ -318,7 +337,7 @@
     counters.push_back({ "entry_hosts", m_hostCount.all });
     const auto &servers = m_directory.servers();
     const auto limited = std::count_if(servers.begin(), servers.end(), [](const auto &server) {
-        return server.second->needs.requestLimit.has_value();
+        return server.second->needs.requestLimit().has_value();
     });
     counters.push_back({ "servers_limited", static_cast<std::uint64_t>(limited) });
     const double slackMillis = m_dispatcher.repeatLimits().slack * 1000;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -63,6 +63,8 @@
     void on(const HostsRead &event);
     void on(const ServerLossReported &event);
     void on(const UnreachableDomainReported &event);
+    void on(const PermitsRequested &event);
+    void on(const PermitsGranted &event);
     void on(const ConnectionAttemptEnded &event);
     void on(const OptionsChanged &event);
     void on(const GatewayStopRequested &event);
@@ -81,6 +83,7 @@
 
     BackendDirectory m_directory;
     DomainReachability m_reachability;
+    JointServerLimits m_serverLimits;
     BackendSelector m_selector;
     ConnectionWarmer m_warmer;
     RepeatLimits m_jointRepeatLimits; ///< for all entry hosts together
--- a/src/gateway/GatewayEffect.h
+++ b/src/gateway/GatewayEffect.h
@@ -81,6 +81,14 @@
     FailureDomainId failureDomain;
 };
 
+/** Send a message to another entry host. */
+struct SendToHost
+{
+    HostId host;
+    Endpoint endpoint;
+    PeerMessage message;
+};
+
 /** Class of a log record; each class has its own rate limit, beyond which records are dropped. */
 enum class LogPriority {
     State,   ///< a change of the process's state or of its view of servers and hosts
@@ -97,9 +105,9 @@
 };
 
 /** An action that the process has to carry out for the gateway. */
-using GatewayEffect =
-        std::variant<StartAttempt, ReleaseAttempt, ReplyToCaller, CloseIdleConnections,
-                     ReportServerLoss, OpenConnection, ReportUnreachableDomain, LogRecord>;
+using GatewayEffect = std::variant<StartAttempt, ReleaseAttempt, ReplyToCaller,
+                                   CloseIdleConnections, ReportServerLoss, OpenConnection,
+                                   ReportUnreachableDomain, SendToHost, LogRecord>;
 /** Actions in the order in which they have to be carried out. */
 using GatewayEffects = std::vector<GatewayEffect>;
 
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -84,6 +84,19 @@
     FailureDomainId failureDomain;
 };
 
+/** Another entry host asks for permits of a server with a request limit. */
+struct PermitsRequested
+{
+    HostId sender;
+    PermitRequest request;
+};
+
+/** The host that issues the permits of a server has answered. */
+struct PermitsGranted
+{
+    PermitGrant grant;
+};
+
 /** An attempt to open a connection has ended; the result of OpenConnection. */
 struct ConnectionAttemptEnded
 {
@@ -111,7 +124,8 @@
 using GatewayEvent =
         std::variant<RequestReceived, CallerDisconnected, AttemptEnded, ConfigurationRead,
                      EvacuationsRead, RegistrationsRead, RegistrationWritten, RegistrationRemoved,
-                     HostsRead, ServerLossReported, UnreachableDomainReported,
-                     ConnectionAttemptEnded, OptionsChanged, GatewayStopRequested, TimeAdvanced>;
+                     HostsRead, ServerLossReported, UnreachableDomainReported, PermitsRequested,
+                     PermitsGranted, ConnectionAttemptEnded, OptionsChanged, GatewayStopRequested,
+                     TimeAdvanced>;
 
 } // namespace greengagestair
--- /dev/null
+++ b/src/gateway/JointServerLimits.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "core/CounterSet.h"
+#include "gateway/BackendDirectory.h"
+#include "gateway/GatewayEffect.h"
+#include "gateway/PermitIssuer.h"
+#include "gateway/RegistryStore.h"
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace greengagestair {
+
+/**
+ * Keeps the request limits that servers name together with the other entry hosts. One host of the
+ * list, elected for each server by rendezvous hashing, issues permits for its requests; the others
+ * ask it when they have requests for the server. A host that takes over from another one issues
+ * nothing for a short time, until the former permits have expired and all hosts have read the new
+ * list. A part of each limit is not issued but divided among all hosts, for those that get no
+ * answer.
+ *
+ * Gateway passes the time and the list of effects with beginStep().
+ */
+class JointServerLimits
+{
+public:
+    JointServerLimits(HostId self, std::uint64_t randomSeed);
+
+    /** Sets the current time and the list to which effects are appended. */
+    void beginStep(MonotonicTime now, GatewayEffects &effects);
+    /** Replaces the list of live hosts, which includes this host once it is announced. */
+    void setHosts(std::shared_ptr<const std::vector<HostEntry>> hosts);
+    /** Sets the number of hosts among which the part that is not issued is divided. */
+    void setHostCount(std::size_t hosts) { m_hostCount = hosts; }
+
+    /** Takes over what a server says in a response to an attempt that began at `startedAt`. */
+    void addResponse(Backend &backend, const ServerStatement &statement, MonotonicTime startedAt);
+    /** Whether a request may be sent to the server now. */
+    Permission permission(Backend &backend);
+    /**
+     * Asks for permits if the server's demand requires it. `isNew` tells that a request would go to
+     * the server that was not counted before, `isWaitedFor` that one waits for a permit.
+     */
+    void addDemand(Backend &backend, bool isNew, bool isWaitedFor);
+    /** Records that a request is sent to the server. */
+    void take(Backend &backend);
+
+    /** Answers another host's request for permits if this host issues them. */
+    void answer(const HostId &sender, const PermitRequest &request);
+    /** Takes over the permits and the newest statement from the issuing host. */
+    void addGrant(Backend &backend, const PermitGrant &grant);
+
+    /** Counters for the metrics. */
+    const CounterSet &counters() const { return m_counters; }
+
+private:
+    struct DepartedHost
+    {
+        HostId host;
+        MonotonicTime at;
+    };
+
+    /** Records which hosts of the current list are missing from a new one. */
+    void addDeparted(const std::vector<HostEntry> &hosts);
+    /** The host that issues the permits of a server; null if no host is listed. */
+    const HostEntry *issuerOf(const ServerId &server) const;
+    /** Time from which this host, being the issuer of the server, may issue permits. */
+    std::optional<MonotonicTime> issuesFrom(const ServerId &server) const;
+    std::optional<PermitGrant> issue(const PermitRequest &request);
+    PermitRequest makeRequest(Backend &backend, std::uint32_t permits);
+    void log(const Backend &backend, ServerNeeds::Change change, std::string_view source,
+             MonotonicTime attemptStartedAt);
+
+    HostId m_self;
+    RandomSource m_random;
+    MonotonicTime m_now;
+    GatewayEffects *m_effects = nullptr;
+    std::shared_ptr<const std::vector<HostEntry>> m_hosts;
+    /** Index of the issuing host by server; filled when it is needed, cleared with the list. */
+    mutable std::unordered_map<ServerId, std::size_t> m_issuers;
+    std::size_t m_hostCount = 1;
+    std::optional<MonotonicTime> m_listedSince;
+    std::vector<DepartedHost> m_departed;
+    PermitIssuer m_issuer;
+    CounterSet m_counters;
+};
+
+} // namespace greengagestair
--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -58,8 +58,10 @@
         for (const ServerId &server : std::exchange(part.refusedBy, {}))
             std::erase(part.excluded, server);
     }
-    const auto backend =
-            m_selector.choose(*part.service, typical, filterFor(exchange, part), m_now);
+    ServerFilter filter = filterFor(exchange, part);
+    filter.mayWait = mayWait;
+    filter.isWaiting = part.waiting.has_value();
+    const auto backend = m_selector.choose(*part.service, typical, filter, m_now);
     const SendResult blocked = mayWait ? SendResult::Wait : SendResult::Hopeless;
     if (!backend)
         return blocked;
@@ -88,6 +90,7 @@
     part.excluded.push_back(registration.server);
     part.openAttempts.push_back(attempt);
     backend->load.addStart(attempt, m_now);
+    m_limits.take(*backend);
     m_reachability.addStart(registration);
     if (m_now < backend->coldUntil)
         backend->load.addColdRequest(m_now);
@@ -242,36 +245,6 @@
     part.openAttempts.clear();
 }
 
-void RequestDispatcher::recordStatement(const AttemptRecord &record,
-                                        const ServerStatement &statement)
-{
-    ServerNeeds &needs = record.backend->needs;
-    const std::string &server = record.backend->registration.server.value;
-    if (!statement.invalid.empty() && !std::exchange(needs.hasInvalidStatement, true))
-        m_effects->push_back(
-                LogRecord { LogPriority::State,
-                            "invalidStatement",
-                            { { "server", server }, { "field", statement.invalid } } });
-    if (statement.requestLimit) {
-        if (needs.requestLimit != statement.requestLimit)
-            m_effects->push_back(
-                    LogRecord { LogPriority::State,
-                                "serverLimit",
-                                { { "server", server },
-                                  { "perSecond", std::to_string(*statement.requestLimit) },
-                                  { "attemptMicros", microsSince(record.startedAt) } } });
-        needs.requestLimit = statement.requestLimit;
-        needs.limitStatedAt = m_now;
-        return;
-    }
-    // A response to an earlier attempt may have been sent before the limit was named.
-    if (!needs.requestLimit || record.startedAt < needs.limitStatedAt)
-        return;
-    needs.requestLimit.reset();
-    m_effects->push_back(
-            LogRecord { LogPriority::State, "serverLimitEnded", { { "server", server } } });
-}
-
 void RequestDispatcher::recordLoad(const AttemptRecord &record, AttemptId attempt,
                                    const AttemptResult &result)
 {
@@ -282,7 +255,7 @@
         return isExpired ? load.addAbandoned(attempt, m_now) : load.addFailure(attempt, m_now);
     }
     m_reachability.addResponse(record.backend->registration.failureDomain);
-    recordStatement(record, answer->statement);
+    m_limits.addResponse(*record.backend, answer->statement, record.startedAt);
     if (answer->status == kMisdirectedRequest) {
         m_counters.add("attempts_misdirected_total");
         record.backend->misdirectedUntil = m_now + kMisdirectedPause;
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -29,7 +29,7 @@
 {
 public:
     RequestDispatcher(BackendSelector &selector, DomainReachability &reachability,
-                      const RepeatLimits &repeats);
+                      JointServerLimits &limits, const RepeatLimits &repeats);
 
     /** Sets this host's share of the limits on retries and hedges, for each service. */
     void setRepeatLimits(const RepeatLimits &limits);
@@ -136,8 +136,6 @@
     /** Sends, queues or settles a part after a failure, unless another attempt is in progress. */
     void retryOrSettle(Exchange &exchange, std::size_t index);
     void onRefusal(Exchange &exchange, std::size_t index, const ServerId &server);
-    /** Updates what is known of the server's needs by what it says in a response. */
-    void recordStatement(const AttemptRecord &record, const ServerStatement &statement);
     void recordLoad(const AttemptRecord &record, AttemptId attempt, const AttemptResult &result);
     void onAnswer(Exchange &exchange, std::size_t index, const AttemptRecord &record,
                   BackendAnswer answer);
@@ -166,6 +164,7 @@
 
     BackendSelector &m_selector;
     DomainReachability &m_reachability;
+    JointServerLimits &m_limits;
     RepeatLimits m_repeatLimits;
     MonotonicTime m_now;
     std::optional<MonotonicTime> m_startedAt; ///< time of the first step
--- /dev/null
+++ b/src/gateway/ServerNeeds.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "gateway/HttpMessage.h"
+#include "greengagestair/Messages.h"
+
+#include <optional>
+
+namespace greengagestair {
+
+/**
+ * What one process of a backend server has said of itself, as far as this host knows from the
+ * responses to its own attempts and, for the limit, from other hosts. It ends with the process: an
+ * address that another server takes over starts with nothing.
+ */
+class ServerNeeds
+{
+public:
+    /** How a statement changes what was known. */
+    enum class Change {
+        None,
+        LimitNamed, ///< a limit, or another one than before
+        LimitEnded
+    };
+
+    /** Takes over what a response says; `startedAt` is the start of the attempt. */
+    Change addResponse(const ServerStatement &statement, MonotonicTime startedAt,
+                       MonotonicTime now);
+    /** Takes over what another host knows, if its response is newer than the last one here. */
+    Change addReport(const LimitStatement &statement, MonotonicTime now);
+
+    /** Requests per second that the server takes from all entry hosts together. */
+    const std::optional<double> &requestLimit() const { return m_requestLimit; }
+    /** The limit as it is told to other hosts. */
+    LimitStatement limitStatement(MonotonicTime now) const;
+
+private:
+    Change setLimit(std::optional<double> limit, MonotonicTime statedAt);
+
+    std::optional<double> m_requestLimit;
+    std::optional<MonotonicTime> m_limitStatedAt; ///< last response that named it or left it out
+};
+
+} // namespace greengagestair
--- a/tests/codec/FrameCodecTest.cpp
+++ b/tests/codec/FrameCodecTest.cpp
@@ -54,6 +54,9 @@
         SignatureLoss { { 0x00c0ffee }, { "counter-lookup-0-shubra" } },
         StoreChanges { { 11 }, { 13 }, { "{\"key\":\"a\"}", "" } },
         UnreachableDomain { { "bulaq" } },
+        PermitRequest { 3, { "s" }, 1700000000000, 2, { true, 26.5, milliseconds(4) } },
+        PermitGrant {
+                3, { "s" }, 1700000000000, 1, milliseconds(9), { false, 0, milliseconds(1) } },
     };
 }
 
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -36,6 +36,7 @@
     static GatewayOptions options(double slack)
     {
         GatewayOptions options;
+        options.selector.host = { "h0" };
         options.selector.failureDomain = { "shubra" };
         options.repeats.slack = slack;
         return options;
