Answer the requests that are still in progress at the end of a stop

What callers saw: at the end of a planned stop, requests whose servers were still at work ended without an answer, also such that may not be repeated; requests that came late in the stop were taken although they could not be served any more.

Cause: the deadlines of requests did not take the end of the process into account. Class: work accepted without regard to the time left.

Change: from the stop on, no deadline is later than 150 ms before the process ends, so each request gets its answer. A new request is refused at once, as not run, if less than its route's latency target is left, or twice that where it must not be repeated; its caller may return to another host after 10 ms.

Evidence: app_test "a stop answers the requests*" failed before: an order in progress got no answer, and a later one was passed on and got none either.

--- a/src/app/GatewayFrontEnd.cpp
+++ b/src/app/GatewayFrontEnd.cpp
@@ -87,6 +87,7 @@
     case RefusalReason::NoBackend:
     case RefusalReason::Shed:
     case RefusalReason::Quarantined:
+    case RefusalReason::Stopping:
         return 503;
     case RefusalReason::Failed:
         return 502;
--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -13,6 +13,8 @@
 
 /** Requests in progress are answered at the latest this long before the process is killed. */
 static constexpr Duration kStopMargin = std::chrono::milliseconds(700);
+/** The last replies are given this long before the process ends, so that they reach the callers. */
+static constexpr Duration kLastReplyMargin = std::chrono::milliseconds(150);
 /** The platform needs two missed readiness checks, one a second, to send callers elsewhere. */
 static constexpr Duration kLeastStopTime = std::chrono::milliseconds(3200);
 static constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
@@ -332,7 +334,7 @@
     m_isStopping = true;
     m_stopSince = now();
     m_stopAt = m_stopSince + m_settings.stopTimeout - kStopMargin;
-    enqueue(GatewayStopRequested {});
+    enqueue(GatewayStopRequested { m_stopAt - kLastReplyMargin - m_stopSince });
     m_callers.setCloseAfterResponse(true);
     m_announcer.leave();
     checkStop();
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -305,9 +305,10 @@
     m_dispatcher.setRepeatLimits(repeatShare());
 }
 
-void Gateway::on(const GatewayStopRequested & /*event*/)
+void Gateway::on(const GatewayStopRequested &event)
 {
     m_isStopping = true;
+    m_dispatcher.stopAt(m_now + event.remaining);
     m_effects.push_back(LogRecord { LogPriority::State, "stopping", {} });
 }
 
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -113,6 +113,7 @@
 /** The process has been asked to stop; new callers should go to other hosts. */
 struct GatewayStopRequested
 {
+    Duration remaining {}; ///< time until the last reply has to be given
 };
 
 /** A timer may be due; sent at the time that Gateway::nextWakeUp() returned. */
--- a/src/gateway/HttpMessage.cpp
+++ b/src/gateway/HttpMessage.cpp
@@ -20,6 +20,7 @@
     case RefusalReason::NoBackend:
     case RefusalReason::Shed:
     case RefusalReason::Quarantined:
+    case RefusalReason::Stopping:
         return true;
     case RefusalReason::NoRoute:
     case RefusalReason::Failed:
@@ -42,6 +43,8 @@
         return "shed";
     case RefusalReason::Quarantined:
         return "quarantined";
+    case RefusalReason::Stopping:
+        return "stopping";
     case RefusalReason::Failed:
         return "failed";
     case RefusalReason::TimedOut:
--- a/src/gateway/HttpMessage.h
+++ b/src/gateway/HttpMessage.h
@@ -87,6 +87,7 @@
     NoBackend,       ///< not run: no backend server can take the request now
     Shed,            ///< not run: refused by the servers reached, or read after its deadline
     Quarantined,     ///< not run: requests with the same signature crashed backend servers
+    Stopping,        ///< not run: this process ends before the request could be answered
     Failed,          ///< may have run: no usable answer
     TimedOut         ///< may have run: no answer before the deadline
 };
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -9,6 +9,8 @@
 
 /** Time that the answer needs to reach the caller before its deadline. */
 static constexpr Duration kReplyMargin = std::chrono::milliseconds(8);
+/** Latency targets that have to be left in a stop for a request that must not be repeated. */
+static constexpr int kStopTimeFactor = 2;
 /** Backend servers may continue a request for this time after its caller has disconnected. */
 static constexpr Duration kDisconnectLinger = std::chrono::milliseconds(250);
 /**
@@ -163,6 +165,8 @@
     const GatewayRoute *route = findRoute(*configuration, request.host, request.target);
     if (!route)
         return refuse(event.exchange, request, RefusalReason::NoRoute);
+    if (endsBeforeAnswer(*route))
+        return refuse(event.exchange, request, RefusalReason::Stopping);
     const Signature signature =
             computeSignature({ request.host }, { request.method + request.target }, request.body);
     if (m_quarantine.isBlocked(signature, m_now))
@@ -177,6 +181,8 @@
     exchange.arrivedAt = m_now - event.readDelay;
     const Duration callerTimeLeft = request.deadline.value_or(route->timeout) - kReplyMargin;
     exchange.deadlineAt = exchange.arrivedAt + std::min(callerTimeLeft, route->timeout);
+    if (m_stopAt)
+        exchange.deadlineAt = std::min(exchange.deadlineAt, *m_stopAt);
     if (exchange.deadlineAt <= m_now)
         return refuse(event.exchange, request, RefusalReason::Shed);
     const MonotonicTime partialAnswerAt =
@@ -201,6 +207,27 @@
     replyIfDone(exchange);
 }
 
+void RequestDispatcher::stopAt(MonotonicTime time)
+{
+    m_stopAt = time;
+    for (const auto &[id, exchange] : m_exchanges) {
+        if (exchange->deadlineAt <= time)
+            continue;
+        exchange->deadlineAt = time;
+        addTimer(time, { TimerKind::Deadline, id, 0 });
+    }
+}
+
+bool RequestDispatcher::endsBeforeAnswer(const GatewayRoute &route) const
+{
+    if (!m_stopAt)
+        return false;
+    // A request that may have run cannot be sent again by its caller.
+    const Duration needed =
+            route.repeatable ? route.latencyTarget : kStopTimeFactor * route.latencyTarget;
+    return *m_stopAt - m_now < std::min(needed, route.timeout);
+}
+
 bool RequestDispatcher::refuseIfUnservable(Exchange &exchange)
 {
     for (std::size_t index = 0; index < exchange.parts.size(); ++index) {
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -52,6 +52,11 @@
     void advance();
     /** Records that another host lost a server while it ran a request with this signature. */
     void addReportedLoss(const HostId &reporter, const SignatureLoss &loss);
+    /**
+     * Gives the last reply at `time`, for the end of the process: requests in progress are replied
+     * to by then, and new ones that would take longer are refused.
+     */
+    void stopAt(MonotonicTime time);
     /** Sends waiting parts that can be sent now, after servers were added or became usable. */
     void retryWaiting();
     /** Time at which advance() is due; nullopt if no timer is pending. */
@@ -112,6 +117,8 @@
         Hopeless ///< no server is left that could answer it in time
     };
 
+    /** True if the process probably ends before a new request on this route can be answered. */
+    bool endsBeforeAnswer(const GatewayRoute &route) const;
     bool addPart(Exchange &exchange, const ServiceId &service);
     /**
      * Refuses a request before any part is sent, if too many of its services have no server that
@@ -168,6 +175,7 @@
     RepeatLimits m_repeatLimits;
     MonotonicTime m_now;
     std::optional<MonotonicTime> m_startedAt; ///< time of the first step
+    std::optional<MonotonicTime> m_stopAt;    ///< time of the last reply
     GatewayEffects *m_effects = nullptr;
     std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> m_exchanges;
     std::unordered_map<AttemptId, AttemptRecord> m_attempts;
--- a/src/gateway/RequestReplies.cpp
+++ b/src/gateway/RequestReplies.cpp
@@ -9,6 +9,8 @@
 static constexpr Duration kNoBackendRetryAfter = std::chrono::milliseconds(50);
 /** Retry-After for requests that are refused before any attempt, for example while starting. */
 static constexpr Duration kNotRunRetryAfter = std::chrono::milliseconds(200);
+/** Retry-After of a process that is stopping; other hosts serve the request at once. */
+static constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(10);
 /** Backend servers may continue a request for this time after its reply was sent. */
 static constexpr Duration kFinishLinger = std::chrono::milliseconds(250);
 
@@ -84,7 +86,9 @@
 void RequestDispatcher::refuse(ExchangeId exchange, const GatewayRequest &request,
                                RefusalReason reason)
 {
-    const Duration retryAfter = provesNotRun(reason) ? kNotRunRetryAfter : Duration(0);
+    Duration retryAfter = provesNotRun(reason) ? kNotRunRetryAfter : Duration(0);
+    if (reason == RefusalReason::Stopping)
+        retryAfter = kStoppingRetryAfter;
     m_counters.add(std::string("refusals_total{reason=\"") + toText(reason) + "\"}");
     m_effects->push_back(LogRecord { LogPriority::Failure,
                                      "refused",
--- a/tests/app/GatewayServerTest.cpp
+++ b/tests/app/GatewayServerTest.cpp
@@ -150,6 +150,35 @@
     CHECK(caller->received.find("Connection: close") != std::string::npos);
 }
 
+// Guards against requests that are cut off without an answer at the end of a planned stop, since
+// their servers are still at work.
+TEST_CASE("a stop answers the requests that are still in progress at its end", "[app]")
+{
+    ServerFixture fixture;
+    fixture.start();
+    const auto caller = fixture.connect(fixture.server->callerEndpoint());
+    const auto late = fixture.connect(fixture.server->callerEndpoint());
+    const auto send = [](RawPeer &peer, const std::string &id) {
+        peer.write("POST /o/7 HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id
+                   + "\r\nX-Deadline-Ms: 6000\r\nContent-Length: 0\r\n\r\n");
+    };
+    send(*caller, "r5");
+    fixture.backendPeer("r5");
+    fixture.server->stop();
+    // Two tenths of a second before the answers are due, this request cannot be served any more.
+    fixture.context.restart();
+    fixture.context.run_for(900ms);
+    send(*late, "r6");
+    fixture.context.run();
+    fixture.context.restart();
+    fixture.context.run_for(100ms);
+    CHECK(caller->received.starts_with("HTTP/1.1 504 "));
+    CHECK(late->received.starts_with("HTTP/1.1 503 "));
+    CHECK(std::none_of(
+            fixture.backend.peers.begin(), fixture.backend.peers.end(),
+            [](const auto &peer) { return peer->received.find("r6") != std::string::npos; }));
+}
+
 // Guards against a process that is never idle while it stops, and takes itself for held up.
 TEST_CASE("a stop that waits for an answer leaves the event loop idle", "[app]")
 {
