Send nothing more to a server that says it is leaving

Change: the statement counts like a registration as draining, at once and at each choice: first parts, retries, hedges and parts that wait. It ends with the server's process, or when the server registers as ready after it was draining. Log line serverLeaving, gauge servers_leaving, /state.

--- a/src/gateway/BackendDirectory.cpp
+++ b/src/gateway/BackendDirectory.cpp
@@ -19,6 +19,8 @@
         // An unchanged registration that is read again must not restart the cold period.
         if (known.registration.coldFor != registration.coldFor)
             known.coldUntil = now + registration.coldFor;
+        if (known.registration.isDraining && !registration.isDraining)
+            known.needs.cancelLeaving();
         known.registration = registration;
         known.removeAt.reset();
         return;
@@ -135,7 +137,7 @@
 
 bool BackendDirectory::isInService(const Backend &backend) const
 {
-    return !backend.registration.isDraining
+    return !backend.registration.isDraining && !backend.needs.isLeaving()
             && !m_evacuated.contains(backend.registration.failureDomain);
 }
 
--- a/src/gateway/BackendDirectory.h
+++ b/src/gateway/BackendDirectory.h
@@ -86,7 +86,10 @@
     const std::vector<std::shared_ptr<Backend>> &serversOf(const ServiceId &service) const;
     /** All servers of a failure domain, in unspecified order. */
     std::vector<std::shared_ptr<Backend>> serversIn(const FailureDomainId &failureDomain) const;
-    /** True if the server is not draining and its failure domain is in service. */
+    /**
+     * True if the server is neither draining by its registration nor leaving by its own responses,
+     * which are seconds ahead of the store, and its failure domain is in service.
+     */
     bool isInService(const Backend &backend) const;
     /** The server with this identifier; null if it is not registered. */
     std::shared_ptr<Backend> find(const ServerId &server) const;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -336,11 +336,14 @@
     counters.push_back({ "requests_in_progress", m_dispatcher.exchanges() });
     counters.push_back({ "attempts_in_progress", m_dispatcher.attempts() });
     counters.push_back({ "entry_hosts", m_hostCount.all });
-    const auto &servers = m_directory.servers();
-    const auto limited = std::count_if(servers.begin(), servers.end(), [](const auto &server) {
-        return server.second->needs.requestLimit().has_value();
-    });
-    counters.push_back({ "servers_limited", static_cast<std::uint64_t>(limited) });
+    std::uint64_t limited = 0;
+    std::uint64_t leaving = 0;
+    for (const auto &[server, backend] : m_directory.servers()) {
+        limited += backend->needs.requestLimit() ? 1 : 0;
+        leaving += backend->needs.isLeaving() ? 1 : 0;
+    }
+    counters.push_back({ "servers_limited", limited });
+    counters.push_back({ "servers_leaving", leaving });
     const double slackMillis = m_dispatcher.repeatLimits().slack * 1000;
     counters.push_back({ "repeat_slack_millis", static_cast<std::uint64_t>(slackMillis) });
     return counters;
@@ -351,6 +354,7 @@
     boost::json::array servers;
     for (const auto &[server, backend] : m_directory.servers()) {
         const BackendRegistration &registration = backend->registration;
+        const auto &limit = backend->needs.requestLimit();
         servers.push_back(
                 { { "server", server.value },
                   { "service", registration.service.value },
@@ -359,6 +363,8 @@
                   { "reachable", m_reachability.isReachable(registration.failureDomain) },
                   { "cold", now < backend->coldUntil },
                   { "registered", !backend->removeAt.has_value() },
+                  { "leaving", backend->needs.isLeaving() },
+                  { "requestLimit", limit ? boost::json::value(*limit) : nullptr },
                   { "inFlight", backend->load.inFlight() },
                   { "expectedMicros",
                     backend->load.expectedTime(Duration(0), registration.slots, now).count() } });
--- a/src/gateway/JointServerLimits.cpp
+++ b/src/gateway/JointServerLimits.cpp
@@ -129,6 +129,10 @@
                                          "invalidStatement",
                                          { { "server", backend.registration.server.value },
                                            { "field", statement.invalid } } });
+    if (statement.isLeaving && backend.needs.addLeaving())
+        m_effects->push_back(LogRecord { LogPriority::State,
+                                         "serverLeaving",
+                                         { { "server", backend.registration.server.value } } });
     const ServerNeeds::Change change = backend.needs.addResponse(statement, startedAt, m_now);
     log(backend, change, "response", startedAt);
     if (change != ServerNeeds::Change::LimitEnded)
--- a/src/gateway/ServerNeeds.h
+++ b/src/gateway/ServerNeeds.h
@@ -4,6 +4,7 @@
 #include "greengagestair/Messages.h"
 
 #include <optional>
+#include <utility>
 
 namespace greengagestair {
 
@@ -28,6 +29,16 @@
     /** Takes over what another host knows, if its response is newer than the last one here. */
     Change addReport(const LimitStatement &statement, MonotonicTime now);
 
+    /**
+     * Takes over that the server is leaving; returns true if that is new. It stays so until
+     * cancelLeaving(), since a server that leaves gets no requests that could show otherwise.
+     */
+    bool addLeaving() { return !std::exchange(m_isLeaving, true); }
+    /** The server has registered as ready again after it was draining. */
+    void cancelLeaving() { m_isLeaving = false; }
+    /** True if the server has said that it is shutting down. */
+    bool isLeaving() const { return m_isLeaving; }
+
     /** Requests per second that the server takes from all entry hosts together. */
     const std::optional<double> &requestLimit() const { return m_requestLimit; }
     /** The limit as it is told to other hosts. */
@@ -36,6 +47,7 @@
 private:
     Change setLimit(std::optional<double> limit, MonotonicTime statedAt);
 
+    bool m_isLeaving = false;
     std::optional<double> m_requestLimit;
     std::optional<MonotonicTime> m_limitStatedAt; ///< last response that named it or left it out
 };
--- a/src/http/ServerStatementReader.cpp
+++ b/src/http/ServerStatementReader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <string_view>
 
 namespace greengagestair {
@@ -23,14 +24,20 @@
     {
     }
 
+    /** True if the field is present with the value 1. */
+    bool flag(const std::string &name)
+    {
+        const HeaderField *field = single(name);
+        if (field && field->value != "1")
+            addInvalid(*field);
+        return field && field->value == "1";
+    }
+
     /** A decimal number from 0 to `max`; nullopt if the field is absent or invalid. */
     std::optional<double> number(const std::string &name, double max)
     {
-        const auto isNamed = [&](const HeaderField &field) {
-            return equalsIgnoringCase(field.name, name);
-        };
-        const auto field = std::find_if(m_headers.begin(), m_headers.end(), isNamed);
-        if (name.empty() || field == m_headers.end())
+        const HeaderField *field = single(name);
+        if (!field)
             return std::nullopt;
         const std::string &value = field->value;
         double number = 0;
@@ -38,14 +45,33 @@
                                             std::chars_format::fixed);
         const bool isWhole = parsed.ec == std::errc() && parsed.ptr == value.data() + value.size();
         const bool isInRange = number >= 0 && number <= max; // False for NaN.
-        const bool isRepeated = std::count_if(field, m_headers.end(), isNamed) > 1;
-        if (isWhole && isInRange && !isRepeated)
+        if (isWhole && isInRange)
             return number;
-        m_statement.invalid = field->name + ": " + value.substr(0, kMaxReportedBytes);
+        addInvalid(*field);
         return std::nullopt;
     }
 
 private:
+    void addInvalid(const HeaderField &field)
+    {
+        m_statement.invalid = field.name + ": " + field.value.substr(0, kMaxReportedBytes);
+    }
+
+    /** The field with this name; null if it is absent, or occurs twice, which is invalid. */
+    const HeaderField *single(const std::string &name)
+    {
+        const auto isNamed = [&](const HeaderField &field) {
+            return equalsIgnoringCase(field.name, name);
+        };
+        const auto field = std::find_if(m_headers.begin(), m_headers.end(), isNamed);
+        if (name.empty() || field == m_headers.end())
+            return nullptr;
+        if (std::find_if(std::next(field), m_headers.end(), isNamed) == m_headers.end())
+            return &*field;
+        addInvalid(*field);
+        return nullptr;
+    }
+
     const Headers &m_headers;
     ServerStatement &m_statement;
 };
@@ -57,6 +83,7 @@
     ServerStatement statement;
     StatementFields fields(headers, statement);
     statement.requestLimit = fields.number(names.requestLimit, kMaxRequestLimit);
+    statement.isLeaving = fields.flag(names.leaving);
     return statement;
 }
 
--- a/tests/http/BackendConnectionPoolTest.cpp
+++ b/tests/http/BackendConnectionPoolTest.cpp
@@ -35,6 +35,7 @@
         names.signature = "Signature";
         names.notExecuted = "Not-Executed";
         names.requestLimit = "Request-Limit";
+        names.leaving = "Leaving";
         return names;
     }
 
@@ -468,6 +469,9 @@
         CHECK(statement.invalid == "Request-Limit: " + std::string(invalid));
     }
     CHECK_FALSE(statementOf("Request-Limit: 5\r\nRequest-Limit: 6\r\n").requestLimit);
+    CHECK(statementOf("leaving: 1\r\n").isLeaving);
+    CHECK_FALSE(statementOf("Leaving: 0\r\n").isLeaving);
+    CHECK(statementOf("Leaving: true\r\n").invalid == "Leaving: true");
     // An interim response is no statement.
     fixture.start(++attempt);
     fixture.respond(attempt,
