Send nothing to a server during a pause that it asks for

Change: the server gets nothing from this host until the pause ends, and up to a fifth longer, so that hosts return one by one. Parts go to other servers. A part waits if the pause ends in time for it; else it fails, and a request that cannot be served is refused, at once. Log line serverPaused, gauge servers_paused, /state.

Evidence: gateway_test "a server that asks for a pause*" and "a request waits for the end of a pause*" failed before.

--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -110,8 +110,8 @@
     const auto &servers = m_directory.serversOf(service.name);
     for (std::size_t offset = 0; offset < servers.size(); ++offset) {
         const auto &backend = servers[(offset + m_rotation) % servers.size()];
-        const bool isAllowed =
-                filter.allows(backend->registration.server) && now >= backend->misdirectedUntil;
+        const bool isAllowed = filter.allows(backend->registration.server)
+                && now >= backend->misdirectedUntil && now >= backend->needs.pausedUntil();
         const bool isSkipped =
                 std::find(skipped.begin(), skipped.end(), backend.get()) != skipped.end();
         if (!isAllowed || isSkipped || !isUsable(*backend) || !hasCapacity(service, *backend, now))
@@ -152,7 +152,8 @@
     const auto &servers = m_directory.serversOf(service.name);
     return std::any_of(servers.begin(), servers.end(), [&](const auto &backend) {
         return isUsable(*backend) && filter.allows(backend->registration.server)
-                && now >= backend->misdirectedUntil;
+                && now >= backend->misdirectedUntil
+                && std::max(now, filter.usableBy) >= backend->needs.pausedUntil();
     });
 }
 
--- a/src/gateway/BackendSelector.h
+++ b/src/gateway/BackendSelector.h
@@ -17,6 +17,8 @@
 {
     const std::vector<ServerId> &excluded;       ///< servers that must not be chosen
     const std::vector<ServerId> *only = nullptr; ///< if set, no other servers may be chosen
+    /** Servers that have asked for a pause until after this time are no candidates. */
+    MonotonicTime usableBy {};
     bool mayWait = false;   ///< the part may wait for a permit of a server with a request limit
     bool isWaiting = false; ///< the part waits already, so its demand has been counted
 
@@ -50,7 +52,9 @@
                                     const ServerFilter &filter, MonotonicTime now);
     /** This host's share of the idle connections that the server accepts from all entry hosts. */
     IdleConnectionLimits idleLimitsFor(const BackendService &service, const Backend &backend) const;
-    /** True if a server that passes the filter is in service and reachable, even without capacity.
+    /**
+     * True if a server that passes the filter is in service and reachable, even without capacity or
+     * during a pause that ends in time.
      */
     bool hasCandidate(const BackendService &service, const ServerFilter &filter,
                       MonotonicTime now) const;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -338,12 +338,15 @@
     counters.push_back({ "entry_hosts", m_hostCount.all });
     std::uint64_t limited = 0;
     std::uint64_t leaving = 0;
+    std::uint64_t paused = 0;
     for (const auto &[server, backend] : m_directory.servers()) {
         limited += backend->needs.requestLimit() ? 1 : 0;
         leaving += backend->needs.isLeaving() ? 1 : 0;
+        paused += m_now < backend->needs.pausedUntil() ? 1 : 0;
     }
     counters.push_back({ "servers_limited", limited });
     counters.push_back({ "servers_leaving", leaving });
+    counters.push_back({ "servers_paused", paused });
     const double slackMillis = m_dispatcher.repeatLimits().slack * 1000;
     counters.push_back({ "repeat_slack_millis", static_cast<std::uint64_t>(slackMillis) });
     return counters;
@@ -364,6 +367,7 @@
                   { "cold", now < backend->coldUntil },
                   { "registered", !backend->removeAt.has_value() },
                   { "leaving", backend->needs.isLeaving() },
+                  { "paused", now < backend->needs.pausedUntil() },
                   { "requestLimit", limit ? boost::json::value(*limit) : nullptr },
                   { "inFlight", backend->load.inFlight() },
                   { "expectedMicros",
--- a/src/gateway/HttpMessage.h
+++ b/src/gateway/HttpMessage.h
@@ -40,8 +40,9 @@
 {
     /** Requests per second that the server takes from all entry hosts together, while it is said */
     std::optional<double> requestLimit;
-    bool isLeaving = false; ///< the server is shutting down and takes no new requests
-    std::string invalid;    ///< a field that could not be read, with its value; empty if none
+    bool isLeaving = false;        ///< the server is shutting down and takes no new requests
+    std::optional<Duration> pause; ///< with status 503: the server wants nothing for so long
+    std::string invalid; ///< a field that could not be read, with its value; empty if none
 };
 
 /** A complete response of a backend server. */
--- a/src/gateway/JointServerLimits.cpp
+++ b/src/gateway/JointServerLimits.cpp
@@ -20,6 +20,9 @@
  */
 static constexpr Duration kTakeoverTime = std::chrono::seconds(2);
 
+/** A pause that a server asks for is extended by up to this share of it, at random. */
+static constexpr double kPauseSpread = 0.2;
+
 JointServerLimits::JointServerLimits(HostId self, std::uint64_t randomSeed)
     : m_self(std::move(self))
     , m_random(randomSeed)
@@ -121,6 +124,20 @@
     m_effects->push_back(std::move(record));
 }
 
+void JointServerLimits::addPause(Backend &backend, Duration pause)
+{
+    // The hosts that a server has refused together return at different times.
+    const double extra = kPauseSpread * std::generate_canonical<double, 32>(m_random);
+    const auto longer = static_cast<double>(pause.count()) * (1 + extra);
+    const MonotonicTime end = m_now + Duration(static_cast<Duration::rep>(longer));
+    if (backend.needs.pausedUntil() <= m_now)
+        m_effects->push_back(LogRecord { LogPriority::State,
+                                         "serverPaused",
+                                         { { "server", backend.registration.server.value },
+                                           { "micros", std::to_string(pause.count()) } } });
+    backend.needs.addPause(end);
+}
+
 void JointServerLimits::addResponse(Backend &backend, const ServerStatement &statement,
                                     MonotonicTime startedAt)
 {
@@ -133,6 +150,8 @@
         m_effects->push_back(LogRecord { LogPriority::State,
                                          "serverLeaving",
                                          { { "server", backend.registration.server.value } } });
+    if (statement.pause)
+        addPause(backend, *statement.pause);
     const ServerNeeds::Change change = backend.needs.addResponse(statement, startedAt, m_now);
     log(backend, change, "response", startedAt);
     if (change != ServerNeeds::Change::LimitEnded)
--- a/src/gateway/JointServerLimits.h
+++ b/src/gateway/JointServerLimits.h
@@ -62,6 +62,7 @@
         MonotonicTime at;
     };
 
+    void addPause(Backend &backend, Duration pause);
     /** Records which hosts of the current list are missing from a new one. */
     void addDeparted(const std::vector<HostEntry> &hosts);
     /** The host that issues the permits of a server; null if no host is listed. */
--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -32,10 +32,46 @@
 /** A part is given up once less than its typical time divided by this is left. */
 static constexpr int kMinTimeDivisor = 2;
 
-ServerFilter RequestDispatcher::filterFor(const Exchange &exchange, const Part &part) const
+ServerFilter RequestDispatcher::filterFor(const Exchange &exchange, const Part &part)
 {
     const bool isLimited = part.reached.size() >= exchange.route->maxAttempts;
-    return { part.excluded, isLimited ? &part.reached : nullptr };
+    ServerFilter filter { part.excluded, isLimited ? &part.reached : nullptr };
+    filter.mayWait = mayWait(exchange, part);
+    filter.isWaiting = part.waiting.has_value();
+    if (filter.mayWait)
+        filter.usableBy = latestSend(exchange, part);
+    return filter;
+}
+
+bool RequestDispatcher::arePausesTooLong(const Exchange &exchange, const Part &part)
+{
+    ServerFilter filter = filterFor(exchange, part);
+    if (m_selector.hasCandidate(*part.service, filter, m_now))
+        return false;
+    filter.usableBy = MonotonicTime::max();
+    return m_selector.hasCandidate(*part.service, filter, m_now);
+}
+
+bool RequestDispatcher::mayWait(const Exchange &exchange, const Part &part)
+{
+    // The other parts of a gathering request would be lost with this one, so it may wait; any other
+    // caller is told at once when to return.
+    return exchange.route->gather || part.reached.empty();
+}
+
+MonotonicTime RequestDispatcher::latestSend(const Exchange &exchange, const Part &part)
+{
+    const MonotonicTime inTime =
+            exchange.deadlineAt - typicalTime(*exchange.route) / kMinTimeDivisor;
+    if (exchange.route->gather || !part.reached.empty())
+        return inTime;
+    return std::min(inTime, firstSendLimit(exchange));
+}
+
+MonotonicTime RequestDispatcher::firstSendLimit(const Exchange &exchange)
+{
+    return std::min(exchange.arrivedAt + exchange.route->latencyTarget / kFirstSendDivisor,
+                    exchange.deadlineAt);
 }
 
 RequestDispatcher::SendResult RequestDispatcher::trySend(Exchange &exchange, std::size_t index)
@@ -47,22 +83,20 @@
     const bool isBlocked = isRepeat && m_quarantine.isBlocked(exchange.signature, m_now);
     if (isTooLate || isBlocked || part.unsent >= kMaxUnsentAttempts)
         return SendResult::Hopeless;
-    // The other parts of a gathering request would be lost with this one, so it may wait; any other
-    // caller is told at once when to return.
-    const bool mayWait = exchange.route->gather || !isRepeat;
+    const bool isWaitAllowed = mayWait(exchange, part);
     if (!m_selector.hasCandidate(*part.service, filterFor(exchange, part), m_now)) {
-        if (part.refusedBy.empty() || !mayWait)
+        if (part.refusedBy.empty() || !isWaitAllowed)
             return SendResult::Hopeless;
         if (m_now < part.returnAt)
             return SendResult::Wait;
         for (const ServerId &server : std::exchange(part.refusedBy, {}))
             std::erase(part.excluded, server);
+        if (arePausesTooLong(exchange, part))
+            return SendResult::Hopeless;
     }
-    ServerFilter filter = filterFor(exchange, part);
-    filter.mayWait = mayWait;
-    filter.isWaiting = part.waiting.has_value();
-    const auto backend = m_selector.choose(*part.service, typical, filter, m_now);
-    const SendResult blocked = mayWait ? SendResult::Wait : SendResult::Hopeless;
+    const auto backend =
+            m_selector.choose(*part.service, typical, filterFor(exchange, part), m_now);
+    const SendResult blocked = isWaitAllowed ? SendResult::Wait : SendResult::Hopeless;
     if (!backend)
         return blocked;
     if (isRepeat && !budgetOf(part.service->name).takeRepeat(m_now)) {
@@ -131,9 +165,8 @@
     m_waitingParts.add(part.service->name, *part.waiting);
     if (!part.reached.empty())
         return;
-    const Duration limit = exchange.route->latencyTarget / kFirstSendDivisor;
-    const MonotonicTime due = std::min(exchange.arrivedAt + limit, exchange.deadlineAt);
-    addTimer(std::max(due, m_now), { TimerKind::FirstSendDue, exchange.id, index });
+    addTimer(std::max(firstSendLimit(exchange), m_now),
+             { TimerKind::FirstSendDue, exchange.id, index });
 }
 
 void RequestDispatcher::stopWaiting(Part &part)
@@ -203,8 +236,10 @@
             && part.reached.size() < exchange.route->maxAttempts;
     if (!isUseful)
         return;
-    const auto backend = m_selector.choose(*part.service, typicalTime(*exchange.route),
-                                           filterFor(exchange, part), m_now);
+    ServerFilter filter = filterFor(exchange, part);
+    filter.mayWait = false;
+    const auto backend =
+            m_selector.choose(*part.service, typicalTime(*exchange.route), filter, m_now);
     if (!backend)
         return;
     if (!budgetOf(part.service->name).takeHedge(m_now)) {
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -127,7 +127,15 @@
     bool refuseIfUnservable(Exchange &exchange);
     const ServiceId &chooseTarget(const GatewayRoute &route);
     /** Servers that may get the part's next attempt. */
-    ServerFilter filterFor(const Exchange &exchange, const Part &part) const;
+    ServerFilter filterFor(const Exchange &exchange, const Part &part);
+    /** True if the part may wait for a server; otherwise it fails if it cannot be sent now. */
+    static bool mayWait(const Exchange &exchange, const Part &part);
+    /** True if the part's servers are usable, but only after pauses that end too late for it. */
+    bool arePausesTooLong(const Exchange &exchange, const Part &part);
+    /** Time by which the part has to be sent if it waits. */
+    MonotonicTime latestSend(const Exchange &exchange, const Part &part);
+    /** Time at which a request of which nothing was sent is given up. */
+    static MonotonicTime firstSendLimit(const Exchange &exchange);
     /** Sends a part to the best server that may get it now. */
     SendResult trySend(Exchange &exchange, std::size_t index);
     void send(Exchange &exchange, std::size_t index, const std::shared_ptr<Backend> &backend);
--- a/src/gateway/ServerNeeds.h
+++ b/src/gateway/ServerNeeds.h
@@ -3,6 +3,7 @@
 #include "gateway/HttpMessage.h"
 #include "greengagestair/Messages.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -39,6 +40,11 @@
     /** True if the server has said that it is shutting down. */
     bool isLeaving() const { return m_isLeaving; }
 
+    /** Takes over that the server wants nothing from this host until `time`. */
+    void addPause(MonotonicTime time) { m_pausedUntil = std::max(m_pausedUntil, time); }
+    /** The server wants nothing from this host before this time. */
+    MonotonicTime pausedUntil() const { return m_pausedUntil; }
+
     /** Requests per second that the server takes from all entry hosts together. */
     const std::optional<double> &requestLimit() const { return m_requestLimit; }
     /** The limit as it is told to other hosts. */
@@ -48,6 +54,7 @@
     Change setLimit(std::optional<double> limit, MonotonicTime statedAt);
 
     bool m_isLeaving = false;
+    MonotonicTime m_pausedUntil;
     std::optional<double> m_requestLimit;
     std::optional<MonotonicTime> m_limitStatedAt; ///< last response that named it or left it out
 };
--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -277,7 +277,7 @@
     Headers headers;
     for (const auto &field : message)
         headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-    answer.statement = readServerStatement(headers, names);
+    answer.statement = readServerStatement(answer.status, headers, names);
     answer.headers = endToEndFields(headers);
     answer.body = std::move(message.body());
     return answer;
--- a/src/http/ServerStatementReader.cpp
+++ b/src/http/ServerStatementReader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <iterator>
 #include <string_view>
 
@@ -9,6 +10,9 @@
 
 /** Greatest request rate, per second, that is taken for meant. */
 static constexpr double kMaxRequestLimit = 1e6;
+/** Longest pause that is taken for meant. */
+static constexpr std::chrono::duration<double> kMaxPause = std::chrono::hours(1);
+static constexpr int kServiceUnavailable = 503;
 /** Bytes of an invalid value that are kept for the log. */
 static constexpr std::size_t kMaxReportedBytes = 40;
 
@@ -78,11 +82,15 @@
 
 } // namespace
 
-ServerStatement readServerStatement(const Headers &headers, const HeaderNames &names)
+ServerStatement readServerStatement(int status, const Headers &headers, const HeaderNames &names)
 {
     ServerStatement statement;
     StatementFields fields(headers, statement);
     statement.requestLimit = fields.number(names.requestLimit, kMaxRequestLimit);
+    if (status == kServiceUnavailable) {
+        if (const auto seconds = fields.number("Retry-After", kMaxPause.count()))
+            statement.pause = std::chrono::round<Duration>(std::chrono::duration<double>(*seconds));
+    }
     statement.isLeaving = fields.flag(names.leaving);
     return statement;
 }
--- a/tests/gateway/ServerNeedsTest.cpp
+++ b/tests/gateway/ServerNeedsTest.cpp
@@ -86,3 +86,73 @@
     CHECK(fixture.takeAttempts().empty());
     CHECK(fixture.refusal() == RefusalReason::Shed);
 }
+
+/** Ends an attempt with a refusal that asks for a pause. */
+static void refuseWithPause(GatewayFixture &fixture, const StartAttempt &attempt, Duration pause)
+{
+    BackendAnswer answer;
+    answer.status = 503;
+    answer.notExecuted = true;
+    answer.statement.pause = pause;
+    fixture.send(AttemptEnded { attempt.attempt, answer });
+}
+
+// Guards against requests to a server that has asked for a pause when it refused one.
+TEST_CASE("a server that asks for a pause gets nothing until its end", "[gateway][needs]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    fixture.lookup();
+    const auto attempts = fixture.takeAttempts();
+    const std::string server = attempts.front().server.value;
+    refuseWithPause(fixture, attempts.front(), 2s);
+    CHECK(countTo(fixture.takeAttempts(), server) == 0);
+    // A shorter pause, as an earlier request gets it, does not end the longer one.
+    const MonotonicTime end = fixture.now + 2s;
+    while (fixture.now < end - 20ms) {
+        fixture.lookup();
+        const auto later = fixture.takeAttempts();
+        CHECK(countTo(later, server) == 0);
+        for (const StartAttempt &attempt : later)
+            fixture.answer(attempt);
+        fixture.wait(20ms);
+    }
+    // The pauses of several hosts end at different times.
+    fixture.wait(1s);
+    CHECK(lookupsTo(fixture, server) > 0);
+}
+
+// Guards against a caller that waits for its deadline although all servers have asked for a longer
+// pause, and against one that is refused although a pause ends in time.
+TEST_CASE("a request waits for the end of a pause only if it can be served then",
+          "[gateway][needs]")
+{
+    GatewayFixture fixture;
+    fixture.start();
+    const Duration pause = GENERATE(Duration(30ms), Duration(5s));
+    const auto pauseBoth = [&] {
+        fixture.lookup();
+        for (int round = 0; round < 2; ++round) {
+            for (const StartAttempt &attempt : fixture.takeAttempts()) {
+                if (attempt.server.value.starts_with("shard-0-"))
+                    refuseWithPause(fixture, attempt, pause);
+                else
+                    fixture.answer(attempt);
+            }
+        }
+        fixture.wait(1ms);
+        fixture.takeAttempts();
+        fixture.replies.clear();
+    };
+    pauseBoth();
+    // The part of shard-0 is left out at once or waits; with the others the minimum is reached.
+    fixture.lookup();
+    for (const StartAttempt &attempt : fixture.takeAttempts()) {
+        CHECK_FALSE(attempt.server.value.starts_with("shard-0-"));
+        fixture.answer(attempt);
+    }
+    CHECK(fixture.replies.size() == (pause > 1s ? 1U : 0U));
+    fixture.wait(70ms);
+    const auto attempts = fixture.takeAttempts();
+    CHECK(attempts.empty() == (pause > 1s));
+}
--- a/tests/http/BackendConnectionPoolTest.cpp
+++ b/tests/http/BackendConnectionPoolTest.cpp
@@ -469,6 +469,18 @@
         CHECK(statement.invalid == "Request-Limit: " + std::string(invalid));
     }
     CHECK_FALSE(statementOf("Request-Limit: 5\r\nRequest-Limit: 6\r\n").requestLimit);
+    const auto pauseOf = [&](const std::string &status, const std::string &value) {
+        fixture.start(++attempt);
+        fixture.respond(attempt,
+                        "HTTP/1.1 " + status + "\r\nRetry-After: " + value
+                                + "\r\nContent-Length: 0\r\n\r\n");
+        return fixture.answer(attempt).statement.pause;
+    };
+    CHECK(pauseOf("503 X", "1.25") == Duration(1250ms));
+    CHECK_FALSE(pauseOf("429 X", "1"));
+    CHECK_FALSE(pauseOf("503 X", "-1"));
+    CHECK_FALSE(pauseOf("503 X", "999999"));
+    CHECK_FALSE(pauseOf("503 X", "Fri, 04 Dec 2026 00:00:00 GMT"));
     CHECK(statementOf("leaving: 1\r\n").isLeaving);
     CHECK_FALSE(statementOf("Leaving: 0\r\n").isLeaving);
     CHECK(statementOf("Leaving: true\r\n").invalid == "Leaving: true");
