Send nothing to cold servers from processes whose share is not their own yet

What callers saw: nothing; a cold server could get twice what it bears in a second in which all hosts restart, and its whole limit from each host that had not read the host list.

Cause: a joint limit divided among the hosts, whose account is lost with the process, or whose divisor is not known yet.

Change: a process sends nothing to cold servers in its first second, nor before it knows the number of hosts.

Evidence: gateway_test "a new process sends nothing*" and "a process that has not read*" failed before, with 3 and 11 requests.

--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -23,6 +23,9 @@
  */
 static constexpr Duration kSharedIdleTime = std::chrono::seconds(4);
 
+/** The limit on requests to a cold server holds in any span of this length. */
+static constexpr Duration kColdWindow = std::chrono::seconds(1);
+
 static bool contains(const std::vector<ServerId> &servers, const ServerId &server)
 {
     return std::find(servers.begin(), servers.end(), server) != servers.end();
@@ -68,6 +71,15 @@
     return limits;
 }
 
+double BackendSelector::coldShare(const BackendService &service, MonotonicTime now) const
+{
+    if (m_hostCount == 0 || now < m_startedAt + kColdWindow)
+        return 0;
+    const double allowed =
+            service.coldRequestsPerSecond * m_options.coldFactor + m_options.coldSlack;
+    return std::floor(allowed / static_cast<double>(m_hostCount));
+}
+
 bool BackendSelector::hasCapacity(const BackendService &service, Backend &backend,
                                   MonotonicTime now) const
 {
@@ -76,10 +88,8 @@
         return false;
     if (now >= backend.coldUntil || service.coldRequestsPerSecond <= 0)
         return true;
-    const double allowed =
-            service.coldRequestsPerSecond * m_options.coldFactor + m_options.coldSlack;
-    const double coldShare = std::floor(allowed / static_cast<double>(m_hostCount));
-    return static_cast<double>(backend.load.coldRequestsInLastSecond(now)) < coldShare;
+    return static_cast<double>(backend.load.coldRequestsInLastSecond(now))
+            < coldShare(service, now);
 }
 
 Duration BackendSelector::cost(const BackendService &service, const Backend &backend,
--- a/src/gateway/BackendSelector.h
+++ b/src/gateway/BackendSelector.h
@@ -39,6 +39,8 @@
 
     /** Replaces the options given to the constructor. */
     void setOptions(const SelectorOptions &options) { m_options = options; }
+    /** Sets the start of this process, whose predecessor may have used its shares just before. */
+    void setStartedAt(MonotonicTime time) { m_startedAt = time; }
     /** Sets the number of entry hosts among which joint limits are divided. */
     void setHostCount(const HostCount &hosts);
 
@@ -74,6 +76,8 @@
                                       const std::vector<const Backend *> &skipped,
                                       MonotonicTime now);
     bool isUsable(const Backend &backend) const;
+    /** This host's share of the requests that a cold server of the service bears in a second. */
+    double coldShare(const BackendService &service, MonotonicTime now) const;
     bool hasCapacity(const BackendService &service, Backend &backend, MonotonicTime now) const;
     Duration cost(const BackendService &service, const Backend &backend, Duration typical,
                   MonotonicTime now) const;
@@ -83,7 +87,8 @@
     const DomainReachability &m_reachability;
     JointServerLimits &m_limits;
     ConnectionPlan m_connections;
-    std::size_t m_hostCount = 1;
+    std::size_t m_hostCount = 0; ///< 0 until it is known
+    MonotonicTime m_startedAt;
     std::size_t m_rotation = 0;
 };
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -30,6 +30,10 @@
 
 GatewayEffects Gateway::handle(const GatewayEvent &event, MonotonicTime now)
 {
+    if (!m_startedAt) {
+        m_startedAt = now;
+        m_selector.setStartedAt(now);
+    }
     m_now = std::max(m_now, now);
     m_effects.clear();
     m_reachability.beginStep(m_now, m_effects);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -96,6 +96,7 @@
     HostCount m_lastHostCount;                        ///< as last read from the store
     bool m_isStopping = false;
     bool m_isCutOff = false;
+    std::optional<MonotonicTime> m_startedAt; ///< time of the first event
     MonotonicTime m_now;
     GatewayEffects m_effects;
 };
--- a/tests/gateway/JointLimitTest.cpp
+++ b/tests/gateway/JointLimitTest.cpp
@@ -266,3 +266,50 @@
     fixture.send(RegistrationWritten { restarted });
     CHECK(sendsToFormer());
 }
+
+/** Orders that reach a cold server from a gateway in the second after `fixture.now`. */
+static std::size_t coldOrdersInOneSecond(GatewayFixture &fixture)
+{
+    std::size_t sent = 0;
+    for (int i = 0; i < 50; ++i) {
+        fixture.order();
+        for (const StartAttempt &attempt : fixture.takeAttempts()) {
+            ++sent;
+            fixture.answer(attempt);
+        }
+        fixture.wait(20ms);
+    }
+    return sent;
+}
+
+// Guards against a cold server that gets twice what it bears when all hosts restart after they have
+// sent it their shares, and many times that while they do not know how many they are.
+TEST_CASE("a new process sends nothing to cold servers until its share is its own",
+          "[gateway][fleet]")
+{
+    GatewayFixture fixture;
+    fixture.configuration.services[{ "orders" }].coldRequestsPerSecond = 4;
+    fixture.send(ConfigurationRead {
+            std::make_shared<const RoutingConfiguration>(fixture.configuration) });
+    BackendRegistration cold = GatewayFixture::registration("orders", "shubra");
+    cold.coldFor = 10s;
+    fixture.send(RegistrationsRead { { cold } });
+    fixture.send(GatewayFixture::hosts(1, 2));
+    CHECK(coldOrdersInOneSecond(fixture) == 0);
+    // (4 requests per second * 1.5 + 5) / 3 hosts, rounded down.
+    CHECK(coldOrdersInOneSecond(fixture) == 3);
+}
+
+TEST_CASE("a process that has not read the host list sends nothing to cold servers",
+          "[gateway][fleet]")
+{
+    GatewayFixture fixture;
+    fixture.configuration.services[{ "orders" }].coldRequestsPerSecond = 4;
+    fixture.send(ConfigurationRead {
+            std::make_shared<const RoutingConfiguration>(fixture.configuration) });
+    BackendRegistration cold = GatewayFixture::registration("orders", "shubra");
+    cold.coldFor = 10s;
+    fixture.send(RegistrationsRead { { cold } });
+    fixture.wait(2s);
+    CHECK(coldOrdersInOneSecond(fixture) == 0);
+}
