Let the soak's servers name limits, ask for pauses and say that they leave

Its backend servers name limits of 1 to 12 requests a second, refuse with Retry-After, say that they leave up to 7 s before their registration does, and break off at any byte of an answer. Gateways get signals in series during a stop, and a quarter of the callers use a connection until it is gone, whatever answers say.

--- a/tools/soak_parts/backends.py
+++ b/tools/soak_parts/backends.py
@@ -37,7 +37,11 @@
         self.registry = registry
         self.rng = rng
         self.slow = 1.0
-        self.error_share = self.lost_share = self.garble_share = 0.0
+        self.error_share = self.lost_share = self.garble_share = self.refuse_share = 0.0
+        self.limit = None           # requests a second that it says it takes from all gateways
+        self.limit_since = None     # when it first named its limit
+        self.pause = 0.0            # seconds of the pause that its refusals ask for
+        self.is_leaving = False     # says so in its answers
         self.draining_since = None  # the store's acknowledgement
         self.gone_since = None
         self.proxy = Proxy(address, (address[0], address[1] + 1))
@@ -58,6 +62,7 @@
             "slow_start_ms": 0, "sequence": 1, "born": int(time.time() * 1000)}))
 
     async def drain(self):
+        self.is_leaving = True
         await self.register("draining")
         self.draining_since = time.monotonic()
         await asyncio.sleep(DRAIN_SECONDS + 1.0)
@@ -80,9 +85,26 @@
 
     def clear_faults(self):
         self.slow = 1.0
-        self.error_share = self.lost_share = self.garble_share = 0.0
+        self.error_share = self.lost_share = self.garble_share = self.refuse_share = 0.0
         self.proxy.heal()
 
+    def statements(self, request, status):
+        """Header lines in which the server tells its needs; the ledger records who was told."""
+        headers = {}
+        if self.limit is not None:
+            headers["Server-Limit"] = f"{self.limit:.1f}"
+            self.limit_since = self.limit_since or time.monotonic()
+            self.ledger.told(request, self, "limit")
+        else:
+            self.limit_since = None
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
+            self.ledger.told(request, self, "leaving")
+        if status == 503 and self.pause:
+            headers["Retry-After"] = f"{self.pause:.2f}"
+            self.ledger.told(request, self, "pause")
+        return headers
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
@@ -102,9 +124,10 @@
             writer.write(wire.render("HTTP/1.1 421 Misdirected", {"X-Request-Id": request}))
             return True
         self.ledger.arrived(request, self, method, path, body)
-        if self._waiting >= QUEUE:
-            writer.write(wire.render("HTTP/1.1 503 Busy", {"X-Request-Id": request,
-                                                           "X-Not-Executed": "1"}))
+        if self._waiting >= QUEUE or self.rng.random() < self.refuse_share:
+            writer.write(wire.render("HTTP/1.1 503 Busy",
+                                     {"X-Request-Id": request, "X-Not-Executed": "1",
+                                      **self.statements(request, 503)}))
             return True
         self._waiting += 1
         async with self._slots:
@@ -141,10 +164,11 @@
         self.ledger.answered(signature, request, self, 500 if failed else 200, content)
         text = wire.render("HTTP/1.1 500 Failure" if failed else "HTTP/1.1 200 OK",
                            {"X-Request-Id": request, "X-Backend-Signature": signature,
-                            "Keep-Alive": "timeout=5"}, content)
+                            "Keep-Alive": "timeout=5", **self.statements(request, 200)}, content)
         if self.rng.random() < self.garble_share:
             if self.rng.random() < 0.5:
-                writer.write(text[:len(text) // 2])
+                # Breaks off within the head or the body.
+                writer.write(text[:self.rng.randrange(1, len(text))])
                 await writer.drain()
                 return False
             text += wire.render("HTTP/1.1 200 OK", {"X-Request-Id": "late", "X-Backend-Signature":
--- a/tools/soak_parts/callers.py
+++ b/tools/soak_parts/callers.py
@@ -9,6 +9,7 @@
 
 DEADLINE = 1.5       # seconds that a caller waits
 REST = 0.06          # mean seconds between the requests of one connection
+KEEP_SHARE = 0.25    # callers that use a connection until it is gone, whatever answers say
 LEAVE_SHARE = 0.03   # callers that leave before their answer
 ORDER_SHARE = 0.3
 LOST_SLACK = 0.2     # seconds; a request that crosses the close of its connection
@@ -23,12 +24,14 @@
         self.ledger = ledger
         self.rng = rng
         self.connection = None
+        self.rest = REST
+        self.keeps_connection = rng.random() < KEEP_SHARE
         self.order_service = "orders"
         self.planned_stop = None  # callable: whether a stop without another fault is under way
 
     async def run(self):
         while True:
-            await asyncio.sleep(self.rng.expovariate(1 / REST))
+            await asyncio.sleep(self.rng.expovariate(1 / self.rest))
             await self.send_one()
 
     async def send_one(self):
@@ -61,7 +64,7 @@
                                       "connection ended during a planned stop")
             return
         self.ledger.received(request, int(first.split()[1]), headers, body)
-        if headers.get("connection", "").lower() == "close":
+        if headers.get("connection", "").lower() == "close" and not self.keeps_connection:
             self.drop()
 
     def new_request(self):
--- a/tools/soak_parts/ledger.py
+++ b/tools/soak_parts/ledger.py
@@ -14,6 +14,11 @@
 BUDGET_WINDOW = 10.0
 BUDGET_RATIO = 0.2
 BUDGET_SLACK = 60
+LIMIT_WINDOW = 4.0
+LIMIT_SHARE = 1.5
+LIMIT_SLACK = 5
+KNOWN_AFTER = 0.5       # seconds after which a gateway follows what a server has told it
+MAX_IN_PAUSE = 2        # requests that may reach a server within a pause
 RECOVERED_SHARE = 0.95
 LEAST_COVERAGE = 0.75
 TOP_RECORDS = 5
@@ -43,6 +48,9 @@
         self.evacuated = {}                 # failure domain: since, until
         self.late_arrivals = 0
         self.touched = defaultdict(float)   # gateway: time until which it is disturbed
+        self.told_at = {}                   # (server, gateway, statement): first time
+        self.pauses = {}                    # (server, gateway): begin, end, arrivals within
+        self.limited = defaultdict(list)    # server: arrivals that its limit counts
 
     def violation(self, text):
         self.violations.append(f"{time.monotonic():.3f} {text}")
@@ -59,6 +67,58 @@
         now = time.monotonic()
         return self.touched[gateway] + TOUCH <= (since if since is not None else now)
 
+    # What servers say of themselves
+
+    def told(self, identifier, server, statement):
+        """A server tells its needs to the gateway of this request."""
+        request = self.requests.get(identifier)
+        if request is None or server.proxy.is_harmed():
+            return
+        now = time.monotonic()
+        key = (server.identifier, request.gateway)
+        if statement == "pause":
+            begin, end, count = self.pauses.get(key, (now, 0.0, 0))
+            if now >= end:
+                begin, count = now, 0
+            self.pauses[key] = (begin, max(end, now + server.pause), count)
+            return
+        first = self.told_at.get((*key, statement), 0.0)
+        if first <= self.touched[request.gateway]:
+            self.told_at[(*key, statement)] = now
+
+    def knows(self, server, gateway, statement):
+        """Since when the undisturbed gateway follows a statement; None if it need not."""
+        first = self.told_at.get((server.identifier, gateway, statement))
+        if first is None or not self.in_touch(gateway, first + TOUCH):
+            return None
+        return first + KNOWN_AFTER
+
+    def check_needs(self, request, server, now):
+        key = (server.identifier, request.gateway)
+        known = self.knows(server, request.gateway, "leaving")
+        if known and request.sent > known + DRAIN_BOUND:
+            self.violation(f"DRAIN {request.identifier} reached {server.identifier} "
+                           f"{now - known:.2f} s after it had said that it leaves")
+        begin, end, count = self.pauses.get(key, (0.0, 0.0, 0))
+        if begin + KNOWN_AFTER <= now < end and self.in_touch(request.gateway, begin + TOUCH):
+            self.pauses[key] = (begin, end, count + 1)
+            if count + 1 > MAX_IN_PAUSE:
+                self.violation(f"PAUSE {request.identifier} reached {server.identifier} "
+                               f"{end - now:.2f} s before the end of its pause")
+        known = self.knows(server, request.gateway, "limit")
+        if (server.limit is None or not server.limit_since or not known or now < known
+                or now < server.limit_since + TOUCH):
+            return
+        arrivals = self.limited[server.identifier]
+        arrivals.append(now)
+        while arrivals[0] < max(now - LIMIT_WINDOW, server.limit_since):
+            arrivals.pop(0)
+        allowed = LIMIT_SHARE * LIMIT_WINDOW * server.limit + LIMIT_SLACK
+        if len(arrivals) > allowed:
+            self.violation(f"LIMIT {server.identifier} with a limit of {server.limit:.1f} got "
+                           f"{len(arrivals)} requests in {LIMIT_WINDOW} s")
+            arrivals.clear()
+
     # Backend servers
 
     def arrived(self, identifier, server, method, path, body):
@@ -77,6 +137,7 @@
         is_held_up = server.proxy.is_harmed() or now < server.proxy.harmed_at + TOUCH
         if is_held_up:
             return
+        self.check_needs(request, server, now)
         if (request.left is not None and now > request.left + ABANDON_BOUND
                 and self.in_touch(request.gateway)):
             self.late_arrivals += 1
--- a/tools/soak_parts/scenario.py
+++ b/tools/soak_parts/scenario.py
@@ -20,6 +20,7 @@
 SETTLE_SECONDS = 4.0     # of these, before the share of served requests is taken
 CONFIG_BOUND = 3.0       # seconds until a configuration is in force
 PORT = 7800
+USUAL_GATEWAYS = 6       # with more of them, each caller rests longer
 
 
 class Scenario:
@@ -129,6 +130,7 @@
             for _ in range(2):
                 caller = Caller(gateway.name, gateway.callers.listen, self.ledger, self.rng)
                 caller.planned_stop = self.planned_stop_of(gateway)
+                caller.rest *= max(1.0, len(self.gateways) / USUAL_GATEWAYS)
                 self.callers.append(caller)
                 self.tasks.append(asyncio.create_task(caller.run()))
 
@@ -163,7 +165,8 @@
                  self.store_link, self.store_refuses, self.store_pauses, self.drop_history,
                  self.caller_link, self.backend_link, self.backend_slow, self.backend_faulty,
                  self.backend_crash, self.replace_backend, self.configure, self.reshard,
-                 self.evacuate, self.cut_domain]
+                 self.evacuate, self.cut_domain, self.signal_series, self.backend_limited,
+                 self.backend_limited, self.backend_pauses, self.backend_leaves]
         kind = self.rng.choice(kinds)
         self.note(kind.__name__)
         await kind()
@@ -187,6 +190,19 @@
         await gateway.terminate()
         self.ledger.touch([gateway.name])
 
+    async def signal_series(self):
+        """A planned stop with further signals before and during it."""
+        gateway = self.rng.choice(self.gateways)
+        if time.monotonic() < gateway.stops_until:
+            return
+        stop = asyncio.create_task(gateway.terminate())
+        for number in self.rng.choices([signal.SIGHUP, signal.SIGTERM], k=5):
+            await asyncio.sleep(self.rng.uniform(0.0, 0.3))
+            if time.monotonic() < gateway.stops_until:
+                gateway.send_signal(number)
+        await stop
+        self.ledger.touch([gateway.name])
+
     async def kill_gateway(self):
         for gateway in self.rng.sample(self.gateways, self.rng.randint(1, len(self.gateways))):
             self.ledger.touch([gateway.name], time.monotonic() + 1.0)
@@ -267,6 +283,29 @@
             setattr(backend, share, self.rng.uniform(0.02, 0.3))
             asyncio.get_running_loop().call_later(self.duration(), backend.clear_faults)
 
+    async def backend_limited(self):
+        limited = self.rng.sample(self.live(), 2)
+        for backend in limited:
+            backend.limit = self.rng.uniform(1.0, 12.0)
+        await asyncio.sleep(self.rng.uniform(6.0, 11.0))
+        for backend in limited:
+            backend.limit = None
+
+    async def backend_pauses(self):
+        self.last_backend_fault = time.monotonic() + 4.0
+        for backend in self.rng.sample(self.live(), 3):
+            backend.pause = self.rng.uniform(0.6, 3.0)
+            backend.refuse_share = self.rng.uniform(0.1, 0.9)
+            asyncio.get_running_loop().call_later(self.duration(), backend.clear_faults)
+
+    async def backend_leaves(self):
+        """A server says that it leaves for a while before its registration does."""
+        backend = self.rng.choice(self.live())
+        await self.add_backend(backend.service, backend.domain)
+        backend.is_leaving = True
+        await asyncio.sleep(self.rng.uniform(3.0, 7.0))
+        await backend.drain()
+
     async def backend_crash(self):
         self.last_backend_fault = time.monotonic() + 4.0
         backend = self.rng.choice(self.live())
@@ -313,6 +352,7 @@
                 self.ledger.violation(f"HARNESS {result!r}")
         for backend in self.backends:
             backend.clear_faults()
+            backend.limit = None
         await asyncio.sleep(SETTLE_SECONDS)
         since = time.monotonic()
         await asyncio.sleep(RECOVERY_SECONDS - SETTLE_SECONDS)
