Tell all hosts when a server names a limit or ends it

What callers saw: nothing; in a large fleet, hosts that had no request for a server in need for seconds sent to it as before, each until its own first answer.

Change: the host that learns of a limit, or of its end, tells the issuing host, and that one tells all others, within a joint rate. Statements still travel with the permits for hosts that miss the notice.

Test changed: "a host learns with its permits that a limit has ended" now loses the notice first, since without that the host knows before it asks for a permit.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -253,7 +253,8 @@
 
 void Gateway::on(const PermitsRequested &event)
 {
-    m_serverLimits.answer(event.sender, event.request);
+    const auto backend = m_directory.find(event.request.server);
+    m_serverLimits.answer(event.sender, event.request, backend.get());
 }
 
 void Gateway::on(const PermitsGranted &event)
--- a/src/gateway/JointServerLimits.cpp
+++ b/src/gateway/JointServerLimits.cpp
@@ -20,6 +20,14 @@
  */
 static constexpr Duration kTakeoverTime = std::chrono::seconds(2);
 
+/**
+ * Limits on notices of changed limits, each of which goes to all hosts; the joint rate is what a
+ * single host receives. A host that misses a notice learns from its own requests.
+ */
+static constexpr std::size_t kMaxNotices = 50;
+static constexpr std::size_t kMaxJointNotices = 600;
+static constexpr std::size_t kMinNotices = 3;
+static constexpr Duration kNoticeWindow = std::chrono::seconds(5);
 /** A pause that a server asks for is extended by up to this share of it, at random. */
 static constexpr double kPauseSpread = 0.2;
 
@@ -27,6 +35,7 @@
     : m_self(std::move(self))
     , m_random(randomSeed)
     , m_hosts(std::make_shared<const std::vector<HostEntry>>())
+    , m_noticeLimit(kMaxNotices, kNoticeWindow)
 {
 }
 
@@ -98,16 +107,40 @@
     return from;
 }
 
-std::optional<PermitGrant> JointServerLimits::issue(const PermitRequest &request)
+std::optional<PermitGrant> JointServerLimits::issue(const HostId &sender,
+                                                    const PermitRequest &request)
 {
     const auto from = issuesFrom(request.server);
     if (!from || m_now < *from)
         return std::nullopt;
+    const bool isNews = m_issuer.addStatement(request, m_now);
     const PermitGrant grant = m_issuer.issue(request, *from, m_now);
     m_counters.add("permits_issued_total", grant.permits);
+    if (isNews)
+        tellHosts(sender, grant);
     return grant;
 }
 
+void JointServerLimits::tellHosts(const HostId &source, const PermitGrant &grant)
+{
+    if (!m_noticeLimit.take(m_now))
+        return;
+    PermitGrant notice = grant;
+    notice.id = 0;
+    notice.permits = 0;
+    notice.pause = Duration(0);
+    for (const HostEntry &host : *m_hosts) {
+        if (host.host != m_self && host.host != source)
+            m_effects->push_back(SendToHost { host.host, host.peer, notice });
+    }
+}
+
+void JointServerLimits::setHostCount(std::size_t hosts)
+{
+    m_hostCount = hosts;
+    m_noticeLimit.setMaxEvents(std::clamp(kMaxJointNotices / hosts, kMinNotices, kMaxNotices));
+}
+
 void JointServerLimits::log(const Backend &backend, ServerNeeds::Change change,
                             std::string_view source, MonotonicTime attemptStartedAt)
 {
@@ -154,13 +187,13 @@
         addPause(backend, *statement.pause);
     const ServerNeeds::Change change = backend.needs.addResponse(statement, startedAt, m_now);
     log(backend, change, "response", startedAt);
-    if (change != ServerNeeds::Change::LimitEnded)
+    if (change == ServerNeeds::Change::None)
         return;
     // The other hosts learn it from the issuing host; their own requests may be rare.
     const PermitRequest notice = makeRequest(backend, 0);
     const HostEntry *issuer = issuerOf(backend.registration.server);
     if (issuer && issuer->host == m_self)
-        issue(notice);
+        issue(m_self, notice);
     else if (issuer)
         m_effects->push_back(SendToHost { issuer->host, issuer->peer, notice });
 }
@@ -204,7 +237,7 @@
         m_effects->push_back(SendToHost { issuer->host, issuer->peer, request });
         return;
     }
-    if (const auto grant = issue(request))
+    if (const auto grant = issue(m_self, request))
         addGrant(backend, *grant);
 }
 
@@ -214,15 +247,19 @@
         backend.permits.take(m_now);
 }
 
-void JointServerLimits::answer(const HostId &sender, const PermitRequest &request)
+void JointServerLimits::answer(const HostId &sender, const PermitRequest &request, Backend *backend)
 {
     const auto entry =
             std::find_if(m_hosts->begin(), m_hosts->end(),
                          [&sender](const HostEntry &host) { return host.host == sender; });
     if (entry == m_hosts->end())
         return;
-    const auto grant = issue(request);
-    if (grant && request.permits > 0)
+    const auto grant = issue(sender, request);
+    if (!grant)
+        return;
+    if (backend && backend->registration.startedAt == grant->serverStartedAt)
+        addReport(*backend, grant->statement);
+    if (request.permits > 0)
         m_effects->push_back(SendToHost { sender, entry->peer, *grant });
 }
 
@@ -230,12 +267,20 @@
 {
     if (backend.registration.startedAt != grant.serverStartedAt)
         return;
+    addReport(backend, grant.statement);
+    const bool isNotice = grant.id == 0;
+    if (isNotice)
+        return;
     m_counters.add("permits_received_total", grant.permits);
     if (grant.permits == 0)
         m_counters.add("permit_requests_refused_total");
-    const ServerNeeds::Change change = backend.needs.addReport(grant.statement, m_now);
-    log(backend, change, "host", m_now - std::max(grant.statement.age, Duration(0)));
     backend.permits.addGrant(grant, m_now, m_random);
 }
 
+void JointServerLimits::addReport(Backend &backend, const LimitStatement &statement)
+{
+    const ServerNeeds::Change change = backend.needs.addReport(statement, m_now);
+    log(backend, change, "host", m_now - std::max(statement.age, Duration(0)));
+}
+
 } // namespace greengagestair
--- a/src/gateway/JointServerLimits.h
+++ b/src/gateway/JointServerLimits.h
@@ -2,6 +2,7 @@
 
 #include "core/CounterSet.h"
 #include "gateway/BackendDirectory.h"
+#include "gateway/EventRateLimit.h"
 #include "gateway/GatewayEffect.h"
 #include "gateway/PermitIssuer.h"
 #include "gateway/RegistryStore.h"
@@ -33,7 +34,7 @@
     /** Replaces the list of live hosts, which includes this host once it is announced. */
     void setHosts(std::shared_ptr<const std::vector<HostEntry>> hosts);
     /** Sets the number of hosts among which the part that is not issued is divided. */
-    void setHostCount(std::size_t hosts) { m_hostCount = hosts; }
+    void setHostCount(std::size_t hosts);
 
     /** Takes over what a server says in a response to an attempt that began at `startedAt`. */
     void addResponse(Backend &backend, const ServerStatement &statement, MonotonicTime startedAt);
@@ -47,8 +48,11 @@
     /** Records that a request is sent to the server. */
     void take(Backend &backend);
 
-    /** Answers another host's request for permits if this host issues them. */
-    void answer(const HostId &sender, const PermitRequest &request);
+    /**
+     * Answers another host's request for permits if this host issues them. `backend` is the server,
+     * or null if this host does not know it.
+     */
+    void answer(const HostId &sender, const PermitRequest &request, Backend *backend);
     /** Takes over the permits and the newest statement from the issuing host. */
     void addGrant(Backend &backend, const PermitGrant &grant);
 
@@ -69,7 +73,10 @@
     const HostEntry *issuerOf(const ServerId &server) const;
     /** Time from which this host, being the issuer of the server, may issue permits. */
     std::optional<MonotonicTime> issuesFrom(const ServerId &server) const;
-    std::optional<PermitGrant> issue(const PermitRequest &request);
+    std::optional<PermitGrant> issue(const HostId &sender, const PermitRequest &request);
+    /** Sends a changed statement to all hosts but the one that it came from. */
+    void tellHosts(const HostId &source, const PermitGrant &grant);
+    void addReport(Backend &backend, const LimitStatement &statement);
     PermitRequest makeRequest(Backend &backend, std::uint32_t permits);
     void log(const Backend &backend, ServerNeeds::Change change, std::string_view source,
              MonotonicTime attemptStartedAt);
@@ -85,6 +92,7 @@
     std::optional<MonotonicTime> m_listedSince;
     std::vector<DepartedHost> m_departed;
     PermitIssuer m_issuer;
+    EventRateLimit m_noticeLimit;
     CounterSet m_counters;
 };
 
--- a/src/gateway/PermitIssuer.cpp
+++ b/src/gateway/PermitIssuer.cpp
@@ -18,26 +18,39 @@
 /** Tolerance for rounding errors of sums. */
 static constexpr double kTolerance = 1e-9;
 
-PermitGrant PermitIssuer::issue(const PermitRequest &request, MonotonicTime since,
-                                MonotonicTime now)
+PermitIssuer::Account &PermitIssuer::accountOf(const PermitRequest &request, MonotonicTime now)
 {
-    forgetUnused(now);
     const auto [found, isNew] = m_accounts.try_emplace({ request.server, request.serverStartedAt });
-    Account &account = found->second;
     if (isNew)
-        account.accruedAt = now;
-    account.accruedAt = std::max(account.accruedAt, since);
+        found->second.accruedAt = now;
+    return found->second;
+}
+
+bool PermitIssuer::addStatement(const PermitRequest &request, MonotonicTime now)
+{
+    forgetUnused(now);
+    Account &account = accountOf(request, now);
+    const LimitStatement former = account.statement;
     const MonotonicTime statedAt = now - request.statement.age;
-    if (isNew || statedAt > account.statedAt) {
-        account.statement = request.statement;
-        account.statedAt = statedAt;
-    }
+    if (account.statedAt && statedAt <= *account.statedAt)
+        return false;
+    account.statement = request.statement;
+    account.statedAt = statedAt;
+    return former.isLimited != request.statement.isLimited
+            || former.perSecond != request.statement.perSecond;
+}
+
+PermitGrant PermitIssuer::issue(const PermitRequest &request, MonotonicTime since,
+                                MonotonicTime now)
+{
+    Account &account = accountOf(request, now);
+    account.accruedAt = std::max(account.accruedAt, since);
     PermitGrant grant;
     grant.id = request.id;
     grant.server = request.server;
     grant.serverStartedAt = request.serverStartedAt;
     grant.statement = account.statement;
-    grant.statement.age = now - account.statedAt;
+    grant.statement.age = account.statedAt ? now - *account.statedAt : Duration(0);
 
     const double rate = kIssuedShare * std::max(account.statement.perSecond, kMinRate);
     const std::chrono::duration<double> time = std::max(now - account.accruedAt, Duration(0));
--- a/src/gateway/PermitIssuer.h
+++ b/src/gateway/PermitIssuer.h
@@ -3,6 +3,7 @@
 #include "greengagestair/Messages.h"
 
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace greengagestair {
@@ -22,8 +23,13 @@
 {
 public:
     /**
-     * Answers a request; the sender's statement is taken over if it is the newest one. Nothing
-     * accrues before `since`, from when this host issues the permits of the server.
+     * Takes over the sender's statement if it is the newest one. Returns true if the server thereby
+     * has a limit, another limit, or none any more.
+     */
+    bool addStatement(const PermitRequest &request, MonotonicTime now);
+    /**
+     * Answers a request whose statement was added. Nothing accrues before `since`, from when this
+     * host issues the permits of the server.
      */
     PermitGrant issue(const PermitRequest &request, MonotonicTime since, MonotonicTime now);
     /** Number of servers that permits were asked for in the last minutes. */
@@ -34,11 +40,12 @@
     struct Account
     {
         LimitStatement statement; ///< its age is not used
-        MonotonicTime statedAt;
+        std::optional<MonotonicTime> statedAt;
         double permits = 0;
         MonotonicTime accruedAt;
     };
 
+    Account &accountOf(const PermitRequest &request, MonotonicTime now);
     void forgetUnused(MonotonicTime now);
 
     std::map<std::pair<ServerId, std::uint64_t>, Account> m_accounts; ///< by start of the process
--- a/tests/gateway/LimitFleet.cpp
+++ b/tests/gateway/LimitFleet.cpp
@@ -159,7 +159,7 @@
         return after(host.frozenUntil - m_now, [=, this] { deliver(from, to, message); });
     host.limits->beginStep(m_now, m_effects);
     if (const auto *request = std::get_if<PermitRequest>(&message))
-        host.limits->answer(m_hosts[from].id, *request);
+        host.limits->answer(m_hosts[from].id, *request, host.backend.get());
     else if (const auto *grant = std::get_if<PermitGrant>(&message))
         host.limits->addGrant(*host.backend, *grant);
     sendEffects(to);
--- a/tests/gateway/ServerLimitTest.cpp
+++ b/tests/gateway/ServerLimitTest.cpp
@@ -134,7 +134,7 @@
 
 // Guards against a division of the limit that leaves the shares of idle hosts unused, or less than
 // a request to each host of a large fleet.
-TEST_CASE("a fleet uses four fifths of a server's limit, also with load on a tenth of its hosts",
+TEST_CASE("a fleet uses four fifths of a server's limit, and no more than the limit",
           "[gateway][limit][fleet]")
 {
     for (LimitPattern pattern : fleets()) {
@@ -144,6 +144,7 @@
             const LimitOutcome outcome = LimitFleet(pattern, 1).run();
             CHECK(outcome.worstUse <= 1);
             CHECK(outcome.lastUse >= 0.8);
+            CHECK(outcome.lastUse <= 1);
         }
     }
 }
@@ -206,6 +207,7 @@
     }
 
     void wait(Duration duration) { m_now += duration; }
+    bool areMessagesLost = false;
     Side &asker() { return isIssuer(m_sides[0]) ? m_sides[1] : m_sides[0]; }
     Side &issuer() { return isIssuer(m_sides[0]) ? m_sides[0] : m_sides[1]; }
 
@@ -225,13 +227,13 @@
             const GatewayEffects effects = std::exchange(m_effects, {});
             for (const GatewayEffect &effect : effects) {
                 const auto *sent = std::get_if<SendToHost>(&effect);
-                if (!sent)
+                if (!sent || areMessagesLost)
                     continue;
                 Side &to = sent->host == m_sides[0].id ? m_sides[0] : m_sides[1];
                 Side &from = sent->host == m_sides[0].id ? m_sides[1] : m_sides[0];
                 step(to);
                 if (const auto *request = std::get_if<PermitRequest>(&sent->message))
-                    to.limits.answer(from.id, *request);
+                    to.limits.answer(from.id, *request, &to.backend);
                 else if (const auto *grant = std::get_if<PermitGrant>(&sent->message))
                     to.limits.addGrant(to.backend, *grant);
             }
@@ -283,18 +285,37 @@
 }
 
 // Guards against a limit that a host keeps although it has ended, since its share of the requests
-// is too small for it to notice.
-TEST_CASE("a host learns from the issuing host that a limit has ended", "[gateway][limit]")
+// is too small for it to notice, and it has missed the notice of the issuing host.
+TEST_CASE("a host learns with its permits that a limit has ended", "[gateway][limit]")
 {
     PermitDialogue dialogue;
     dialogue.wait(1s);
+    dialogue.areMessagesLost = true;
     dialogue.state(dialogue.issuer(), std::nullopt);
+    dialogue.areMessagesLost = false;
     REQUIRE_FALSE(dialogue.issuer().backend.needs.requestLimit());
     REQUIRE(dialogue.asker().backend.needs.requestLimit());
     dialogue.mayRequest(dialogue.asker());
     CHECK_FALSE(dialogue.asker().backend.needs.requestLimit());
 }
 
+// Guards against hosts that have no request for a limited server for a while: in a large fleet they
+// would send to it as before for many seconds, each until its own first answer.
+TEST_CASE("all hosts learn from the issuing host that a server has named a limit",
+          "[gateway][limit]")
+{
+    PermitDialogue dialogue;
+    dialogue.wait(1s);
+    dialogue.state(dialogue.asker(), 50);
+    CHECK(dialogue.issuer().backend.needs.requestLimit() == 50);
+    dialogue.wait(1s);
+    dialogue.state(dialogue.issuer(), 40);
+    CHECK(dialogue.asker().backend.needs.requestLimit() == 40);
+    dialogue.wait(1s);
+    dialogue.state(dialogue.issuer(), std::nullopt);
+    CHECK_FALSE(dialogue.asker().backend.needs.requestLimit());
+}
+
 // Guards against an issuing host that does not answer: its servers would get nothing at all.
 TEST_CASE("a host without an answer from the issuing host uses its share", "[gateway][limit]")
 {
