--- a/src/gateway/BackendSelector.h
+++ b/src/gateway/BackendSelector.h
@@ -27,9 +27,11 @@
 };
 
 /**
- * Chooses the backend server for each attempt, by the expected response time and the limits on
- * connections and cold servers. RequestDispatcher calls it. Limits that hold for all entry hosts
- * together are divided by the number of hosts, so hosts need not coordinate.
+ * Chooses the backend server for each attempt, by the expected response time, the limits on
+ * connections and cold servers, and what the servers say of themselves. RequestDispatcher calls it.
+ * The limits on connections and cold servers hold for all entry hosts together and are divided by
+ * their number, without messages between them; JointServerLimits keeps the limits that servers
+ * name.
  */
 class BackendSelector
 {
--- a/src/gateway/JointServerLimits.h
+++ b/src/gateway/JointServerLimits.h
@@ -22,6 +22,8 @@
  * list. A part of each limit is not issued but divided among all hosts, for those that get no
  * answer.
  *
+ * It also records the other statements of servers, which each host follows by itself.
+ *
  * Gateway passes the time and the list of effects with beginStep().
  */
 class JointServerLimits
@@ -73,11 +75,13 @@
     const HostEntry *issuerOf(const ServerId &server) const;
     /** Time from which this host, being the issuer of the server, may issue permits. */
     std::optional<MonotonicTime> issuesFrom(const ServerId &server) const;
+    /** Issues permits and passes on the statement; nullopt if this host does not issue them now. */
     std::optional<PermitGrant> issue(const HostId &sender, const PermitRequest &request);
     /** Sends a changed statement to all hosts but the one that it came from. */
     void tellHosts(const HostId &source, const PermitGrant &grant);
     void addReport(Backend &backend, const LimitStatement &statement);
     PermitRequest makeRequest(Backend &backend, std::uint32_t permits);
+    /** Logs a change of a limit; `source` is "response" or "host". */
     void log(const Backend &backend, ServerNeeds::Change change, std::string_view source,
              MonotonicTime attemptStartedAt);
 
@@ -89,8 +93,8 @@
     /** Index of the issuing host by server; filled when it is needed, cleared with the list. */
     mutable std::unordered_map<ServerId, std::size_t> m_issuers;
     std::size_t m_hostCount = 1;
-    std::optional<MonotonicTime> m_listedSince;
-    std::vector<DepartedHost> m_departed;
+    std::optional<MonotonicTime> m_listedSince; ///< since when the list includes this host
+    std::vector<DepartedHost> m_departed;       ///< hosts that left the list a short time ago
     PermitIssuer m_issuer;
     EventRateLimit m_noticeLimit;
     CounterSet m_counters;
--- a/src/gateway/PartWaitQueue.h
+++ b/src/gateway/PartWaitQueue.h
@@ -32,9 +32,9 @@
 };
 
 /**
- * The parts that wait for a server's capacity, for the limit on repeats, or for the end of a pause
- * after a refusal, by service. RequestDispatcher serves a queue when a reason to wait may have
- * ended.
+ * The parts that wait for a server's capacity, for a permit of a server with a request limit, for
+ * the limit on repeats, or for the end of a pause after a refusal, by service. RequestDispatcher
+ * serves a queue when a reason to wait may have ended.
  */
 class PartWaitQueue
 {
