Answer the entry host's accepted requests before its stop times out

What callers saw: a request that outlived the stop timeout of an entry host ended without an answer.

Change: from the stop on, no deadline is later than 100 ms before the stop timeout.

Evidence: core_test "a stop answers the requests*" fails without the change of the deadlines.

--- a/src/core/Reducer.cpp
+++ b/src/core/Reducer.cpp
@@ -17,6 +17,9 @@
 
 namespace greengagestair {
 
+/** In a stop, the last answers are given this long before its end, so that they are sent. */
+static constexpr Duration kLastAnswerMargin = std::chrono::milliseconds(100);
+
 namespace {
 
 /** A message between the entry role and the owner role of the same process. */
@@ -205,7 +208,7 @@
         return;
     m_stopping = true;
     m_stopDeadline = context.now() + m_options.stopTimeout;
-    m_queryEngine.requestStop();
+    m_queryEngine.requestStop(m_stopDeadline - kLastAnswerMargin);
     m_scheduler.requestStop();
     m_documents.requestStop();
     m_membership.requestStop(context);
--- a/src/core/query/QueryEngine.cpp
+++ b/src/core/query/QueryEngine.cpp
@@ -119,11 +119,13 @@
     return std::min(m_table.nextWakeUp(), m_admission.nextWakeUp());
 }
 
-void QueryEngine::requestStop()
+void QueryEngine::requestStop(MonotonicTime answerBy)
 {
     m_stopping = true;
-    if (m_options.mechanisms.stopDraining)
+    if (m_options.mechanisms.stopDraining) {
+        m_table.limitDeadlines(answerBy);
         return;
+    }
     m_partExecutor.clear();
     m_outcomeCallers.clear();
 }
--- a/src/core/query/QueryEngine.h
+++ b/src/core/query/QueryEngine.h
@@ -49,10 +49,10 @@
     /** Returns the time at which `onTick` must be called next; `kNever` if no work is scheduled. */
     MonotonicTime nextWakeUp() const;
     /**
-     * Refuses new requests from now on. Accepted requests end normally, unless the mechanism
-     * `stopDraining` is switched off: then they are dropped.
+     * Refuses new requests from now on. Accepted requests end normally, but at `answerBy` at the
+     * latest, unless the mechanism `stopDraining` is switched off: then they are dropped.
      */
-    void requestStop();
+    void requestStop(MonotonicTime answerBy);
     /** Returns whether every accepted request and outcome query has ended. */
     bool idle() const;
     /** Returns the state of this module for the operator's report. */
--- a/src/core/query/QueryTable.cpp
+++ b/src/core/query/QueryTable.cpp
@@ -98,6 +98,22 @@
     m_timers.push({ time, query.id });
 }
 
+void QueryTable::limitDeadlines(MonotonicTime latest)
+{
+    std::vector<QueryId> late;
+    for (const auto &[id, query] : m_queries) {
+        if (!query->callerGone && query->deadline > latest)
+            late.push_back(id);
+    }
+    // The order of the table is not that of a replay.
+    std::sort(late.begin(), late.end());
+    for (const QueryId id : late) {
+        Query &query = *m_queries.at(id);
+        query.deadline = latest;
+        scheduleWakeUp(query, latest);
+    }
+}
+
 Query *QueryTable::takeDueQuery(MonotonicTime now)
 {
     dropStaleTimers();
--- a/src/core/query/QueryTable.h
+++ b/src/core/query/QueryTable.h
@@ -54,6 +54,8 @@
 
     /** Sets the timer of the query to `time`, unless it has an earlier one. */
     void scheduleWakeUp(Query &query, MonotonicTime time);
+    /** Brings forward the deadlines after `latest` of the queries whose callers wait. */
+    void limitDeadlines(MonotonicTime latest);
     /** Removes the next due timer and returns its query; null if no timer is due. */
     Query *takeDueQuery(MonotonicTime now);
     /**
--- a/tests/core/QueryEngineTest.cpp
+++ b/tests/core/QueryEngineTest.cpp
@@ -112,7 +112,7 @@
     EntryRoleFixture fixture(mechanisms);
     fixture.makeSignatureKnownGood();
     const CallerId accepted = fixture.sendRequest();
-    fixture.engine.requestStop();
+    fixture.engine.requestStop(fixture.now + 10s);
     const CallerId refused = fixture.sendRequest();
     REQUIRE(fixture.answerTo(refused)->reason == QueryReason::Stopping);
     REQUIRE(fixture.engine.idle() == !draining);
@@ -122,6 +122,20 @@
     REQUIRE(fixture.engine.idle());
 }
 
+// Guards against accepted requests that are cut off without an answer when the stop times out.
+TEST_CASE("a stop answers the requests that are still in progress at its end", "[query]")
+{
+    EntryRoleFixture fixture;
+    fixture.makeSignatureKnownGood();
+    const CallerId caller = fixture.sendRequest();
+    fixture.takeSentParts();
+    fixture.engine.requestStop(fixture.now + 50ms);
+    fixture.advanceTime(49ms);
+    REQUIRE_FALSE(fixture.answerTo(caller).has_value());
+    fixture.advanceTime(1ms);
+    REQUIRE(fixture.answerTo(caller).has_value());
+}
+
 // Promise R4: without the check of the failure domain state, a server that is out of service would
 // get new parts.
 TEST_CASE("servers that accept no new work get no parts", "[query]")
