--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -143,9 +143,9 @@
     bool isNewDemand = !filter.isWaiting;
     std::vector<const Backend *> denied;
     while (auto backend = cheapest(service, typical, filter, denied, now)) {
-        const Permission former = m_limits.permission(*backend);
-        m_limits.addDemand(*backend, std::exchange(isNewDemand, false),
-                           former == Permission::Pending);
+        const bool needsPermit = m_limits.permission(*backend) == Permission::Pending;
+        m_limits.addDemand(*backend, std::exchange(isNewDemand, false), needsPermit);
+        // If this host issues the permits itself, it has got one by now.
         const Permission permission = m_limits.permission(*backend);
         if (permission == Permission::Granted)
             return backend;
--- a/src/gateway/JointServerLimits.cpp
+++ b/src/gateway/JointServerLimits.cpp
@@ -185,7 +185,8 @@
                                          { { "server", backend.registration.server.value } } });
     if (statement.pause)
         addPause(backend, *statement.pause);
-    const ServerNeeds::Change change = backend.needs.addResponse(statement, startedAt, m_now);
+    const ServerNeeds::Change change =
+            backend.needs.addNamedLimit(statement.requestLimit, startedAt, m_now);
     log(backend, change, "response", startedAt);
     if (change == ServerNeeds::Change::None)
         return;
@@ -279,7 +280,7 @@
 
 void JointServerLimits::addReport(Backend &backend, const LimitStatement &statement)
 {
-    const ServerNeeds::Change change = backend.needs.addReport(statement, m_now);
+    const ServerNeeds::Change change = backend.needs.addReportedLimit(statement, m_now);
     log(backend, change, "host", m_now - std::max(statement.age, Duration(0)));
 }
 
--- a/src/gateway/JointServerLimits.h
+++ b/src/gateway/JointServerLimits.h
@@ -40,7 +40,7 @@
 
     /** Takes over what a server says in a response to an attempt that began at `startedAt`. */
     void addResponse(Backend &backend, const ServerStatement &statement, MonotonicTime startedAt);
-    /** Whether a request may be sent to the server now. */
+    /** Whether a request may be sent to the server now; always if it has named no limit. */
     Permission permission(Backend &backend);
     /**
      * Asks for permits if the server's demand requires it. `isNew` tells that a request would go to
--- a/src/gateway/PermitHolder.cpp
+++ b/src/gateway/PermitHolder.cpp
@@ -38,6 +38,7 @@
         return Permission::Granted;
     if (m_requestedAt && now < *m_requestedAt + kAnswerTime)
         return Permission::Pending;
+    // The issuing host has not answered in time.
     if (m_requestedAt && m_fallback.mayTake(now, random))
         return Permission::Granted;
     return mayRequest(now) ? Permission::Pending : Permission::Denied;
--- a/src/gateway/PermitHolder.h
+++ b/src/gateway/PermitHolder.h
@@ -26,7 +26,7 @@
 public:
     /** Sets this host's share, in requests per second, for the time without an issuing host. */
     void setFallbackRate(double perSecond, MonotonicTime now);
-    /** Whether a request may be sent now. */
+    /** Whether a request may be sent now; asks for nothing. */
     Permission permission(MonotonicTime now, RandomSource &random);
     /** Records that a request would go to the server if that is permitted. */
     void addDemand(MonotonicTime now);
--- a/src/gateway/ServerNeeds.cpp
+++ b/src/gateway/ServerNeeds.cpp
@@ -13,18 +13,19 @@
     return limit ? Change::LimitNamed : Change::LimitEnded;
 }
 
-ServerNeeds::Change ServerNeeds::addResponse(const ServerStatement &statement,
-                                             MonotonicTime startedAt, MonotonicTime now)
+ServerNeeds::Change ServerNeeds::addNamedLimit(std::optional<double> limit, MonotonicTime startedAt,
+                                               MonotonicTime now)
 {
-    if (statement.requestLimit)
-        return setLimit(statement.requestLimit, now);
+    if (limit)
+        return setLimit(limit, now);
     // A response to an earlier attempt may have been sent before the limit was named.
     if (!m_requestLimit || startedAt < *m_limitStatedAt)
         return Change::None;
     return setLimit(std::nullopt, now);
 }
 
-ServerNeeds::Change ServerNeeds::addReport(const LimitStatement &statement, MonotonicTime now)
+ServerNeeds::Change ServerNeeds::addReportedLimit(const LimitStatement &statement,
+                                                  MonotonicTime now)
 {
     const MonotonicTime statedAt = now - std::max(statement.age, Duration(0));
     const auto limit = statement.isLimited ? std::optional(statement.perSecond) : std::nullopt;
--- a/src/gateway/ServerNeeds.h
+++ b/src/gateway/ServerNeeds.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "gateway/HttpMessage.h"
 #include "greengagestair/Messages.h"
 
 #include <algorithm>
@@ -17,18 +16,20 @@
 class ServerNeeds
 {
 public:
-    /** How a statement changes what was known. */
+    /** How a statement changes what was known of the limit. */
     enum class Change {
         None,
         LimitNamed, ///< a limit, or another one than before
         LimitEnded
     };
 
-    /** Takes over what a response says; `startedAt` is the start of the attempt. */
-    Change addResponse(const ServerStatement &statement, MonotonicTime startedAt,
-                       MonotonicTime now);
+    /**
+     * Takes over the limit that a response names, nullopt if it names none; `startedAt` is the
+     * start of the attempt.
+     */
+    Change addNamedLimit(std::optional<double> limit, MonotonicTime startedAt, MonotonicTime now);
     /** Takes over what another host knows, if its response is newer than the last one here. */
-    Change addReport(const LimitStatement &statement, MonotonicTime now);
+    Change addReportedLimit(const LimitStatement &statement, MonotonicTime now);
 
     /**
      * Takes over that the server is leaving; returns true if that is new. It stays so until
