Carry the era of the store beside each revision

The store states in the header Store-Era how often it has come back from an older copy. A position is an era and a revision; the era goes first. No decision depends on the era yet.

The store's stand-in can come back from a copy.

--- a/include/greengagestair/Messages.h
+++ b/include/greengagestair/Messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "greengagestair/StorePosition.h"
 #include "greengagestair/Types.h"
 
 #include <string>
@@ -223,8 +224,8 @@
 /** Changes of the platform's key-value store that one gateway has read and passes on to others. */
 struct StoreChanges
 {
-    Revision after;                   ///< revision after which the changes begin
-    Revision revision;                ///< revision up to which the changes are complete
+    StorePosition after;              ///< position after which the changes begin
+    StorePosition position;           ///< position up to which the changes are complete
     std::vector<std::string> entries; ///< changes in the encoding and order of the store
 
     bool operator==(const StoreChanges &) const = default;
--- a/src/app/SeedReader.cpp
+++ b/src/app/SeedReader.cpp
@@ -20,8 +20,17 @@
     json::array entries;
     for (const std::string &entry : snapshot.entries)
         entries.emplace_back(entry);
-    return json::serialize(
-            json::object { { "revision", snapshot.revision.value }, { "entries", entries } });
+    return json::serialize(json::object { { "revision", snapshot.position.revision.value },
+                                          { "era", snapshot.position.era.value },
+                                          { "entries", entries } });
+}
+
+/** Reads an unsigned number; nullopt if `value` is something else. */
+static std::optional<std::uint64_t> readUnsigned(const json::value &value)
+{
+    json::error_code error;
+    const auto number = value.to_number<std::uint64_t>(error);
+    return error ? std::nullopt : std::optional(number);
 }
 
 std::optional<StoreChanges> parseSnapshot(const std::string &text)
@@ -29,11 +38,17 @@
     json::error_code error;
     const json::value value = json::parse(text, error);
     const json::object *object = error ? nullptr : value.if_object();
-    const json::value *revision = object ? object->if_contains("revision") : nullptr;
+    const json::value *revisionField = object ? object->if_contains("revision") : nullptr;
     const json::value *entries = object ? object->if_contains("entries") : nullptr;
-    if (!revision || !revision->is_int64() || !entries || !entries->is_array())
+    if (!revisionField || !entries || !entries->is_array())
+        return std::nullopt;
+    // Hosts of earlier versions do not state the era.
+    const json::value *eraField = object->if_contains("era");
+    const auto revision = readUnsigned(*revisionField);
+    const auto era = eraField ? readUnsigned(*eraField) : 0;
+    if (!revision || !era)
         return std::nullopt;
-    StoreChanges snapshot { {}, { static_cast<std::uint64_t>(revision->get_int64()) }, {} };
+    StoreChanges snapshot { {}, { { *revision }, { *era } }, {} };
     for (const json::value &entry : entries->get_array()) {
         if (!entry.is_string())
             return std::nullopt;
--- a/src/codec/FrameCodec.cpp
+++ b/src/codec/FrameCodec.cpp
@@ -123,7 +123,10 @@
 static Offset<void> writePayload(FlatBufferBuilder &builder, const StoreChanges &message)
 {
     const auto entries = builder.CreateVectorOfStrings(message.entries);
-    return wire::CreateStoreChanges(builder, message.after.value, message.revision.value, entries)
+    const StorePosition &after = message.after;
+    const StorePosition &position = message.position;
+    return wire::CreateStoreChanges(builder, after.revision.value, position.revision.value, entries,
+                                    after.era.value, position.era.value)
             .Union();
 }
 
@@ -397,7 +400,9 @@
 
 static PeerMessage readPayload(FieldReader &reader, const wire::StoreChanges &wire)
 {
-    return StoreChanges { { wire.after() }, { wire.revision() }, reader.strings(wire.entries()) };
+    return StoreChanges { { { wire.after() }, { wire.after_era() } },
+                          { { wire.revision() }, { wire.era() } },
+                          reader.strings(wire.entries()) };
 }
 
 static PeerMessage readPayload(FieldReader &reader, const wire::UnreachableDomain &wire)
--- a/src/codec/Peer_generated.h
+++ b/src/codec/Peer_generated.h
@@ -1375,7 +1375,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_AFTER = 4,
     VT_REVISION = 6,
-    VT_ENTRIES = 8
+    VT_ENTRIES = 8,
+    VT_AFTER_ERA = 10,
+    VT_ERA = 12
   };
   uint64_t after() const {
     return GetField<uint64_t>(VT_AFTER, 0);
@@ -1386,6 +1388,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ENTRIES);
   }
+  uint64_t after_era() const {
+    return GetField<uint64_t>(VT_AFTER_ERA, 0);
+  }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
@@ -1393,6 +1401,8 @@
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfStrings(entries()) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -1410,6 +1420,12 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries) {
     fbb_.AddOffset(StoreChanges::VT_ENTRIES, entries);
   }
+  void add_after_era(uint64_t after_era) {
+    fbb_.AddElement<uint64_t>(StoreChanges::VT_AFTER_ERA, after_era, 0);
+  }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(StoreChanges::VT_ERA, era, 0);
+  }
   explicit StoreChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1425,8 +1441,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t after = 0,
     uint64_t revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> entries = 0,
+    uint64_t after_era = 0,
+    uint64_t era = 0) {
   StoreChangesBuilder builder_(_fbb);
+  builder_.add_era(era);
+  builder_.add_after_era(after_era);
   builder_.add_revision(revision);
   builder_.add_after(after);
   builder_.add_entries(entries);
@@ -1437,13 +1457,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t after = 0,
     uint64_t revision = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *entries = nullptr,
+    uint64_t after_era = 0,
+    uint64_t era = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*entries) : 0;
   return greengagestair::wire::CreateStoreChanges(
       _fbb,
       after,
       revision,
-      entries__);
+      entries__,
+      after_era,
+      era);
 }
 
 struct UnreachableDomain FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/gateway/RegistryStore.h
+++ b/src/gateway/RegistryStore.h
@@ -2,6 +2,7 @@
 
 #include "gateway/BackendDirectory.h"
 #include "gateway/RoutingConfiguration.h"
+#include "greengagestair/StorePosition.h"
 #include "greengagestair/Types.h"
 
 #include <boost/leaf/result.hpp>
@@ -73,11 +74,11 @@
     std::string encoded; ///< the store's encoding, for RegistryStore::decode() on other hosts
 };
 
-/** Entries of the store, complete up to a revision. */
+/** Entries of the store, complete up to a position. */
 struct StoreEntries
 {
     std::vector<StoreEntry> entries;
-    Revision revision;
+    StorePosition position;
 };
 
 /** Why a call to the store failed. */
--- a/src/gateway/StoreWatcher.cpp
+++ b/src/gateway/StoreWatcher.cpp
@@ -43,7 +43,7 @@
 {
     if (m_isCalling)
         return std::nullopt;
-    if (m_role != StoreRole::Publisher && m_revision && !m_isHistoryDropped)
+    if (m_role != StoreRole::Publisher && m_position && !m_isHistoryDropped)
         return std::max(m_nextCallAt, m_sharedChangesDueAt);
     return m_nextCallAt;
 }
@@ -76,14 +76,14 @@
         return;
     m_isCalling = true;
     m_callRole = m_role;
-    if (!m_revision || m_isHistoryDropped) {
+    if (!m_position || m_isHistoryDropped) {
         m_store.readAll([this](const StoreResult<StoreEntries> &result) {
             onAllRead(result);
             m_onCallEnd();
         });
         return;
     }
-    m_store.awaitChanges(*m_revision,
+    m_store.awaitChanges(m_position->revision,
                          m_role == StoreRole::Standalone ? kWatchTimeout : kSharingWatchTimeout,
                          [this](const StoreResult<StoreEntries> &result) {
                              onChangesRead(result);
@@ -97,9 +97,9 @@
     if (const auto *failure = std::get_if<StoreFailure>(&result))
         return onFailure(*failure);
     const StoreEntries &store = std::get<StoreEntries>(result);
-    if (m_revision && store.revision < *m_revision)
+    if (m_position && store.position.revision < m_position->revision)
         return onSuccess(false);
-    m_revision = store.revision;
+    m_position = store.position;
     m_isHistoryDropped = false;
     onSuccess(!store.entries.empty());
     publishAll(store);
@@ -113,14 +113,14 @@
     const StoreEntries &changes = std::get<StoreEntries>(result);
     onSuccess(!changes.entries.empty());
     // Newer changes from another host were applied during the call; older ones must not follow.
-    if (!m_revision || changes.revision < *m_revision)
+    if (!m_position || changes.position.revision < m_position->revision)
         return;
-    StoreChanges shared { *m_revision, changes.revision, {} };
+    StoreChanges shared { *m_position, changes.position, {} };
     for (const StoreEntry &entry : changes.entries) {
         if (isWorthSharing(entry))
             shared.entries.push_back(entry.encoded);
     }
-    m_revision = changes.revision;
+    m_position = changes.position;
     publishChanges(changes.entries);
     if (m_callRole != StoreRole::Standalone)
         m_onChanges(std::move(shared));
@@ -166,15 +166,15 @@
 {
     m_now = std::max(m_now, now);
     // The changes in between are missing, so this host reads them from the store.
-    if (!m_revision || changes.after > *m_revision) {
+    if (!m_position || changes.after.revision > m_position->revision) {
         m_sharedChangesDueAt = m_now;
         return;
     }
     awaitSharedChanges();
     m_isHistoryDropped = false;
-    if (changes.revision <= *m_revision)
+    if (changes.position.revision <= m_position->revision)
         return;
-    m_revision = changes.revision;
+    m_position = changes.position;
     std::vector<StoreEntry> entries;
     for (const std::string &encoded : changes.entries)
         entries.push_back(m_store.decode(encoded));
@@ -193,9 +193,9 @@
 
 std::optional<StoreChanges> StoreWatcher::snapshot() const
 {
-    if (!m_revision)
+    if (!m_position)
         return std::nullopt;
-    StoreChanges snapshot { {}, *m_revision, {} };
+    StoreChanges snapshot { {}, *m_position, {} };
     for (const auto &[key, encoded] : m_encodedEntries)
         snapshot.entries.push_back(encoded);
     return snapshot;
@@ -204,15 +204,15 @@
 void StoreWatcher::applySnapshot(const StoreChanges &snapshot, MonotonicTime now)
 {
     m_now = std::max(m_now, now);
-    if (m_revision)
+    if (m_position)
         return;
-    m_revision = snapshot.revision;
-    StoreEntries store { {}, snapshot.revision };
+    m_position = snapshot.position;
+    StoreEntries store { {}, snapshot.position };
     for (const std::string &encoded : snapshot.entries)
         store.entries.push_back(m_store.decode(encoded));
     m_onLog({ LogPriority::State,
               "snapshotTaken",
-              { { "revision", std::to_string(snapshot.revision.value) },
+              { { "revision", std::to_string(snapshot.position.revision.value) },
                 { "entries", std::to_string(snapshot.entries.size()) } } });
     publishAll(store);
 }
@@ -235,7 +235,7 @@
     // Most subscribers retry more rarely than the publisher and its standby, so that one of these
     // two reaches the store first. The standby alone has to keep the bound on new configurations if
     // the publisher stays cut off from the store.
-    const bool isSubscriber = m_role == StoreRole::Subscriber && m_revision && !m_isHistoryDropped;
+    const bool isSubscriber = m_role == StoreRole::Subscriber && m_position && !m_isHistoryDropped;
     const Duration first = isSubscriber ? kSharedChangesTimeout : kMinRetryDelay;
     const Duration longest = isSubscriber ? 2 * kSharedChangesTimeout : kMaxRetryDelay;
     m_nextCallAt += backoffDelay(m_consecutiveFailures - 1, first, longest, m_random);
--- a/src/gateway/StoreWatcher.h
+++ b/src/gateway/StoreWatcher.h
@@ -53,14 +53,14 @@
     /** Applies another host's snapshot() instead of a first read; ignored if entries are known. */
     void applySnapshot(const StoreChanges &snapshot, MonotonicTime now);
     /** True if a call to the store has failed and no entries are known. */
-    bool needsSnapshot() const { return !m_revision && m_consecutiveFailures > 0; }
+    bool needsSnapshot() const { return !m_position && m_consecutiveFailures > 0; }
     /**
      * Sets the role of this host. The role when a call began decides whether its result is shared
      * with other hosts.
      */
     void setRole(StoreRole role, MonotonicTime now);
     /** True if the entries are known, from a read or from another host's snapshot. */
-    bool isSynchronised() const { return m_revision.has_value(); }
+    bool isSynchronised() const { return m_position.has_value(); }
 
 private:
     void onAllRead(const StoreResult<StoreEntries> &result);
@@ -95,8 +95,8 @@
     bool isWorthSharing(const StoreEntry &entry);
 
     std::unordered_map<ServerId, SharedServer> m_sharedServers;
-    std::optional<Revision> m_revision; ///< all changes up to this revision are applied
-    /** The store has dropped the changes after m_revision, so all entries have to be read again. */
+    std::optional<StorePosition> m_position; ///< all changes up to this position are applied
+    /** The store has dropped the changes after m_position, so all entries have to be read again. */
     bool m_isHistoryDropped = false;
     MonotonicTime m_now;
     MonotonicTime m_nextCallAt;
--- a/standins/RegistryMain.cpp
+++ b/standins/RegistryMain.cpp
@@ -2,7 +2,7 @@
 //
 // Control endpoint, all answered 200: `POST /put?key=KEY` and `POST /remove?key=KEY` write as
 // operators and backend servers do, the body being the value; `POST /mode?name=up|refuse|hang`;
-// `POST /drop-history`.
+// `POST /drop-history`; `POST /keep-copy`, and `POST /go-back` to the last copy.
 
 #include "standins/RegistryStandIn.h"
 
@@ -24,6 +24,10 @@
         registry.remove(request.query("key"));
     else if (path == "/drop-history")
         registry.dropHistory();
+    else if (path == "/keep-copy")
+        registry.keepCopy();
+    else if (path == "/go-back")
+        registry.goBack();
     else if (path == "/mode" && mode == "up")
         registry.setMode(RegistryStandIn::Mode::Up);
     else if (path == "/mode" && mode == "refuse")
--- a/standins/RegistryStandIn.cpp
+++ b/standins/RegistryStandIn.cpp
@@ -43,22 +43,24 @@
 
 void RegistryStandIn::write(const std::string &key, const std::string &encoded, std::int64_t lease)
 {
-    ++m_revision;
-    const auto [entry, isNew] = m_items.try_emplace(key);
+    ++m_state.revision;
+    const auto [entry, isNew] = m_state.items.try_emplace(key);
     entry->second.value = encoded;
-    entry->second.revision = m_revision;
+    entry->second.revision = m_state.revision;
     entry->second.lease = lease;
     if (isNew)
-        entry->second.created = m_revision;
-    m_history[m_revision] = describe(key, entry->second);
+        entry->second.created = m_state.revision;
+    m_state.history[m_state.revision] = describe(key, entry->second);
 }
 
 void RegistryStandIn::remove(const std::string &key)
 {
-    if (m_items.erase(key) == 0)
+    if (m_state.items.erase(key) == 0)
         return;
-    ++m_revision;
-    m_history[m_revision] = { { "key", key }, { "rev", m_revision }, { "removed", true } };
+    ++m_state.revision;
+    m_state.history[m_state.revision] = { { "key", key },
+                                          { "rev", m_state.revision },
+                                          { "removed", true } };
 }
 
 void RegistryStandIn::setMode(Mode mode)
@@ -70,8 +72,8 @@
 
 void RegistryStandIn::dropHistory()
 {
-    m_history.clear();
-    m_droppedUpTo = m_revision;
+    m_state.history.clear();
+    m_droppedUpTo = m_state.revision;
     ++m_cuts;
 }
 
@@ -90,7 +92,29 @@
              { "lease", item.lease } };
 }
 
+void RegistryStandIn::keepCopy()
+{
+    m_copy = m_state;
+}
+
+void RegistryStandIn::goBack()
+{
+    if (!m_copy)
+        return;
+    m_state = *m_copy;
+    ++m_era;
+    ++m_cuts;
+}
+
 RegistryStandIn::Answer RegistryStandIn::answer(HttpRequest request)
+{
+    std::optional<HttpResponse> response = co_await answerCall(std::move(request));
+    if (response)
+        response->headers.emplace_back("Store-Era", std::to_string(m_era));
+    co_return response;
+}
+
+RegistryStandIn::Answer RegistryStandIn::answerCall(HttpRequest request)
 {
     const std::string path = request.path();
     ++m_calls[path.substr(0, path.find('/', 1))];
@@ -117,7 +141,7 @@
     const std::string after = request.query("after");
     json::array items;
     bool truncated = false;
-    for (auto item = m_items.upper_bound(after); item != m_items.end(); ++item) {
+    for (auto item = m_state.items.upper_bound(after); item != m_state.items.end(); ++item) {
         if (!item->first.starts_with(prefix))
             continue;
         truncated = items.size() == m_pageSize;
@@ -125,8 +149,10 @@
             break;
         items.push_back(describe(item->first, item->second));
     }
-    return jsonResponse(
-            200, { { "items", items }, { "truncated", truncated }, { "current_rev", m_revision } });
+    return jsonResponse(200,
+                        { { "items", items },
+                          { "truncated", truncated },
+                          { "current_rev", m_state.revision } });
 }
 
 RegistryStandIn::Answer RegistryStandIn::answerWatch(HttpRequest request)
@@ -136,12 +162,13 @@
     const milliseconds wait(parseNumber(request.query("wait_ms"), 0));
     const auto end = steady_clock::now() + wait;
     const std::uint64_t cuts = m_cuts;
-    if (after < m_droppedUpTo)
+    if (after < m_droppedUpTo || after > m_state.revision)
         co_return HttpResponse { 410, {}, {} };
     json::array events;
     for (;;) {
         endLeases();
-        for (auto event = m_history.upper_bound(after); event != m_history.end(); ++event) {
+        for (auto event = m_state.history.upper_bound(after); event != m_state.history.end();
+             ++event) {
             if (std::string_view(event->second.at("key").as_string()).starts_with(prefix))
                 events.push_back(event->second);
         }
@@ -151,28 +178,28 @@
         if (m_cuts != cuts)
             co_return std::nullopt;
     }
-    co_return jsonResponse(200, { { "events", events }, { "current_rev", m_revision } });
+    co_return jsonResponse(200, { { "events", events }, { "current_rev", m_state.revision } });
 }
 
 HttpResponse RegistryStandIn::answerTransaction(const HttpRequest &request)
 {
     const json::object body = json::parse(request.body).as_object();
     for (const json::value &row : body.at("precondition").as_array()) {
-        const auto found = m_items.find(std::string(row.at("key").as_string()));
-        const std::int64_t current = found == m_items.end() ? 0 : found->second.revision;
+        const auto found = m_state.items.find(std::string(row.at("key").as_string()));
+        const std::int64_t current = found == m_state.items.end() ? 0 : found->second.revision;
         if (current != row.at("rev").to_number<std::int64_t>())
             return jsonResponse(412, { { "items", json::array {} } });
     }
     for (const json::value &row : body.at("puts").as_array()) {
         const auto lease = row.at("lease").to_number<std::int64_t>();
-        if (lease != 0 && !m_leases.contains(lease))
+        if (lease != 0 && !m_state.leases.contains(lease))
             return { 404, {}, {} };
         write(std::string(row.at("key").as_string()), std::string(row.at("value").as_string()),
               lease);
     }
     for (const json::value &key : body.at("remove").as_array())
         remove(std::string(key.as_string()));
-    return jsonResponse(200, { { "rev", m_revision } });
+    return jsonResponse(200, { { "rev", m_state.revision } });
 }
 
 HttpResponse RegistryStandIn::answerLease(const HttpRequest &request)
@@ -180,11 +207,11 @@
     const std::string path = request.path();
     if (path == "/kv-lease") {
         const milliseconds length(json::parse(request.body).at("ttl_ms").to_number<std::int64_t>());
-        m_leases[++m_lastLease] = { steady_clock::now() + length, length };
+        m_state.leases[++m_lastLease] = { steady_clock::now() + length, length };
         return jsonResponse(200, { { "lease", m_lastLease }, { "ttl_ms", length.count() } });
     }
-    const auto found = m_leases.find(parseNumber(path.substr(path.rfind('/') + 1), 0));
-    if (found == m_leases.end())
+    const auto found = m_state.leases.find(parseNumber(path.substr(path.rfind('/') + 1), 0));
+    if (found == m_state.leases.end())
         return { 404, {}, {} };
     if (path.starts_with("/kv-keep/")) {
         found->second.end = steady_clock::now() + found->second.length;
@@ -198,19 +225,19 @@
 void RegistryStandIn::endLeases()
 {
     const auto now = steady_clock::now();
-    for (auto lease = m_leases.begin(); lease != m_leases.end();) {
+    for (auto lease = m_state.leases.begin(); lease != m_state.leases.end();) {
         if (lease->second.end > now) {
             ++lease;
             continue;
         }
         std::vector<std::string> ended;
-        for (const auto &[key, item] : m_items) {
+        for (const auto &[key, item] : m_state.items) {
             if (item.lease == lease->first)
                 ended.push_back(key);
         }
         for (const std::string &key : ended)
             remove(key);
-        lease = m_leases.erase(lease);
+        lease = m_state.leases.erase(lease);
     }
 }
 
--- a/tests/codec/FrameCodecTest.cpp
+++ b/tests/codec/FrameCodecTest.cpp
@@ -52,7 +52,7 @@
                      milliseconds(2),
                      "answer" },
         SignatureLoss { { 0x00c0ffee }, { "counter-lookup-0-shubra" } },
-        StoreChanges { { 11 }, { 13 }, { "{\"key\":\"a\"}", "" } },
+        StoreChanges { { { 11 }, { 2 } }, { { 13 }, { 3 } }, { "{\"key\":\"a\"}", "" } },
         UnreachableDomain { { "bulaq" } },
         PermitRequest { 3, { "s" }, 1700000000000, 2, { true, 26.5, milliseconds(4) } },
         PermitGrant {
--- a/tests/gateway/StoreWatcherTest.cpp
+++ b/tests/gateway/StoreWatcherTest.cpp
@@ -407,7 +407,7 @@
     const auto sharedEntries = [&](const StoreEntry &entry) {
         fixture.wait(1200ms);
         fixture.store.watch(StoreEntries { { entry }, { ++revision } });
-        REQUIRE(fixture.shared.back().revision == Revision { revision });
+        REQUIRE(fixture.shared.back().position == StorePosition { { revision } });
         return fixture.shared.back().entries.size();
     };
     CHECK(sharedEntries(cold(3000ms)) == 1);
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -70,19 +70,38 @@
     CHECK(read.entries.size() == 8);
     CHECK(fixture.standIn.calls("/kv-range") == 3);
     fixture.standIn.remove("hosts/h3");
-    const auto changes = std::get<StoreEntries>(fixture.awaitChanges(read.revision));
+    const auto changes = std::get<StoreEntries>(fixture.awaitChanges(read.position.revision));
     REQUIRE(changes.entries.size() == 1);
     CHECK(changes.entries.front().key == "hosts/h3");
-    CHECK(changes.revision > read.revision);
+    CHECK(changes.position > read.position);
 }
 
 TEST_CASE("a watch without changes ends after its wait with the same revision", "[platform]")
 {
     StoreClientFixture fixture;
     const auto read = std::get<StoreEntries>(fixture.readAll());
-    const auto changes = std::get<StoreEntries>(fixture.awaitChanges(read.revision, 30ms));
+    const auto changes = std::get<StoreEntries>(fixture.awaitChanges(read.position.revision, 30ms));
     CHECK(changes.entries.empty());
-    CHECK(changes.revision == read.revision);
+    CHECK(changes.position == read.position);
+}
+
+TEST_CASE("a read and a watch state the era of the store", "[platform]")
+{
+    StoreClientFixture fixture;
+    fixture.standIn.put("hosts/a", "{}");
+    fixture.standIn.keepCopy();
+    const auto before = std::get<StoreEntries>(fixture.readAll());
+    fixture.standIn.put("hosts/b", "{}");
+    fixture.standIn.put("hosts/c", "{}");
+    fixture.standIn.goBack();
+    const auto after = std::get<StoreEntries>(fixture.readAll());
+    CHECK(after.position.revision == before.position.revision);
+    CHECK(after.position.era > before.position.era);
+    CHECK(after.entries.size() == 1);
+    const auto watch = fixture.awaitChanges(after.position.revision, 10ms);
+    CHECK(std::get<StoreEntries>(watch).position == after.position);
+    CHECK(std::get<StoreFailure>(fixture.awaitChanges({ after.position.revision.value + 2 }))
+          == StoreFailure::HistoryDropped);
 }
 
 TEST_CASE("each failure of the store is reported as its own kind", "[platform]")
