Follow a store that comes back from an older copy

Callers saw routes that an operator had added refused, and requests sent on the routes of an older configuration, from the store's return until its revisions had overtaken the ones lost with it. Servers that drained and failure domains taken out of service in that time got requests. Every host called the store without a pause meanwhile.

Cause: a read whose revision was below the known one was taken for a late answer and dropped, and repeated at once. A watch whose revision had been given out again was answered as if nothing had happened.

Change: positions are compared with their era. An answer that is older than what was known when its call began shows that the store has gone back, also if no era says so; all entries are read then. One that is older only than what was learned during the call is late, as before. The publisher of a failure domain tells its neighbours what differs, which applies to a host that is exactly where the publisher was; others read for themselves, later and spread. Changes of a host with an older view are no news. StoreCallPace bounds the calls: from the second call in a row on that fails or brings nothing, there are pauses.

New: the log line storeWentBack, calls of the store by kind and result, gauges of era, revision and of the age of the last read of all entries.

--- a/src/app/GatewayServerPages.cpp
+++ b/src/app/GatewayServerPages.cpp
@@ -38,6 +38,8 @@
 std::vector<Counter> GatewayServer::counters() const
 {
     std::vector<Counter> counters = m_gateway.counters();
+    for (Counter &counter : m_storeWatcher.counters(EventLoop::currentInstant().now))
+        counters.push_back(std::move(counter));
     const BackendConnectionCounters &backends = m_backends.counters();
     const LogCounters &log = m_log.counters();
     counters.push_back({ "backend_connections_opened_total", backends.opened });
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -45,12 +45,14 @@
 struct EvacuationsRead
 {
     std::set<FailureDomainId> failureDomains;
+    bool hasStoreGoneBack = false; ///< the first read after the store's return from an older copy
 };
 
 /** All registrations were read; registered servers that are not among them have disappeared. */
 struct RegistrationsRead
 {
     std::vector<BackendRegistration> registrations;
+    bool hasStoreGoneBack = false; ///< the first read after the store's return from an older copy
 };
 
 /** A backend server's registration was written, for the first time or again. */
@@ -69,6 +71,7 @@
 struct HostsRead
 {
     std::vector<HostEntry> hosts;
+    bool hasStoreGoneBack = false; ///< the first read after the store's return from an older copy
 };
 
 /** Another entry host lost a backend server that was running a request with this signature. */
--- a/src/gateway/RegistryStore.h
+++ b/src/gateway/RegistryStore.h
@@ -74,6 +74,12 @@
     std::string encoded; ///< the store's encoding, for RegistryStore::decode() on other hosts
 };
 
+/**
+ * True if both values have the same effect on a host. Registrations of one server process that only
+ * state different remaining cold times are the same.
+ */
+bool isSameValue(const EntryValue &left, const EntryValue &right);
+
 /** Entries of the store, complete up to a position. */
 struct StoreEntries
 {
@@ -122,6 +128,8 @@
     virtual void readAll(std::function<void(StoreResult<StoreEntries>)> done) = 0;
     /** Decodes the StoreEntry::encoded of an entry that another host has read. */
     virtual StoreEntry decode(const std::string &encoded) const = 0;
+    /** Encoded form of an entry's removal, which decode() decodes as absent. */
+    virtual std::string encodeRemoval(const std::string &key) const = 0;
     /** Waits for changes after `revision`; returns no entries if none changed within `wait`. */
     virtual void awaitChanges(Revision revision, Duration wait,
                               std::function<void(StoreResult<StoreEntries>)> done) = 0;
--- a/tests/gateway/StoreWatcherTest.cpp
+++ b/tests/gateway/StoreWatcherTest.cpp
@@ -25,10 +25,13 @@
     }
     StoreEntry decode(const std::string &encoded) const override
     {
+        if (encoded.starts_with("-"))
+            return { encoded.substr(1), AbsentServer { { encoded.substr(9) }, {} }, encoded };
         BackendRegistration registration;
         registration.server = { encoded };
         return { "servers/" + encoded, ServerEntry { registration }, encoded };
     }
+    std::string encodeRemoval(const std::string &key) const override { return "-" + key; }
     void awaitChanges(Revision after, Duration, OnEntries done) override
     {
         ++watches;
@@ -516,3 +519,178 @@
     CHECK(store.ended == 6);
     CHECK_FALSE(announcer.nextWakeUp());
 }
+
+static StoreEntry configuration(std::uint64_t version)
+{
+    auto decoded = std::make_shared<RoutingConfiguration>();
+    decoded->version = version;
+    return { "op/config", ConfigurationEntry { std::move(decoded) }, "config" };
+}
+
+// Guards against a host that drops every read of a store that has come back from an older copy, and
+// so applies no change until the revisions have overtaken the one that it knew.
+TEST_CASE("a store that has gone back is read although its revisions are lower", "[gateway]")
+{
+    const StoreEra era = GENERATE(StoreEra { 3 }, StoreEra { 0 });
+    const StoreEra formerEra { era.value > 0 ? era.value - 1 : 0 };
+    WatcherFixture fixture;
+    fixture.wait(0ms);
+    fixture.store.read(StoreEntries { { server("a"), server("lost") }, { { 60 }, formerEra } });
+    fixture.wait(1s);
+    fixture.store.watch(StoreFailure::HistoryDropped);
+    fixture.take<RegistrationsRead>();
+    fixture.wait(0ms);
+    fixture.store.read(StoreEntries { { server("a"), configuration(4) }, { { 40 }, era } });
+    CHECK(fixture.take<ConfigurationRead>().size() == 1);
+    CHECK(fixture.log.back() == "storeWentBack");
+    fixture.wait(1s);
+    CHECK(fixture.store.watchedAfter == Revision { 40 });
+    fixture.store.watch(StoreEntries { { server("b") }, { { 41 }, era } });
+    CHECK(fixture.take<RegistrationWritten>().size() == 1);
+}
+
+// Guards against entries that are missed because revisions have been given out again past the known
+// one before a host asks, so that the store answers as if nothing had happened.
+TEST_CASE("a watch that is answered from a later era leads to a read of all entries", "[gateway]")
+{
+    WatcherFixture fixture;
+    fixture.wait(0ms);
+    fixture.store.read(StoreEntries { { server("a"), server("lost") }, { { 60 }, { 1 } } });
+    fixture.wait(1s);
+    fixture.take<RegistrationsRead>();
+    fixture.store.watch(StoreEntries { { server("b") }, { { 70 }, { 2 } } });
+    CHECK(fixture.events.empty());
+    fixture.wait(0ms);
+    REQUIRE(fixture.store.reads == 2);
+    fixture.store.read(StoreEntries { { server("a"), server("b") }, { { 70 }, { 2 } } });
+    const auto reads = fixture.take<RegistrationsRead>();
+    CHECK(reads.front().registrations.size() == 2);
+    CHECK(reads.front().hasStoreGoneBack);
+}
+
+// Guards against a late answer that is taken for a return of the store.
+TEST_CASE("an answer that is older than what was learned during its call is dropped", "[gateway]")
+{
+    WatcherFixture fixture;
+    fixture.setRole(StoreRole::Subscriber);
+    fixture.wait(0ms);
+    fixture.store.read(StoreEntries { { server("a") }, { { 60 }, { 1 } } });
+    fixture.wait(2200ms);
+    REQUIRE(fixture.store.watches == 1);
+    fixture.receiveChanges({ { { 60 }, { 1 } }, { { 70 }, { 1 } }, { "b" } });
+    fixture.take<RegistrationWritten>();
+    fixture.store.watch(StoreEntries { { server("c") }, { { 65 }, { 1 } } });
+    CHECK(fixture.events.empty());
+    fixture.wait(2200ms);
+    CHECK(fixture.store.watchedAfter == Revision { 70 });
+    CHECK(fixture.store.reads == 1);
+}
+
+// Guards against calls that follow each other without a pause, whatever the store answers.
+TEST_CASE("no answer of the store makes a host call it again without a pause", "[gateway]")
+{
+    const std::vector<StoreResult<StoreEntries>> answers {
+        StoreFailure::Unreachable,
+        StoreFailure::Refused,
+        StoreFailure::HistoryDropped,
+        StoreFailure::LeaseEnded,
+        StoreEntries { {}, { { 60 }, { 1 } } },
+        StoreEntries { {}, { { 40 }, { 1 } } },
+        StoreEntries { { server("a") }, { { 40 }, { 1 } } },
+        StoreEntries { { server("a") }, { { 80 }, { 1 } } },
+        StoreEntries { {}, { { 40 }, { 2 } } },
+        StoreEntries { { server("a") }, { { 40 }, { 2 } } },
+        StoreEntries { {}, { { 40 }, { 0 } } },
+        StoreEntries { { server("a") }, { { 90 }, { 3 } } },
+    };
+    const auto role = GENERATE(StoreRole::Standalone, StoreRole::Publisher, StoreRole::Subscriber);
+    const std::size_t readAnswer = GENERATE_COPY(range(std::size_t { 0 }, answers.size()));
+    const std::size_t watchAnswer = GENERATE_COPY(range(std::size_t { 0 }, answers.size()));
+    CAPTURE(readAnswer, watchAnswer);
+    WatcherFixture fixture;
+    fixture.setRole(role);
+    fixture.wait(0ms);
+    std::exchange(fixture.store.read, nullptr)(StoreEntries { {}, { { 60 }, { 1 } } });
+    int calls = 0;
+    for (Duration waited {}; waited < 10s; waited += 1ms) {
+        if (auto read = std::exchange(fixture.store.read, nullptr)) {
+            ++calls;
+            read(answers[readAnswer]);
+        }
+        if (auto watch = std::exchange(fixture.store.watch, nullptr)) {
+            ++calls;
+            watch(answers[watchAnswer]);
+        }
+        fixture.wait(1ms);
+    }
+    // Two calls for each pause of the shortest length.
+    CHECK(calls <= 2 * 100);
+}
+
+// Guards against a neighbour that has not noticed the return of the store and keeps others from it.
+TEST_CASE("changes of a host with an older view do not count as news", "[gateway]")
+{
+    WatcherFixture fixture;
+    fixture.setRole(StoreRole::Subscriber);
+    fixture.wait(0ms);
+    fixture.store.read(StoreEntries { { server("a") }, { { 40 }, { 2 } } });
+    for (std::uint64_t revision = 60; revision < 63; ++revision) {
+        fixture.wait(1s);
+        fixture.receiveChanges({ { { revision }, { 1 } }, { { revision + 1 }, { 1 } }, { "old" } });
+    }
+    CHECK(fixture.take<RegistrationWritten>().empty());
+    CHECK(fixture.store.watches > 0);
+}
+
+// Guards against a read by each host of a failure domain after the return of the store.
+TEST_CASE("the publisher tells its neighbours what differs after a return of the store",
+          "[gateway]")
+{
+    WatcherFixture publisher;
+    publisher.setRole(StoreRole::Publisher);
+    WatcherFixture subscriber;
+    subscriber.setRole(StoreRole::Subscriber);
+    for (WatcherFixture *fixture : { &publisher, &subscriber }) {
+        fixture->wait(0ms);
+        fixture->store.read(StoreEntries { { server("a"), server("lost") }, { { 60 }, { 1 } } });
+        fixture->wait(1s);
+        fixture->take<RegistrationsRead>();
+    }
+    publisher.store.watch(StoreFailure::HistoryDropped);
+    publisher.wait(0ms);
+    publisher.store.read(StoreEntries { { server("a"), server("b") }, { { 40 }, { 2 } } });
+    REQUIRE(publisher.shared.size() == 1);
+    const StoreChanges &shared = publisher.shared.front();
+    CHECK(shared.after == StorePosition { { 60 }, { 1 } });
+    CHECK(shared.position == StorePosition { { 40 }, { 2 } });
+    CHECK(shared.entries == std::vector<std::string> { "b", "-servers/lost" });
+
+    subscriber.receiveChanges(shared);
+    const auto reads = subscriber.take<RegistrationsRead>();
+    REQUIRE(reads.size() == 1);
+    CHECK(reads.front().hasStoreGoneBack);
+    CHECK(reads.front().registrations.size() == 2);
+    subscriber.receiveChanges({ { { 40 }, { 2 } }, { { 41 }, { 2 } }, { "c" } });
+    CHECK(subscriber.take<RegistrationWritten>().size() == 1);
+    CHECK(subscriber.store.reads == 1);
+}
+
+// Guards against a host that takes what differs for another host, and keeps entries that the store
+// has lost.
+TEST_CASE("a host that is not where the changes of a return begin reads all entries", "[gateway]")
+{
+    WatcherFixture fixture;
+    fixture.setRole(StoreRole::Subscriber);
+    fixture.wait(0ms);
+    fixture.store.read(StoreEntries { { server("a"), server("lost") }, { { 61 }, { 1 } } });
+    fixture.wait(1s);
+    fixture.take<RegistrationsRead>();
+    fixture.receiveChanges({ { { 60 }, { 1 } }, { { 40 }, { 2 } }, {} });
+    CHECK(fixture.events.empty());
+    // An older view of another neighbour does not keep this host from reading.
+    fixture.receiveChanges({ { { 61 }, { 1 } }, { { 61 }, { 1 } }, {} });
+    fixture.wait(1300ms);
+    REQUIRE(fixture.store.reads == 2);
+    fixture.store.read(StoreEntries { { server("a") }, { { 41 }, { 2 } } });
+    CHECK(fixture.take<RegistrationsRead>().front().registrations.size() == 1);
+}
