Keep what is known while a returned store lacks it

After the store had come back from an older copy, the copy took the place of what a host knew: a server that had drained or left since was used again, an earlier process of a server took the place of a later one, a failure domain was in service again and hosts were not counted, until all that was written again.

A server that drained stays so and one that left does not come back before it writes again; an older process never takes the place of a newer one; failure domains out of service and hosts that the copy does not list are kept for 5 s. Servers that the copy does not list are kept for the 2 s in which live servers register again, as before; a configuration is never replaced by an older version, as before.

--- a/src/gateway/BackendDirectory.cpp
+++ b/src/gateway/BackendDirectory.cpp
@@ -33,16 +33,17 @@
     m_byService[registration.service].push_back(backend);
 }
 
-std::vector<ServerId> BackendDirectory::displaceOthers(const BackendRegistration &registered)
+std::vector<BackendRegistration>
+BackendDirectory::displaceOthers(const BackendRegistration &registered)
 {
-    std::vector<ServerId> displaced;
+    std::vector<BackendRegistration> displaced;
     for (const auto &[server, backend] : m_servers) {
         if (server != registered.server && backend->registration.endpoint == registered.endpoint)
-            displaced.push_back(server);
+            displaced.push_back(backend->registration);
     }
-    for (const ServerId &server : displaced) {
-        m_displaced[server] = m_servers.at(server)->registration.startedAt;
-        remove(server);
+    for (const BackendRegistration &registration : displaced) {
+        m_displaced[registration.server] = registration.startedAt;
+        remove(registration.server);
     }
     return displaced;
 }
@@ -89,15 +90,15 @@
     return absent;
 }
 
-std::vector<ServerId> BackendDirectory::removeDue(MonotonicTime now)
+std::vector<BackendRegistration> BackendDirectory::removeDue(MonotonicTime now)
 {
-    std::vector<ServerId> due;
+    std::vector<BackendRegistration> due;
     for (const auto &[server, backend] : m_servers) {
         if (backend->removeAt && *backend->removeAt <= now)
-            due.push_back(server);
+            due.push_back(backend->registration);
     }
-    for (const ServerId &server : due)
-        remove(server);
+    for (const BackendRegistration &registration : due)
+        remove(registration.server);
     return due;
 }
 
--- a/src/gateway/BackendDirectory.h
+++ b/src/gateway/BackendDirectory.h
@@ -59,9 +59,9 @@
     void put(const BackendRegistration &registration, MonotonicTime now);
     /**
      * Removes the other servers at the address of a server that has just registered: they have
-     * ended, although their registrations have not expired yet. Returns the removed servers.
+     * ended, although their registrations have not expired yet. Returns the removed registrations.
      */
-    std::vector<ServerId> displaceOthers(const BackendRegistration &registered);
+    std::vector<BackendRegistration> displaceOthers(const BackendRegistration &registered);
     /** Allows put() to add a server again that displaceOthers() has removed. */
     void forgetDisplaced(const ServerId &server) { m_displaced.erase(server); }
     /** Calls forgetDisplaced() for all servers that are not in `listed`. */
@@ -72,8 +72,8 @@
     void removeLater(const ServerId &server, MonotonicTime at);
     /** Servers of the directory that are not in `listed`. */
     std::vector<ServerId> absentFrom(const std::set<ServerId> &listed) const;
-    /** Removes the servers whose scheduled removal is due and returns them. */
-    std::vector<ServerId> removeDue(MonotonicTime now);
+    /** Removes the servers whose scheduled removal is due and returns their registrations. */
+    std::vector<BackendRegistration> removeDue(MonotonicTime now);
     /** Time of the next scheduled removal; nullopt if there is none. */
     std::optional<MonotonicTime> nextRemoval() const;
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -47,8 +47,9 @@
 std::optional<MonotonicTime> Gateway::nextWakeUp() const
 {
     std::optional<MonotonicTime> next = m_dispatcher.nextWakeUp();
-    for (const auto &other : { m_directory.nextRemoval(), m_reachability.nextWakeUp(),
-                               m_warmer.nextWakeUp(), m_lowerCountValidAt }) {
+    for (const auto &other :
+         { m_directory.nextRemoval(), m_reachability.nextWakeUp(), m_warmer.nextWakeUp(),
+           m_retention.nextExpiry(), m_lowerCountValidAt }) {
         if (other && (!next || *other < *next))
             next = other;
     }
@@ -88,12 +89,13 @@
 
 void Gateway::on(const EvacuationsRead &event)
 {
-    if (event.failureDomains == m_directory.evacuated())
+    const std::set<FailureDomainId> domains = m_retention.failureDomainsAfter(event, m_now);
+    if (domains == m_directory.evacuated())
         return;
     std::string domainNames;
-    for (const FailureDomainId &failureDomain : event.failureDomains)
+    for (const FailureDomainId &failureDomain : domains)
         domainNames += (domainNames.empty() ? "" : " ") + failureDomain.value;
-    m_directory.setEvacuated(event.failureDomains);
+    m_directory.setEvacuated(domains);
     m_effects.push_back(LogRecord {
             LogPriority::State, "outOfService", { { "failureDomains", domainNames } } });
     m_dispatcher.retryWaiting();
@@ -106,7 +108,7 @@
     for (const BackendRegistration &registration : event.registrations) {
         listed.insert(registration.server);
         const bool wasKnown = m_directory.find(registration.server) != nullptr;
-        m_directory.put(registration, m_now);
+        putListed(registration, event.hasStoreGoneBack);
         const bool isNew = !wasKnown && m_directory.find(registration.server);
         if (isNew && isRouted(registration.service))
             newServers.push_back(registration.server);
@@ -122,9 +124,19 @@
     m_dispatcher.retryWaiting();
 }
 
+void Gateway::putListed(const BackendRegistration &registration, bool hasStoreGoneBack)
+{
+    if (!hasStoreGoneBack)
+        return m_directory.put(registration, m_now);
+    const auto known = m_directory.find(registration.server);
+    if (const auto believed = m_retention.reconcile(registration, known.get()))
+        m_directory.put(*believed, m_now);
+}
+
 void Gateway::on(const RegistrationWritten &event)
 {
     logRegistration(event.registration);
+    m_retention.addWritten(event.registration.server);
     const bool isNew = !m_directory.find(event.registration.server);
     m_directory.forgetDisplaced(event.registration.server);
     displaceOthers(event.registration);
@@ -138,7 +150,9 @@
 
 void Gateway::displaceOthers(const BackendRegistration &registered)
 {
-    for (const ServerId &server : m_directory.displaceOthers(registered)) {
+    for (const BackendRegistration &displaced : m_directory.displaceOthers(registered)) {
+        const ServerId &server = displaced.server;
+        m_retention.addRemoved(displaced, m_now);
         m_effects.push_back(LogRecord { LogPriority::State,
                                         "addressTakenOver",
                                         { { "server", server.value },
@@ -207,11 +221,13 @@
 
 void Gateway::on(const HostsRead &event)
 {
-    m_serverLimits.setHosts(std::make_shared<const std::vector<HostEntry>>(event.hosts));
+    const auto hosts =
+            std::make_shared<const std::vector<HostEntry>>(m_retention.hostsAfter(event, m_now));
+    m_serverLimits.setHosts(hosts);
     m_lastHostCount = {};
-    for (const HostEntry &host : event.hosts)
+    for (const HostEntry &host : *hosts)
         ++m_lastHostCount.byDomain[host.failureDomain];
-    m_lastHostCount.all = std::max<std::size_t>(event.hosts.size(), 1);
+    m_lastHostCount.all = std::max<std::size_t>(hosts->size(), 1);
     const std::size_t ownDomainHosts = m_lastHostCount.byDomain[m_ownDomain];
     m_lastHostCount.ownDomain = std::max<std::size_t>(ownDomainHosts, 1);
     if (!std::exchange(m_areHostsKnown, true))
@@ -321,16 +337,26 @@
 {
     if (m_lowerCountValidAt && *m_lowerCountValidAt <= m_now)
         setHosts(m_lastHostCount);
-    for (const ServerId &server : m_directory.removeDue(m_now)) {
-        m_effects.push_back(
-                LogRecord { LogPriority::State, "serverRemoved", { { "server", server.value } } });
-        m_effects.push_back(CloseIdleConnections { server });
+    if (const auto expiry = m_retention.nextExpiry(); expiry && *expiry <= m_now) {
+        on(EvacuationsRead(m_retention.lastEvacuations()));
+        on(HostsRead(m_retention.lastHosts()));
     }
+    removeDueServers();
     m_reachability.advance();
     m_warmer.advance(m_now, m_effects);
     m_dispatcher.advance();
 }
 
+void Gateway::removeDueServers()
+{
+    for (const BackendRegistration &removed : m_directory.removeDue(m_now)) {
+        m_retention.addRemoved(removed, m_now);
+        m_effects.push_back(LogRecord {
+                LogPriority::State, "serverRemoved", { { "server", removed.server.value } } });
+        m_effects.push_back(CloseIdleConnections { removed.server });
+    }
+}
+
 std::vector<Counter> Gateway::counters() const
 {
     std::vector<Counter> counters = m_dispatcher.counters().all();
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -6,6 +6,7 @@
 #include "gateway/ConnectionWarmer.h"
 #include "gateway/GatewayEffect.h"
 #include "gateway/GatewayEvent.h"
+#include "gateway/LostEntryRetention.h"
 #include "gateway/RequestDispatcher.h"
 
 #include <boost/json/object.hpp>
@@ -80,8 +81,11 @@
     void removeLater(const ServerId &server);
     void displaceOthers(const BackendRegistration &registered);
     void logRegistration(const BackendRegistration &registration);
+    void removeDueServers();
+    void putListed(const BackendRegistration &registration, bool hasStoreGoneBack);
 
     BackendDirectory m_directory;
+    LostEntryRetention m_retention;
     DomainReachability m_reachability;
     JointServerLimits m_serverLimits;
     BackendSelector m_selector;
