Announce a host again that a returned store does not list

A host whose entry or lease was lost with the store's return was not counted by others until its next renewal, up to 5 s later, and 1.5 s more. Now it writes the entry as soon as it reads a list without itself, spread over 0.5 s, and asks for a new lease if the former one is lost.

Evidence: the new case fails if onHostsRead() does nothing.

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -84,7 +84,7 @@
               std::random_device {}())
     , m_announcer(
               hostEntryOf(m_settings), store, [this](const LogRecord &decision) { log(decision); },
-              [this] { armTimer(); })
+              [this] { armTimer(); }, std::random_device {}())
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     , m_timer(context)
     , m_stopTimer(context)
@@ -141,6 +141,7 @@
         if (std::holds_alternative<ConfigurationRead>(event))
             updateLimits();
         if (const auto *hosts = std::get_if<HostsRead>(&event)) {
+            m_announcer.onHostsRead(*hosts, now());
             m_roleElection.update(hosts->hosts);
             m_storeWatcher.setRole(m_roleElection.role(), now());
         }
--- a/src/gateway/HostAnnouncer.cpp
+++ b/src/gateway/HostAnnouncer.cpp
@@ -1,5 +1,8 @@
 #include "gateway/HostAnnouncer.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace greengagestair {
 
 /**
@@ -10,12 +13,16 @@
 /** After a failed renewal there is time for two more renewals before the lease ends. */
 static constexpr Duration kRenewInterval = std::chrono::seconds(5);
 static constexpr Duration kRetryInterval = std::chrono::milliseconds(1500);
+/** Hosts whose entries the store has lost write them again within this time. */
+static constexpr Duration kRewriteSpread = std::chrono::milliseconds(500);
 
-HostAnnouncer::HostAnnouncer(HostEntry host, RegistryStore &store, OnLog onLog, OnCallEnd onCallEnd)
+HostAnnouncer::HostAnnouncer(HostEntry host, RegistryStore &store, OnLog onLog, OnCallEnd onCallEnd,
+                             std::uint64_t randomSeed)
     : m_host(std::move(host))
     , m_store(store)
     , m_onLog(std::move(onLog))
     , m_onCallEnd(std::move(onCallEnd))
+    , m_random(randomSeed)
 {
 }
 
@@ -28,7 +35,7 @@
 
 void HostAnnouncer::advance(MonotonicTime now)
 {
-    m_now = now;
+    m_now = std::max(m_now, now);
     if (m_isCalling || m_hasLeft || now < m_nextCallAt)
         return;
     m_isCalling = true;
@@ -74,6 +81,10 @@
 {
     m_isCalling = false;
     m_nextCallAt = m_now + (failure ? kRetryInterval : nextDelay);
+    if (std::exchange(m_isEntryLost, false)) {
+        m_isAnnounced = false;
+        m_nextCallAt = m_now + kRewriteSpread;
+    }
     if (failure == StoreFailure::LeaseEnded) {
         m_onLog({ LogPriority::State, "leaseEnded", { { "lease", std::to_string(*m_lease) } } });
         m_lease.reset();
@@ -82,6 +93,21 @@
     m_onCallEnd();
 }
 
+void HostAnnouncer::onHostsRead(const HostsRead &hosts, MonotonicTime now)
+{
+    const bool isListed =
+            std::any_of(hosts.hosts.begin(), hosts.hosts.end(),
+                        [this](const HostEntry &host) { return host.host == m_host.host; });
+    if (!hosts.hasStoreGoneBack || isListed)
+        return;
+    // The hosts that the copy does not list write at different times.
+    std::uniform_int_distribution<Duration::rep> delay(0, kRewriteSpread.count());
+    m_now = std::max(m_now, now);
+    m_nextCallAt = m_now + Duration(delay(m_random));
+    m_isAnnounced = false;
+    m_isEntryLost = m_isCalling;
+}
+
 void HostAnnouncer::leave()
 {
     m_hasLeft = true;
--- a/tests/gateway/StoreWatcherTest.cpp
+++ b/tests/gateway/StoreWatcherTest.cpp
@@ -470,7 +470,6 @@
     CHECK(publishers == 1);
 }
 
-// Guards against a host that stays unannounced after its lease ended while it was paused.
 // Load pattern: a third of the hosts was cut off and reads all changes since then, while the hosts
 // with wide links are not listed (node_cut "meet" with reshard). Guards against each of them
 // sending 180 KB to 41 others over 20 Mbit/s, behind which requests waited for a second.
@@ -498,11 +497,12 @@
     CHECK(unknown.recipientsOf(180'000).size() == 41);
 }
 
+// Guards against a host that stays unannounced after its lease ended while it was paused.
 TEST_CASE("a host whose lease ended is announced again", "[gateway]")
 {
     FakeStore store;
     HostAnnouncer announcer(
-            { { "a" }, { "shubra" }, {}, 0 }, store, [](const LogRecord &) {}, [] {});
+            { { "a" }, { "shubra" }, {}, 0 }, store, [](const LogRecord &) {}, [] {}, 1);
     MonotonicTime now(1s);
     announcer.advance(now);
     store.grant(LeaseGrant { 5, 15s });
@@ -694,3 +694,38 @@
     fixture.store.read(StoreEntries { { server("a") }, { { 41 }, { 2 } } });
     CHECK(fixture.take<RegistrationsRead>().front().registrations.size() == 1);
 }
+
+// Guards against a host that others do not count until its next renewal fails, because the store
+// has lost its entry.
+TEST_CASE("a host that the copy of a returned store does not list is announced again",
+          "[gateway][return]")
+{
+    FakeStore store;
+    const HostEntry self { { "a" }, { "shubra" }, {}, 0 };
+    HostAnnouncer announcer(
+            self, store, [](const LogRecord &) {}, [] {}, 1);
+    MonotonicTime now(1s);
+    announcer.advance(now);
+    store.grant(LeaseGrant { 5, 15s });
+    announcer.advance(now);
+    store.announce(StoreDone {});
+    REQUIRE(store.announcements == 1);
+    const bool isListed = GENERATE(false, true);
+    const bool hasStoreGoneBack = GENERATE(false, true);
+    HostsRead hosts;
+    hosts.hasStoreGoneBack = hasStoreGoneBack;
+    if (isListed)
+        hosts.hosts.push_back(self);
+    announcer.onHostsRead(hosts, now += 1s);
+    announcer.advance(now += 600ms);
+    CHECK(store.announcements == (hasStoreGoneBack && !isListed ? 2 : 1));
+    if (store.announcements == 1)
+        return;
+    // The lease is lost, too.
+    store.announce(StoreFailure::LeaseEnded);
+    announcer.advance(now += 1600ms);
+    store.grant(LeaseGrant { 6, 15s });
+    announcer.advance(now);
+    store.announce(StoreDone {});
+    CHECK(store.announcements == 3);
+}
