Bound every number and name that an entry of the store states

An entry of another writer could name a server with 2^64 - 1 slots, which then looked faster than all others; a cold time of 1e300 ms, whose conversion is undefined and differs between x86-64 and arm64; an address that is no address; or an identifier with line breaks, which is sent as a header. A host entry with an absurd bandwidth was elected to read the store for its failure domain.

FieldReader checks the type and the bounds of each field in one place; an entry outside them is absent, with its problem in the log.

--- a/tests/platform/EntryDecoderTest.cpp
+++ b/tests/platform/EntryDecoderTest.cpp
@@ -97,7 +97,7 @@
 {
     const StoreEntry entry = decode("op/config", R"({"version":"7","routes":[]})");
     CHECK(std::get<AbsentEntry>(entry.value).problem
-          == "expected a non-negative integer as version of configuration");
+          == "expected an integer from 0 to 9007199254740991 as version of configuration");
 }
 
 TEST_CASE("an encoded host is decoded unchanged", "[platform]")
