--- a/tests/platform/OddAnswerTest.cpp
+++ b/tests/platform/OddAnswerTest.cpp
@@ -187,3 +187,13 @@
     }
     CHECK(std::get<StoreFailure>(fixture.readAll()) == StoreFailure::Unreadable);
 }
+
+// Guards against a process that ends because of a number that cannot be converted.
+TEST_CASE("a lease with an odd time to live is not taken", "[platform][odd]")
+{
+    OddStoreFixture fixture;
+    const std::string ttl =
+            GENERATE(as<std::string> {}, "1.5", "1e300", "-5", "18446744073709551615", "\"x\"");
+    fixture.bodies = { R"({"lease":5,"ttl_ms":)" + ttl + "}" };
+    CHECK(std::holds_alternative<StoreFailure>(fixture.grantLease()));
+}
