Drop answers to calls that began in a former era

Callers could have met servers and routes of entries that were missed: a watch from revision 60 of the former era, answered after another host had told of the return to revision 40, was applied although revisions 41 to 60 of the new era are not in it. A read of all entries from before a second return took the place of the later era.

An answer of a lower position now shows that the store has gone back only if nothing was learned during its call, and a watch from another era is late.

Evidence: both new cases failed before. Found by reading; no play showed it.

--- a/src/gateway/StoreWatcher.cpp
+++ b/src/gateway/StoreWatcher.cpp
@@ -128,10 +128,15 @@
 {
     if (!m_position)
         return AnswerAge::Current;
-    const bool isOlderThanKnown = m_callPosition && position < *m_callPosition;
-    if (isOlderThanKnown || position.era > m_position->era)
+    if (position.era > m_position->era)
         return AnswerAge::GoneBack;
-    return position < *m_position ? AnswerAge::Late : AnswerAge::Current;
+    const bool isOlder = position < *m_position;
+    if (isOlder && m_callPosition == m_position)
+        return AnswerAge::GoneBack;
+    // A watch from a position of another era lacks the changes between the two.
+    const bool isWatchOfOtherEra =
+            !m_isReadingAll && m_callPosition && m_callPosition->era != position.era;
+    return isOlder || isWatchOfOtherEra ? AnswerAge::Late : AnswerAge::Current;
 }
 
 void StoreWatcher::onAllRead(const StoreResult<StoreEntries> &result)
--- a/tests/gateway/StoreWatcherTest.cpp
+++ b/tests/gateway/StoreWatcherTest.cpp
@@ -729,3 +729,41 @@
     store.announce(StoreDone {});
     CHECK(store.announcements == 3);
 }
+
+// Guards against entries that are missed because a watch from a position of a former era is answered
+// after this host has been told what differs in the new one.
+TEST_CASE("a watch from a former era does not count after another host has told of the return",
+          "[gateway][return]")
+{
+    WatcherFixture fixture;
+    fixture.setRole(StoreRole::Subscriber);
+    fixture.wait(0ms);
+    fixture.store.read(StoreEntries { { server("a") }, { { 60 }, { 1 } } });
+    fixture.wait(2200ms);
+    REQUIRE(fixture.store.watches == 1);
+    fixture.receiveChanges({ { { 60 }, { 1 } }, { { 40 }, { 2 } }, {} });
+    fixture.events.clear();
+    // Revisions 41 to 60 of the new era are not in this answer.
+    fixture.store.watch(StoreEntries { { server("b") }, { { 61 }, { 2 } } });
+    CHECK(fixture.events.empty());
+    fixture.wait(4s);
+    CHECK(fixture.store.watchedAfter == Revision { 40 });
+}
+
+// Guards against a host that takes the place of a later era for an answer from before the return.
+TEST_CASE("a read from before a return does not count after another host has told of it",
+          "[gateway][return]")
+{
+    WatcherFixture fixture;
+    fixture.setRole(StoreRole::Subscriber);
+    fixture.wait(0ms);
+    fixture.store.read(StoreEntries { { server("a") }, { { 60 }, { 2 } } });
+    fixture.wait(2200ms);
+    fixture.store.watch(StoreFailure::HistoryDropped);
+    fixture.wait(2s);
+    REQUIRE(fixture.store.reads == 2);
+    fixture.receiveChanges({ { { 60 }, { 2 } }, { { 40 }, { 3 } }, {} });
+    fixture.events.clear();
+    fixture.store.read(StoreEntries { { server("old") }, { { 55 }, { 2 } } });
+    CHECK(fixture.events.empty());
+}
