Share a registration again after another host has shared a different one

A host that reads the store for others leaves out registrations that it has shared within the last second, because cold servers write theirs with each heartbeat. It did not forget them when another host shared something else meanwhile: a server that drained, was ready and drained again within that second stayed ready for its neighbours. The same is forgotten now with a read of all entries.

Evidence: the section on changes failed before; the other one passed, since more than a second lies between.

--- a/src/gateway/StoreWatcher.cpp
+++ b/src/gateway/StoreWatcher.cpp
@@ -302,6 +302,12 @@
     std::vector<StoreEntry> entries;
     for (const std::string &encoded : changes.entries)
         entries.push_back(m_store.decode(encoded));
+    for (const StoreEntry &entry : entries) {
+        if (const auto *server = std::get_if<ServerEntry>(&entry.value))
+            m_sharedServers.erase(server->registration.server);
+        else if (const auto *absent = std::get_if<AbsentServer>(&entry.value))
+            m_sharedServers.erase(absent->server);
+    }
     publishChanges(entries);
 }
 
@@ -419,6 +425,7 @@
 {
     RegistrationsRead servers;
     servers.hasStoreGoneBack = hasStoreGoneBack;
+    m_sharedServers.clear();
     m_encodedEntries.clear();
     m_evacuations.clear();
     m_hosts.clear();
--- a/src/gateway/StoreWatcher.h
+++ b/src/gateway/StoreWatcher.h
@@ -127,6 +127,7 @@
      */
     bool isWorthSharing(const StoreEntry &entry);
 
+    /** What the other hosts know from this host; without servers that others have told of since. */
     std::unordered_map<ServerId, SharedServer> m_sharedServers;
     std::optional<StorePosition> m_position; ///< all changes up to this position are applied
     /** The store has dropped the changes after m_position, so all entries have to be read again. */
--- a/tests/gateway/StoreWatcherTest.cpp
+++ b/tests/gateway/StoreWatcherTest.cpp
@@ -730,8 +730,8 @@
     CHECK(store.announcements == 3);
 }
 
-// Guards against entries that are missed because a watch from a position of a former era is answered
-// after this host has been told what differs in the new one.
+// Guards against entries that are missed because a watch from a position of a former era is
+// answered after this host has been told what differs in the new one.
 TEST_CASE("a watch from a former era does not count after another host has told of the return",
           "[gateway][return]")
 {
@@ -767,3 +767,37 @@
     fixture.store.read(StoreEntries { { server("old") }, { { 55 }, { 2 } } });
     CHECK(fixture.events.empty());
 }
+
+// Guards against neighbours that send to a draining server, because what this host shared itself is
+// taken for what they know, although another host has shared something else since.
+TEST_CASE("a registration is shared again after another host has shared a different one",
+          "[gateway]")
+{
+    const auto entry = [](bool isDraining) {
+        BackendRegistration registration;
+        registration.server = { "a" };
+        registration.isDraining = isDraining;
+        return StoreEntry { "servers/a", ServerEntry { registration }, "a" };
+    };
+    WatcherFixture fixture;
+    fixture.setRole(StoreRole::Publisher);
+    fixture.wait(0ms);
+    fixture.store.read(StoreEntries { {}, { 10 } });
+    fixture.wait(1s);
+    fixture.store.watch(StoreEntries { { entry(true) }, { 11 } });
+    REQUIRE(fixture.shared.back().entries.size() == 1);
+    SECTION("in changes")
+    {
+        fixture.receiveChanges({ { 11 }, { 12 }, { "a" } });
+    }
+    SECTION("after the store dropped its history")
+    {
+        fixture.wait(1s);
+        fixture.store.watch(StoreFailure::HistoryDropped);
+        fixture.wait(0ms);
+        fixture.store.read(StoreEntries { { entry(false) }, { 12 } });
+    }
+    fixture.wait(1s);
+    fixture.store.watch(StoreEntries { { entry(true) }, { 13 } });
+    CHECK(fixture.shared.back().entries.size() == 1);
+}
