--- a/tools/soak_parts/fleet.py
+++ b/tools/soak_parts/fleet.py
@@ -23,6 +23,7 @@
 
     def __init__(self, address, control, folder):
         self.control = control
+        self.written = {}  # last values by key since the copy was kept; None if removed
         self.log = open(folder / "registry.log", "ab")
         self.process = subprocess.Popen(
             [ROOT / "build/standins/registry-standin", "--listen", "{}:{}".format(*address),
@@ -35,11 +36,31 @@
             raise RuntimeError(f"store stand-in: {target}: {status}")
 
     async def put(self, key, value):
+        self.written[key] = value
         await self.command("/put", value.encode(), key=key)
 
     async def remove(self, key):
+        self.written[key] = None
         await self.command("/remove", key=key)
 
+    async def keep_copy(self):
+        self.written.clear()
+        await self.command("/keep-copy")
+
+    async def go_back(self):
+        """Comes back from the copy. Returns what was written since: values by key, None if removed.
+        """
+        lost = dict(self.written)
+        await self.command("/go-back")
+        return lost
+
+    async def write_again(self, key):
+        """Writes an entry as it was written last, by whoever wrote it."""
+        if self.written.get(key) is None:
+            await self.remove(key)
+        else:
+            await self.put(key, self.written[key])
+
     def stop(self):
         self.process.send_signal(signal.SIGCONT)
         self.process.terminate()
--- a/tools/soak_parts/scenario.py
+++ b/tools/soak_parts/scenario.py
@@ -20,6 +20,14 @@
 SETTLE_SECONDS = 4.0     # of these, before the share of served requests is taken
 CONFIG_BOUND = 3.0       # seconds until a configuration is in force
 PORT = 7800
+REWRITE_SECONDS = 2.0    # until what a returned store has lost is written again
+ODD_FIELDS = ('"service":"orders","zone":"shubra","state":"ready","sequence":1,'
+              '"address":"127.0.0.1:9"')
+ODD_VALUES = ["", "[" * 5000, "[" * 5000 + "]" * 5000, "\x00", "1e999999", "{}",
+              '{"service":"orders","address":"127.0.0.1:99999"}',
+              f'{{{ODD_FIELDS},"slots":18446744073709551615,"slow_start_ms":0}}',
+              f'{{{ODD_FIELDS},"slots":2,"slow_start_ms":1e300}}',
+              f'{{{ODD_FIELDS},"slots":{"[" * 40}{"]" * 40},"slow_start_ms":0}}']
 USUAL_GATEWAYS = 6       # with more of them, each caller rests longer
 
 
@@ -159,6 +167,7 @@
     # Faults
 
     last_backend_fault = 0.0
+    is_going_back = False
 
     async def fault(self):
         kinds = [self.stop_gateway, self.kill_gateway, self.pause_gateway, self.reload_gateway,
@@ -166,7 +175,8 @@
                  self.caller_link, self.backend_link, self.backend_slow, self.backend_faulty,
                  self.backend_crash, self.replace_backend, self.configure, self.reshard,
                  self.evacuate, self.cut_domain, self.signal_series, self.backend_limited,
-                 self.backend_limited, self.backend_pauses, self.backend_leaves]
+                 self.backend_limited, self.backend_pauses, self.backend_leaves,
+                 self.store_goes_back, self.odd_entry]
         kind = self.rng.choice(kinds)
         self.note(kind.__name__)
         await kind()
@@ -240,6 +250,33 @@
         self.ledger.touch([gateway.name for gateway in self.gateways])
         await self.registry.command("/drop-history")
 
+    async def store_goes_back(self):
+        """The store is away and comes back from an older copy; what it lost is written again."""
+        if self.is_going_back:
+            return
+        self.is_going_back = True
+        await self.registry.keep_copy()
+        await asyncio.sleep(self.rng.uniform(1.0, 8.0))
+        await self.registry.command("/mode", name=self.rng.choice(["refuse", "hang"]))
+        await self.disturb(self.gateways)
+        lost = await self.registry.go_back()
+        for key in [key for key in lost if key.startswith("op/")]:
+            await self.registry.write_again(key)
+        await self.registry.command("/mode", name="up")
+        self.ledger.touch([gateway.name for gateway in self.gateways],
+                          time.monotonic() + REWRITE_SECONDS)
+        for key in [key for key in lost if key.startswith("servers/")]:
+            await asyncio.sleep(self.rng.uniform(0.0, REWRITE_SECONDS / len(lost)))
+            await self.registry.write_again(key)
+        self.is_going_back = False
+
+    async def odd_entry(self):
+        """Another writer leaves an entry that names no backend server."""
+        key = f"servers/odd-{self.rng.randint(0, 9)}"
+        await self.registry.put(key, self.rng.choice(ODD_VALUES))
+        await asyncio.sleep(self.duration())
+        await self.registry.remove(key)
+
     async def caller_link(self):
         gateway = self.rng.choice(self.gateways)
         self.harm(gateway.callers, self.rng.choice(["delay", "reset", "refuses"]))
