--- a/src/gateway/LostEntryRetention.h
+++ b/src/gateway/LostEntryRetention.h
@@ -47,12 +47,14 @@
     /** Returns the hosts to count: as for failureDomainsAfter(). */
     std::vector<HostEntry> hostsAfter(const HostsRead &read, MonotonicTime now);
 
-    /** Time at which the lists have to be formed again with the last reads; nullopt if there is
-     * nothing that ends. */
+    /** Time at which the next kept failure domain or host ends; nullopt if none is kept. */
     std::optional<MonotonicTime> nextExpiry() const;
-    /** The last read lists without what has ended, as if they had been read again. */
+    /**
+     * The failure domains that were read last. Passed to failureDomainsAfter() at nextExpiry(),
+     * they give the set without those whose time has ended.
+     */
     const EvacuationsRead &lastEvacuations() const { return m_evacuations; }
-    /** As lastEvacuations(). */
+    /** The hosts that were read last, for hostsAfter(); see lastEvacuations(). */
     const HostsRead &lastHosts() const { return m_hosts; }
 
 private:
--- a/src/gateway/StoreWatcher.h
+++ b/src/gateway/StoreWatcher.h
@@ -85,14 +85,19 @@
         GoneBack, ///< the store has come back from an older copy
     };
 
+    /** Age of the answer to the call in progress, or that has just ended. */
     AnswerAge ageOf(const StorePosition &position) const;
     bool mustReadAll() const { return !m_position || m_isHistoryDropped || m_hasStoreGoneBack; }
     void onAllRead(const StoreResult<StoreEntries> &result);
     void onChangesRead(const StoreResult<StoreEntries> &result);
+    /** Replaces all entries after a return of the store; `source` is who told it, for the log. */
     void applyReturn(const StoreEntries &store, std::string_view source);
+    /** Applies changes that lead to a later era, or has all entries read. */
     void applySharedReturn(const StoreChanges &changes);
+    /** The changes that turn the known entries into `store`. */
     StoreChanges changesTo(const StoreEntries &store) const;
-    /** All entries have to be read for `reason`, which is set. */
+    /** Sets `reason`, a member of which mustReadAll() is made up; fruitless if it was set before.
+     */
     void requireReadOfAll(bool &reason);
     /** Postpones this host's read of all entries, unless it is the publisher. */
     void leaveReadToPublisher();
