Lose many changes in the soak's return, and check the version in force at its end

Of many changes to the configuration only the last one is written again now, and each gateway has to end with the current version.

--- a/tools/soak_parts/fleet.py
+++ b/tools/soak_parts/fleet.py
@@ -82,6 +82,7 @@
         self.callers = Proxy((ip, port + 5), (ip, port))
         self.store = Proxy((ip, port + 4), store)
         self.ready = (ip, port + 1)
+        self.admin = (ip, port + 2)
         self.settings = {
             "host": name, "failureDomain": domain, "callerEndpoint": f"{ip}:{port}",
             "readinessEndpoint": f"{ip}:{port + 1}", "adminEndpoint": f"{ip}:{port + 2}",
@@ -148,6 +149,14 @@
         except (OSError, asyncio.TimeoutError, wire.Broken):
             return False
 
+    async def configuration(self):
+        """Version of the configuration in force; None if the process does not tell."""
+        try:
+            status, body = await wire.call(self.admin, "GET", "/state", timeout=1.0)
+        except (OSError, asyncio.TimeoutError, wire.Broken):
+            return None
+        return json.loads(body)["configuration"] if status == 200 else None
+
     def stop(self):
         self._is_wanted = False
         for proxy in (self.callers, self.store):
--- a/tools/soak_parts/scenario.py
+++ b/tools/soak_parts/scenario.py
@@ -256,7 +256,11 @@
             return
         self.is_going_back = True
         await self.registry.keep_copy()
-        await asyncio.sleep(self.rng.uniform(1.0, 8.0))
+        # Of many changes to one entry, only the last is written again: revisions stay behind.
+        for _ in range(self.rng.choice([0, 5, 40])):
+            await asyncio.sleep(0.05)
+            await self.configure()
+        await asyncio.sleep(self.rng.uniform(1.0, 6.0))
         await self.registry.command("/mode", name=self.rng.choice(["refuse", "hang"]))
         await self.disturb(self.gateways)
         lost = await self.registry.go_back()
@@ -396,6 +400,11 @@
         ready = [await gateway.is_ready() for gateway in self.gateways]
         if not all(ready):
             self.ledger.violation(f"READY {ready.count(False)} gateways stay not ready")
+        for gateway in self.gateways:
+            version = await gateway.configuration()
+            if version != self.version:
+                self.ledger.violation(f"CONFIG {gateway.name} ends with version {version}, "
+                                      f"not {self.version}")
         self.ledger.check_end(since)
 
     def stop(self):
