--- a/tests/gateway/StoreExplorerTest.cpp
+++ b/tests/gateway/StoreExplorerTest.cpp
@@ -7,7 +7,7 @@
 
 using namespace greengagestair;
 
-/** The sanitizer build takes some fifty times as long, so it explores two steps less. */
+/** The sanitizer build is much slower, so it explores two steps less. */
 #ifdef __SANITIZE_ADDRESS__
 static constexpr std::size_t kLessSteps = 2;
 static constexpr std::size_t kLeastStates = 500;
