--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -354,6 +354,8 @@
 class Gateway:
     """One gateway process."""
 
+    running = set()
+
     def __init__(self, fleet, name, zone):
         self.fleet, self.name, self.zone = fleet, name, zone
         self.address = f"127.0.{random.randrange(1, 250)}.{10 + len(fleet.gateways)}"
@@ -398,9 +400,20 @@
             str(program), *words[1:], cwd=ROOT, stdout=log, stderr=log,
             env={k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ})
         log.close()
+        Gateway.running.add(self.process.pid)
         self.started_at = time.monotonic()
         self.fleet.record(f"start {self.name} pid {self.process.pid}")
 
+    @classmethod
+    def kill_all(cls):
+        """Ends the processes that a case has left, by their ids."""
+        for pid in cls.running:
+            try:
+                os.kill(pid, signal.SIGKILL)
+            except ProcessLookupError:
+                pass
+        cls.running.clear()
+
     def send(self, number):
         if self.process and self.process.returncode is None:
             self.fleet.record(f"{signal.Signals(number).name} {self.name}")
@@ -408,6 +421,7 @@
 
     async def ended(self):
         self.exit_code = await self.process.wait()
+        Gateway.running.discard(self.process.pid)
         self.fleet.record(f"ended {self.name} with {self.exit_code}")
         return self.exit_code
 
@@ -459,9 +473,9 @@
             self.gateways.append(Gateway(self, name, zone))
         self.backends = []
 
-    def configure(self, version, routes, services):
+    def configure(self, version, routes, services, warmup_per_s=0.0):
         base = {"health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": False,
-                "slow_start_s": 3.0, "warmup_per_s": 0.0}
+                "slow_start_s": 3.0, "warmup_per_s": warmup_per_s}
         rev = self.store.put_json("op/config", {
             "version": version, "routes": routes,
             "services": [{"name": s, **base} for s in services], "limits": LIMITS})
@@ -488,7 +502,9 @@
             process = gateway.process
             if process and process.returncode is None:
                 process.kill()
-                await process.wait()
+                await gateway.ended()
+            elif process:
+                Gateway.running.discard(process.pid)
         for backend in self.backends:
             backend.crash()
         self.store.cut()
@@ -569,6 +585,17 @@
         return request_id, answer
 
 
+async def cancel(tasks):
+    """Ends tasks. A task is cancelled again if a wait_for() that had just ended swallowed it."""
+    pending = {task for task in tasks if not task.done()}
+    for _ in range(10):
+        for task in pending:
+            task.cancel()
+        if not pending:
+            return
+        _, pending = await asyncio.wait(pending, timeout=0.3)
+
+
 def run(folder, case):
     """Plays `case(record)`, which returns HELD or BROKEN, and exits with the result."""
     record = Record(folder)
@@ -576,6 +603,8 @@
 
     async def play():
         task = asyncio.current_task()
+        # Connections that are cut on purpose leave futures behind that nobody reads.
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: None)
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         return await asyncio.wait_for(case(record), 115)
@@ -588,6 +617,8 @@
         record.say("not run: interrupted")
     except asyncio.TimeoutError:
         record.say("not run: the case took longer than 115 s")
+    finally:
+        Gateway.kill_all()
     verdict = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "not run"}[result]
     record.say(f"{verdict}, with TROUBLE={int(TROUBLE)}")
     record.file.close()
