Review case 3: a request that crashes servers is let through for ever (BUDGET)

Rule: BUDGET, three retries after a request has crashed its third server.

Order of events: a request reaches a server; its caller leaves 0.1 s later; the server crashes 0.1 s after that, while the gateway still keeps the connection; the request comes again 1.5 s after the last time; nothing was learned.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+export PYTHONDONTWRITEBYTECODE=1
+exec python3 "$(dirname "$0")/play.py"
