--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,102 +1,123 @@
-"""LOST: a planned stop cuts off answers that are still on their way to callers.
+"""BUDGET: a request that crashes servers is never refused if its caller leaves before the crash.
 
-Three gateways, a service with three sound servers, and callers whose links carry 20 Mbit/s. Each
-caller fetches a 12 MiB answer, for which its link needs 5.0 s. One gateway gets SIGTERM.
+Three zones with one gateway each, and a service with twelve servers. One request crashes each
+server that begins to run it, 0.2 s later, and comes again every 1.5 s at any machine. Its caller
+leaves 0.1 s after sending it. Nothing else happens.
 """
 
 import asyncio
 import pathlib
-import signal
+import random
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
-from harness import (BOUNDS, BROKEN, HELD, TROUBLE, Backend, Client, Fleet, NotRun,  # noqa: E402
-                     run)
+from harness import (BOUNDS, BROKEN, HELD, TROUBLE, Backend, Client, Fleet,  # noqa: E402
+                     NotRun, cancel, run)
 
-ANSWER_BYTES = 12 << 20
-LINK_BYTES_PER_S = 2_500_000
-READ_BYTES = 50_000
-RECEIVE_BUFFER = 65_536
-DEADLINE_MS = 15_000
-ROUTE = {"name": "r-report", "host": "reports.example", "prefix": "/report/",
-         "type": "idempotent", "timeout_ms": 15_000, "target_latency_ms": 250, "priority": 1,
-         "service": "reports", "max_attempts": 2}
+SERVERS = 12
+CRASHES_AFTER_S = 0.2
+BACK_AFTER_S = 3.0
+INTERVAL_S = 1.5
+LEAVES_AFTER_S = 0.1
+LENGTH_S = 45.0
+MOST_RETRIES = 3
+CRASHES = 3
+CONTACT_S = BOUNDS["contact_ms"] / 1000
+DEADLINE_MS = 2500
+FATAL = "/order/fatal"
+ROUTE = {"name": "r-order", "host": "orders.example", "prefix": "/order/", "type": "idempotent",
+         "timeout_ms": 2500, "target_latency_ms": 250, "priority": 2, "service": "order-book",
+         "max_attempts": 2}
 
 
-class ReportServer(Backend):
+class OrderServer(Backend):
+    """Crashes some time after it has begun to run the fatal request, unless that is dropped."""
+
+    crashes = []
+    reached = set()
+    tasks = set()
+    fleet = None
+
     async def work(self, request, headers, body):
-        await asyncio.sleep(0.02)
-        return 200, [], b"r" * ANSWER_BYTES
+        if FATAL in request:
+            OrderServer.reached.add(headers.get_ci("x-request-id"))
+            await asyncio.sleep(CRASHES_AFTER_S)
+            OrderServer.crashes.append(time.monotonic())
+            self.record(f"crash {len(OrderServer.crashes)}: {self.id}")
+            task = asyncio.create_task(self.come_back())
+            OrderServer.tasks.add(task)
+            task.add_done_callback(OrderServer.tasks.discard)
+            asyncio.get_running_loop().call_soon(self.crash)
+            await asyncio.sleep(60)
+        await asyncio.sleep(0.06)
+        return 200, [], b"order"
+
+    async def come_back(self):
+        await asyncio.sleep(BACK_AFTER_S)
+        self.store.remove(f"servers/{self.id}")
+        new = OrderServer(self.store, self.record, self.service, self.zone)
+        OrderServer.fleet.backends.append(new)
+        await new.start()
+
+
+async def call_forever(record, fleet):
+    """Ordinary requests, so that the service is in use."""
+    while True:
+        client = Client(record, random.choice(fleet.gateways))
+        await client.request("orders.example", f"/order/{random.randrange(1 << 30)}", DEADLINE_MS)
+        client.close()
+        await asyncio.sleep(0.2)
 
 
-async def fetch(record, gateway, outcomes):
-    """Fetches one answer at the pace of the caller's link and notes how its connection ended."""
+async def send_fatal(record, gateway):
+    """Sends the fatal request once; its caller leaves after LEAVES_AFTER_S, or waits."""
     client = Client(record, gateway)
-    await client.connect(receive_buffer=RECEIVE_BUFFER)
-    request_id = client.send("reports.example", "/report/1", DEADLINE_MS)
-    sent_at = time.monotonic()
-    received, wanted, status = 0, None, None
+    await client.connect()
+    request_id = client.send("orders.example", FATAL, DEADLINE_MS)
     try:
-        line = await client.reader.readline()
-        status = int(line.split(b" ")[1]) if line else None
-        while (field := await client.reader.readline()).strip():
-            name, _, value = field.partition(b":")
-            if name.lower() == b"content-length":
-                wanted = int(value)
-        while received < (wanted or 0):
-            data = await client.reader.read(min(READ_BYTES, wanted - received))
-            if not data:
-                break
-            received += len(data)
-            await asyncio.sleep(sent_at + received / LINK_BYTES_PER_S - time.monotonic())
-    except (ConnectionError, asyncio.IncompleteReadError) as error:
-        record(f"{request_id}: {type(error).__name__}")
-    ended_at = time.monotonic()
-    whole = wanted is not None and received == wanted
-    record.say(f"answer {request_id} from {gateway.name}: status {status}, {received} of {wanted} "
-               f"bytes {ended_at - sent_at:.2f} s after the request")
-    outcomes.append((gateway.name, sent_at, ended_at, status, whole))
+        patience = LEAVES_AFTER_S if TROUBLE else DEADLINE_MS / 1000 + 0.2
+        answer = await asyncio.wait_for(client.read_answer(), patience)
+        record(f"answer {request_id} {answer[0] if answer else 'nothing'}")
+    except asyncio.TimeoutError:
+        record(f"left {request_id}")
     client.close()
+    return request_id
 
 
 async def case(record):
-    fleet = Fleet(record, [("edge-a-1", "a"), ("edge-b-1", "b"), ("edge-c-1", "c")])
+    fleet = Fleet(record, [(f"edge-{zone}-1", zone) for zone in "abc"])
+    OrderServer.fleet = fleet
+    tasks = []
     try:
         await fleet.store.listen()
-        fleet.configure(7, [ROUTE], ["reports"])
-        for zone in "abc":
-            server = ReportServer(fleet.store, record, "reports", zone)
+        fleet.configure(7, [ROUTE], ["order-book"])
+        for number in range(SERVERS):
+            server = OrderServer(fleet.store, record, "order-book", "abc"[number % 3])
             fleet.backends.append(server)
             await server.start()
         await fleet.start()
-        await fleet.wait_for_servers(3)
-        outcomes = []
-        stopped = fleet.gateways[0]
-        callers = [asyncio.create_task(fetch(record, gateway, outcomes))
-                   for gateway in fleet.gateways for _ in range(2)]
-        await asyncio.sleep(0.2)
-        stop_at = time.monotonic()
-        if TROUBLE:
-            stopped.send(signal.SIGTERM)
-        # The platform takes a machine out after two misses, so some callers still come.
-        await asyncio.sleep(0.2)
-        callers += [asyncio.create_task(fetch(record, stopped, outcomes)) for _ in range(2)]
-        await asyncio.gather(*callers)
-        if TROUBLE:
-            await stopped.ended()
-        if any(status != 200 for *_, status, _ in outcomes):
-            raise NotRun("a request was not answered with success")
-        # All requests were passed on to a server, which answered at once and in full. The rule
-        # covers the time until a second after the grace time; deadlines and timeouts are later.
-        cut = [name for name, sent_at, ended_at, _, whole in outcomes
-               if not whole and ended_at < stop_at + BOUNDS["grace_s"] + 1
-               and ended_at < sent_at + DEADLINE_MS / 1000]
-        record.say(f"{len(cut)} of {len(outcomes)} answers were cut off: {cut}")
-        return BROKEN if cut else HELD
+        await fleet.wait_for_servers(SERVERS)
+        await asyncio.sleep(CONTACT_S)
+        tasks.append(asyncio.create_task(call_forever(record, fleet)))
+        sent = []
+        begin = time.monotonic()
+        while time.monotonic() < begin + LENGTH_S:
+            at = time.monotonic()
+            sent.append((at, await send_fatal(record, random.choice(fleet.gateways))))
+            await asyncio.sleep(max(at + INTERVAL_S - time.monotonic(), 0))
+        if len(OrderServer.crashes) < CRASHES:
+            raise NotRun("the request didn't crash three servers")
+        counted_from = OrderServer.crashes[CRASHES - 1] + CONTACT_S
+        retries = [at - counted_from for at, request_id in sent
+                   if at > counted_from and request_id in OrderServer.reached]
+        record.say(f"{len(retries)} retries that count reached servers ({MOST_RETRIES} are "
+                   f"allowed); {len(sent)} requests, {len(OrderServer.crashes)} crashes")
+        return BROKEN if len(retries) > MOST_RETRIES else HELD
     finally:
+        await cancel([*tasks, *OrderServer.tasks])
         await fleet.stop()
 
 
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,123 +1,158 @@
-"""BUDGET: a request that crashes servers is never refused if its caller leaves before the crash.
+"""FAILBACK: servers that come back cold under their former ids get the whole load at once.
 
-Three zones with one gateway each, and a service with twelve servers. One request crashes each
-server that begins to run it, 0.2 s later, and comes again every 1.5 s at any machine. Its caller
-leaves 0.1 s after sending it. Nothing else happens.
+Three zones with one gateway each. All three servers of one service crash and are back after some
+seconds, cold, under the ids and at the addresses that they had. Servers of other services go on
+writing to the store.
 """
 
 import asyncio
+import itertools
 import pathlib
-import random
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
-from harness import (BOUNDS, BROKEN, HELD, TROUBLE, Backend, Client, Fleet, NotRun,  # noqa: E402
-                     cancel, run)
-
-SERVERS = 12
-CRASHES_AFTER_S = 0.2
-BACK_AFTER_S = 3.0
-INTERVAL_S = 1.5
-LEAVES_AFTER_S = 0.1
-LENGTH_S = 45.0
-MOST_RETRIES = 3
-CRASHES = 3
-CONTACT_S = BOUNDS["contact_ms"] / 1000
-DEADLINE_MS = 2500
-FATAL = "/order/fatal"
-ROUTE = {"name": "r-order", "host": "orders.example", "prefix": "/order/", "type": "idempotent",
-         "timeout_ms": 2500, "target_latency_ms": 250, "priority": 2, "service": "order-book",
+from harness import (BOUNDS, BROKEN, HELD, TROUBLE, Backend, Client, Fleet,  # noqa: E402
+                     NotRun, cancel, run)
+
+CALM_S = 5.0
+DOWN_S = 4.0
+WATCHED_S = 40.0
+COLD_S = 3.0
+WARMUP_PER_S = 5.0
+CRASHES_ABOVE_PER_S = 4 * WARMUP_PER_S
+PER_GATEWAY_PER_S = 40
+WORK_S = 0.01
+numbers = itertools.count()
+ZONES = "abc"
+DEADLINE_MS = 800
+MOST_PER_S = WARMUP_PER_S * BOUNDS["cold_over"] + BOUNDS["cold_slack"]
+ROUTE = {"name": "r-desk", "host": "desk.example", "prefix": "/desk/", "type": "idempotent",
+         "timeout_ms": 800, "target_latency_ms": 80, "priority": 1, "service": "counter-desk",
          "max_attempts": 2}
 
 
-class OrderServer(Backend):
-    """Crashes some time after it has begun to run the fatal request, unless that is dropped."""
+class DeskServer(Backend):
+    """Cold for COLD_S after a start during traffic: slower, and crashes when it gets far more
+    requests than it tolerates. It is back after some seconds, with its id, at its address."""
 
-    crashes = []
-    reached = set()
-    tasks = set()
-    fleet = None
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.cold_until = 0.0
+        self.starts = []
+        self.crashes = 0
+        self.is_failing = False
+        self.back = None
+
+    def entry(self):
+        left = max(self.cold_until - time.monotonic(), 0)
+        return {**super().entry(), "slow_start_ms": int(left * 1000)}
+
+    async def start(self, is_cold=False):
+        now = time.monotonic()
+        self.is_failing = False
+        self.cold_until = now + (COLD_S if is_cold else 0)
+        if is_cold:
+            self.starts.append(now)
+            self.record(f"{self.id} is back, cold for {COLD_S} s")
+        await super().start()
+
+    async def come_back(self):
+        await asyncio.sleep(DOWN_S)
+        await self.start(is_cold=True)
+
+    def fail(self):
+        self.crash()
+        self.back = asyncio.create_task(self.come_back())
 
     async def work(self, request, headers, body):
-        if FATAL in request:
-            OrderServer.reached.add(headers.get_ci("x-request-id"))
-            await asyncio.sleep(CRASHES_AFTER_S)
-            OrderServer.crashes.append(time.monotonic())
-            self.record(f"crash {len(OrderServer.crashes)}: {self.id}")
-            task = asyncio.create_task(self.come_back())
-            OrderServer.tasks.add(task)
-            task.add_done_callback(OrderServer.tasks.discard)
-            asyncio.get_running_loop().call_soon(self.crash)
+        now = time.monotonic()
+        is_cold = now < self.cold_until
+        since = max(now - 1, self.starts[-1]) if is_cold else now
+        in_a_second = sum(at > since for at, _ in self.arrivals)
+        if is_cold and not self.is_failing and in_a_second > CRASHES_ABOVE_PER_S:
+            self.is_failing = True
+            self.crashes += 1
+            self.record(f"{self.id} crashes: over {CRASHES_ABOVE_PER_S} requests in a second")
+            asyncio.get_running_loop().call_soon(self.fail)
             await asyncio.sleep(60)
-        await asyncio.sleep(0.06)
-        return 200, [], b"order"
+        await asyncio.sleep(WORK_S * (1.6 if is_cold else 1))
+        return 200, [], b"desk"
 
-    async def come_back(self):
-        await asyncio.sleep(BACK_AFTER_S)
-        self.store.remove(f"servers/{self.id}")
-        new = OrderServer(self.store, self.record, self.service, self.zone)
-        OrderServer.fleet.backends.append(new)
-        await new.start()
 
+async def call_steadily(record, gateway, sent):
+    """Requests at a steady rate, each answered or not; no request is repeated by the caller."""
+    async def one():
+        client = Client(record, gateway)
+        at = time.monotonic()
+        path = f"/desk/{next(numbers)}"
+        request_id, answer = await client.request("desk.example", path, DEADLINE_MS)
+        client.close()
+        if request_id:
+            sent[request_id] = (at, answer[0] if answer else None)
 
-async def call_forever(record, fleet):
-    """Ordinary requests, so that the service is in use."""
+    tasks = set()
+    next_at = time.monotonic()
     while True:
-        client = Client(record, random.choice(fleet.gateways))
-        await client.request("orders.example", f"/order/{random.randrange(1 << 30)}", DEADLINE_MS)
-        client.close()
-        await asyncio.sleep(0.2)
+        task = asyncio.create_task(one())
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        next_at += 1 / PER_GATEWAY_PER_S
+        await asyncio.sleep(max(next_at - time.monotonic(), 0))
 
 
-async def send_fatal(record, gateway):
-    """Sends the fatal request once; its caller leaves after LEAVES_AFTER_S, or waits."""
-    client = Client(record, gateway)
-    await client.connect()
-    request_id = client.send("orders.example", FATAL, DEADLINE_MS)
-    try:
-        patience = LEAVES_AFTER_S if TROUBLE else DEADLINE_MS / 1000 + 0.2
-        answer = await asyncio.wait_for(client.read_answer(), patience)
-        record(f"answer {request_id} {answer[0] if answer else 'nothing'}")
-    except asyncio.TimeoutError:
-        record(f"left {request_id}")
-    client.close()
-    return request_id
+def busiest_second(times):
+    """The largest number of arrivals in any span of one second."""
+    most, first = 0, 0
+    for last, at in enumerate(times):
+        while times[first] <= at - 1:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
 
 
 async def case(record):
-    fleet = Fleet(record, [(f"edge-{zone}-1", zone) for zone in "abc"])
-    OrderServer.fleet = fleet
-    tasks = []
+    fleet = Fleet(record, [(f"edge-{zone}-1", zone) for zone in ZONES])
+    callers = []
     try:
         await fleet.store.listen()
-        fleet.configure(7, [ROUTE], ["order-book"])
-        for number in range(SERVERS):
-            server = OrderServer(fleet.store, record, "order-book", "abc"[number % 3])
+        fleet.configure(7, [ROUTE], ["counter-desk", "order-book"], WARMUP_PER_S)
+        servers = [DeskServer(fleet.store, record, "counter-desk", zone) for zone in ZONES]
+        others = [DeskServer(fleet.store, record, "order-book", ZONES[n % 3]) for n in range(9)]
+        for server in servers + others:
             fleet.backends.append(server)
             await server.start()
+            await asyncio.sleep(0.07)
         await fleet.start()
-        await fleet.wait_for_servers(SERVERS)
-        await asyncio.sleep(CONTACT_S)
-        tasks.append(asyncio.create_task(call_forever(record, fleet)))
-        sent = []
-        begin = time.monotonic()
-        while time.monotonic() < begin + LENGTH_S:
-            at = time.monotonic()
-            sent.append((at, await send_fatal(record, random.choice(fleet.gateways))))
-            await asyncio.sleep(max(at + INTERVAL_S - time.monotonic(), 0))
-        if len(OrderServer.crashes) < CRASHES:
-            raise NotRun("the request didn't crash three servers")
-        counted_from = OrderServer.crashes[CRASHES - 1] + CONTACT_S
-        retries = [at - counted_from for at, request_id in sent
-                   if at > counted_from and request_id in OrderServer.reached]
-        record.say(f"{len(retries)} retries that count reached servers ({MOST_RETRIES} are "
-                   f"allowed); {len(sent)} requests, {len(OrderServer.crashes)} crashes")
-        return BROKEN if len(retries) > MOST_RETRIES else HELD
+        await fleet.wait_for_servers(len(servers + others))
+        sent = {}
+        callers = [asyncio.create_task(call_steadily(record, gateway, sent))
+                   for gateway in fleet.gateways]
+        await asyncio.sleep(CALM_S)
+        if any(status != 200 for at, status in sent.values()):
+            raise NotRun("a request was not served before the crash")
+        if TROUBLE:
+            record.say("the servers of counter-desk crash")
+            for server in servers:
+                server.fail()
+        await asyncio.sleep(WATCHED_S)
+        broken = 0
+        for server in servers:
+            for start in server.starts:
+                times = sorted(at for at, _ in server.arrivals if start <= at < start + COLD_S)
+                busiest = busiest_second(times)
+                broken += busiest > MOST_PER_S
+                record.say(f"{server.id}, cold from {start - record.start:.1f} s: {busiest} "
+                           f"requests in its busiest second; the bound is {MOST_PER_S}")
+        again = sum(server.crashes for server in servers)
+        served = sum(status == 200 for _, status in sent.values())
+        record.say(f"cold servers got too much {broken} times and crashed {again} times; {served} "
+                   f"of {len(sent)} requests served")
+        return BROKEN if broken else HELD
     finally:
-        await cancel([*tasks, *OrderServer.tasks])
+        await cancel([*callers, *(s.back for s in fleet.backends if s.back)])
         await fleet.stop()
 
 
--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,156 +1,124 @@
-"""FAILBACK: servers that come back cold under their former ids get the whole load at once.
+"""DRAIN: gateways send work to a server that is gone for over three seconds.
 
-Three zones with one gateway each. All three servers of one service crash and are back after some
-seconds, cold, under the ids and at the addresses that they had. Servers of other services go on
-writing to the store.
+One zone with three gateways, and a service with two servers. The gateways are restarted in turn. At
+each restart one server is replaced: the new one starts first, then the entry of the old one is
+removed without a report of `draining`, and it goes on serving.
 """
 
 import asyncio
-import itertools
 import pathlib
+import signal
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
-from harness import (BOUNDS, BROKEN, HELD, TROUBLE, Backend, Client, Fleet, NotRun, cancel,  # noqa: E402
-                     run)
-
-CALM_S = 5.0
-DOWN_S = 4.0
-WATCHED_S = 40.0
-COLD_S = 3.0
-WARMUP_PER_S = 5.0
-CRASHES_ABOVE_PER_S = 4 * WARMUP_PER_S
-PER_GATEWAY_PER_S = 40
-WORK_S = 0.01
-numbers = itertools.count()
-ZONES = "abc"
-DEADLINE_MS = 800
-MOST_PER_S = WARMUP_PER_S * BOUNDS["cold_over"] + BOUNDS["cold_slack"]
-ROUTE = {"name": "r-desk", "host": "desk.example", "prefix": "/desk/", "type": "idempotent",
-         "timeout_ms": 800, "target_latency_ms": 80, "priority": 1, "service": "counter-desk",
+from harness import (BOUNDS, BROKEN, HELD, TROUBLE, Backend, Client, Fleet,  # noqa: E402
+                     cancel, run)
+
+ROUNDS = 2
+GAP_S = 9.0
+LEAVES_AFTER_S = 0.02
+CALLERS_EACH = 6
+PAUSE_S = 0.12
+WORK_S = 0.06
+DRAIN_S = BOUNDS["drain_timeout_ms"] / 1000
+CONTACT_S = BOUNDS["contact_ms"] / 1000
+DEADLINE_MS = 2500
+ROUTE = {"name": "r-order", "host": "orders.example", "prefix": "/order/", "type": "idempotent",
+         "timeout_ms": 2500, "target_latency_ms": 250, "priority": 2, "service": "order-book",
          "max_attempts": 2}
 
 
-class DeskServer(Backend):
-    """Cold for COLD_S after a start during traffic: slower, and crashes when it gets far more
-    requests than it tolerates. It is back after some seconds, with its id, at its address."""
+class OrderServer(Backend):
+    async def work(self, request, headers, body):
+        await asyncio.sleep(WORK_S)
+        return 200, [], b"order"
 
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self.cold_until = 0.0
-        self.starts = []
-        self.crashes = 0
-        self.is_failing = False
-        self.back = None
 
-    def entry(self):
-        left = max(self.cold_until - time.monotonic(), 0)
-        return {**super().entry(), "slow_start_ms": int(left * 1000)}
+class Contact:
+    """Times at which a gateway was not in touch: its stops and starts with the time after them."""
 
-    async def start(self, is_cold=False):
-        now = time.monotonic()
-        self.is_failing = False
-        self.cold_until = now + (COLD_S if is_cold else 0)
-        if is_cold:
-            self.starts.append(now)
-            self.record(f"{self.id} is back, cold for {COLD_S} s")
-        await super().start()
+    def __init__(self, gateway):
+        self.gateway = gateway
+        self.disturbed = [gateway.started_at]
+        self.down = []
 
-    async def come_back(self):
-        await asyncio.sleep(DOWN_S)
-        await self.start(is_cold=True)
+    def in_touch(self, at):
+        near = any(0 <= at - moment < CONTACT_S for moment in self.disturbed)
+        return not near and not any(begin <= at < end + CONTACT_S for begin, end in self.down)
 
-    def fail(self):
-        self.crash()
-        self.back = asyncio.create_task(self.come_back())
 
-    async def work(self, request, headers, body):
-        now = time.monotonic()
-        is_cold = now < self.cold_until
-        since = max(now - 1, self.starts[-1]) if is_cold else now
-        if is_cold and not self.is_failing and sum(at > since for at, _ in self.arrivals) > CRASHES_ABOVE_PER_S:
-            self.is_failing = True
-            self.crashes += 1
-            self.record(f"{self.id} crashes: over {CRASHES_ABOVE_PER_S} requests in a second")
-            asyncio.get_running_loop().call_soon(self.fail)
-            await asyncio.sleep(60)
-        await asyncio.sleep(WORK_S * (1.6 if is_cold else 1))
-        return 200, [], b"desk"
-
-
-async def call_steadily(record, gateway, sent):
-    """Requests at a steady rate, each answered or not; no request is repeated by the caller."""
-    async def one():
-        client = Client(record, gateway)
+async def call_forever(record, gateway, sent):
+    client = Client(record, gateway)
+    while True:
         at = time.monotonic()
-        request_id, answer = await client.request("desk.example", f"/desk/{next(numbers)}", DEADLINE_MS)
-        client.close()
+        request_id, _ = await client.request("orders.example", "/order/1", DEADLINE_MS)
         if request_id:
-            sent[request_id] = (at, answer[0] if answer else None)
-
-    tasks = set()
-    next_at = time.monotonic()
-    while True:
-        task = asyncio.create_task(one())
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-        next_at += 1 / PER_GATEWAY_PER_S
-        await asyncio.sleep(max(next_at - time.monotonic(), 0))
-
-
-def busiest_second(times):
-    """The largest number of arrivals in any span of one second."""
-    most, first = 0, 0
-    for last, at in enumerate(times):
-        while times[first] <= at - 1:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
+            sent[request_id] = (gateway.name, at)
+        await asyncio.sleep(PAUSE_S)
 
 
 async def case(record):
-    fleet = Fleet(record, [(f"edge-{zone}-1", zone) for zone in ZONES])
+    fleet = Fleet(record, [(f"edge-a-{n}", "a") for n in (1, 2, 3)])
     callers = []
     try:
         await fleet.store.listen()
-        fleet.configure(7, [ROUTE], ["counter-desk", "order-book"], WARMUP_PER_S)
-        servers = [DeskServer(fleet.store, record, "counter-desk", zone) for zone in ZONES]
-        others = [DeskServer(fleet.store, record, "order-book", ZONES[n % 3]) for n in range(9)]
-        for server in servers + others:
+        fleet.configure(7, [ROUTE], ["order-book"])
+        servers = []
+        for _ in range(2):
+            server = OrderServer(fleet.store, record, "order-book", "a")
             fleet.backends.append(server)
+            servers.append(server)
             await server.start()
-            await asyncio.sleep(0.07)
         await fleet.start()
-        await fleet.wait_for_servers(len(servers + others))
+        await fleet.wait_for_servers(2)
+        contacts = {g.name: Contact(g) for g in fleet.gateways}
         sent = {}
-        callers = [asyncio.create_task(call_steadily(record, gateway, sent))
-                   for gateway in fleet.gateways]
-        await asyncio.sleep(CALM_S)
-        if any(status != 200 for at, status in sent.values()):
-            raise NotRun("a request was not served before the crash")
-        if TROUBLE:
-            record.say("the servers of counter-desk crash")
-            for server in servers:
-                server.fail()
-        await asyncio.sleep(WATCHED_S)
-        broken = 0
-        for server in servers:
-            for start in server.starts:
-                times = sorted(at for at, _ in server.arrivals if start <= at < start + COLD_S)
-                busiest = busiest_second(times)
-                broken += busiest > MOST_PER_S
-                record.say(f"{server.id}, cold from {start - record.start:.1f} s: {busiest} "
-                           f"requests in its busiest second; the bound is {MOST_PER_S}")
-        again = sum(server.crashes for server in servers)
-        served = sum(status == 200 for _, status in sent.values())
-        record.say(f"cold servers got too much {broken} times and crashed {again} times; {served} "
-                   f"of {len(sent)} requests served")
-        return BROKEN if broken else HELD
+        callers = [asyncio.create_task(call_forever(record, gateway, sent))
+                   for gateway in fleet.gateways for _ in range(CALLERS_EACH)]
+        await asyncio.sleep(5)
+        gone = []
+        restarts = []
+        for step in range(ROUNDS * len(fleet.gateways)):
+            gateway = fleet.gateways[step % len(fleet.gateways)]
+            new = OrderServer(fleet.store, record, "order-book", "a")
+            fleet.backends.append(new)
+            await new.start()
+            await asyncio.sleep(2)
+            if TROUBLE:
+                began = time.monotonic()
+
+                async def restart(gateway=gateway, began=began):
+                    await gateway.restart(signal.SIGTERM)
+                    contacts[gateway.name].down.append((began, gateway.started_at))
+
+                contacts[gateway.name].disturbed.append(began)
+                restarts.append(asyncio.create_task(restart()))
+            await asyncio.sleep(LEAVES_AFTER_S)
+            old = servers.pop(0)
+            revision = old.leave_list()
+            gone.append((old, time.monotonic()))
+            record.say(f"{old.id} is gone: its entry was removed with revision {revision}")
+            servers.append(new)
+            await asyncio.sleep(GAP_S - 2)
+        await asyncio.gather(*restarts)
+        late = 0
+        for server, at in gone:
+            for arrived, request_id in server.arrivals:
+                name, sent_at = sent.get(request_id, (None, 0))
+                if arrived <= at + DRAIN_S or name is None:
+                    continue
+                if contacts[name].in_touch(arrived) and contacts[name].in_touch(sent_at):
+                    late += 1
+                    record.say(f"request {request_id} from {name}, which is in touch, reached "
+                               f"{server.id} {arrived - at:.3f} s after it was gone")
+        record.say(f"{late} requests reached servers that were gone for over {DRAIN_S:.0f} s; "
+                   f"{len(sent)} requests, {len(gone)} servers gone")
+        return BROKEN if late else HELD
     finally:
-        await cancel([*callers, *(s.back for s in fleet.backends if s.back)])
+        await cancel(callers)
         await fleet.stop()
 
 
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -529,7 +529,8 @@
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         connection.setblocking(False)
         loop = asyncio.get_running_loop()
-        await asyncio.wait_for(loop.sock_connect(connection, (self.gateway.address, self.gateway.http)), 1)
+        target = (self.gateway.address, self.gateway.http)
+        await asyncio.wait_for(loop.sock_connect(connection, target), 1)
         limit = receive_buffer or 1 << 16
         self.reader, self.writer = await asyncio.open_connection(sock=connection, limit=limit)
 
