--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -280,6 +280,7 @@
         self.sequence = 0
         self.state = "ready"
         self.beats = None
+        self.beat_at = 0.0
         self.arrivals = []
         self.runs = 0
         self.last_run = 0
@@ -298,6 +299,7 @@
     async def _beat(self):
         while True:
             self.sequence += 1
+            self.beat_at = time.monotonic()
             self.store.put_json(f"servers/{self.id}", self.entry())
             await asyncio.sleep(self.beat_s)
 
@@ -307,10 +309,18 @@
         return self.store.remove(f"servers/{self.id}")
 
     def crash(self):
+        """Ends as a process that dies. The entry is removed after three intervals of silence."""
         if self.beats:
             self.beats.cancel()
+            silent_s = time.monotonic() - self.beat_at
+            asyncio.get_running_loop().call_later(3 * self.beat_s - silent_s, self._expire,
+                                                  self.born)
         self.cut()
 
+    def _expire(self, born):
+        if self.born == born:
+            self.store.remove(f"servers/{self.id}")
+
     async def work(self, request, headers, body):
         return 200, [], b"ok"
 
