Count servers that are lost after their request has ended

Callers saw: a request that crashes each backend server that runs it, and whose caller leaves before the crash, was never refused.

Cause: RequestDispatcher::endAttempt() recorded a lost server only while the exchange existed. Class: knowledge that is dropped with the object through which it came. The entry host (`serve`) records losses in the owner's scheduler, not in the query; a test now holds it there.

Change: a request and its attempts share RequestLosses, which lives until the last attempt has ended. A loss counts whenever it is seen, and is reported to the other hosts at once if the request has ended. A late answer clears the suspicion in the same way. The limits on reports are unchanged, so the number of messages does not grow.

--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -30,6 +30,19 @@
     bool mayHaveRun = false; ///< an attempt failed, but a server may have run the request
 };
 
+/**
+ * Servers that were lost while they ran one request. The request and its attempts share it, since
+ * an attempt may end after the reply was sent or the caller has disconnected.
+ */
+struct RequestLosses
+{
+    Signature signature;   ///< hash of host, method, target and body; identifies repetitions
+    std::string requestId; ///< as the caller sent it
+    std::vector<ServerId> servers;
+    bool wasAnswered = false;     ///< a server has answered, so the request does not crash servers
+    bool hasRequestEnded = false; ///< replied to, or given up by the caller
+};
+
 /** State of one caller's request in progress. Owned by RequestDispatcher. */
 struct Exchange
 {
@@ -37,13 +50,11 @@
     std::shared_ptr<const GatewayRequest> request;
     std::shared_ptr<const RoutingConfiguration> configuration; ///< version used for all parts
     const GatewayRoute *route = nullptr;                       ///< belongs to `configuration`
-    Signature signature;      ///< hash of host, method, target and body; identifies repetitions
-    MonotonicTime arrivedAt;  ///< time of the RequestReceived event minus its readDelay
-    MonotonicTime deadlineAt; ///< latest time of the reply
+    MonotonicTime arrivedAt;       ///< time of the RequestReceived event minus its readDelay
+    MonotonicTime deadlineAt;      ///< latest time of the reply
     MonotonicTime partialAnswerAt; ///< earliest time of a partial answer with minimum coverage
     std::vector<Part> parts;
-    std::vector<ServerId> lostServers; ///< servers whose connection was lost during an attempt
-    bool wasAnswered = false;          ///< a server has answered an attempt
+    std::shared_ptr<RequestLosses> losses;
 };
 
 /** Number of parts with an answer. */
--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -80,7 +80,7 @@
     const bool isRepeat = !part.reached.empty();
     const Duration typical = typicalTime(*exchange.route);
     const bool isTooLate = isRepeat && exchange.deadlineAt - m_now < typical / kMinTimeDivisor;
-    const bool isBlocked = isRepeat && m_quarantine.isBlocked(exchange.signature, m_now);
+    const bool isBlocked = isRepeat && m_quarantine.isBlocked(exchange.losses->signature, m_now);
     if (isTooLate || isBlocked || part.unsent >= kMaxUnsentAttempts)
         return SendResult::Hopeless;
     const bool isWaitAllowed = mayWait(exchange, part);
@@ -128,7 +128,8 @@
     m_reachability.addStart(registration);
     if (m_now < backend->coldUntil)
         backend->load.addColdRequest(m_now);
-    m_attempts.emplace(attempt, AttemptRecord { exchange.id, index, backend, m_now, isNew });
+    m_attempts.emplace(
+            attempt, AttemptRecord { exchange.id, index, backend, m_now, isNew, exchange.losses });
     const bool isOwnDomain = m_selector.isOwnDomain(*backend);
     m_counters.add(isOwnDomain ? "attempts_total{failureDomain=\"own\"}"
                                : "attempts_total{failureDomain=\"other\"}");
@@ -303,6 +304,13 @@
         load.addAnswer(attempt, m_now);
 }
 
+/** True if the response shows that the server has run the request and is still alive. */
+static bool showsSurvival(const BackendAnswer &answer)
+{
+    const bool isUnsignedSuccess = answer.status < 300 && answer.signature.empty();
+    return !answer.notExecuted && !isUnsignedSuccess && answer.status < 500;
+}
+
 void RequestDispatcher::endAttempt(const AttemptEnded &event)
 {
     const auto found = m_attempts.find(event.attempt);
@@ -311,15 +319,22 @@
     const AttemptRecord record = found->second;
     m_attempts.erase(found);
     recordLoad(record, event.attempt, event.result);
+    // What the result shows about the request counts even if the request has ended.
+    const auto *answer = std::get_if<BackendAnswer>(&event.result);
+    const auto *failure = std::get_if<AttemptFailure>(&event.result);
+    if (answer && showsSurvival(*answer))
+        addSuccess(*record.losses);
+    else if (failure && *failure == AttemptFailure::Lost)
+        addLoss(*record.losses, record.backend->registration.server);
     Exchange *exchange = find(record.exchange);
     if (exchange) {
         Part &part = exchange->parts[record.part];
         const bool isWanted = std::erase(part.openAttempts, event.attempt) > 0;
         if (isWanted && !part.isSettled) {
-            if (const auto *answer = std::get_if<BackendAnswer>(&event.result))
+            if (answer)
                 onAnswer(*exchange, record.part, record, *answer);
             else
-                onFailure(*exchange, record.part, record, std::get<AttemptFailure>(event.result));
+                onFailure(*exchange, record.part, record, *failure);
             replyIfDone(*exchange);
         }
     }
@@ -367,8 +382,6 @@
 void RequestDispatcher::acceptAnswer(Exchange &exchange, std::size_t index, BackendAnswer answer)
 {
     Part &part = exchange.parts[index];
-    m_quarantine.addSuccess(exchange.signature);
-    exchange.wasAnswered = true;
     part.answer = std::move(answer);
     releaseAttempts(part, kSlowerAttemptLinger);
     settle(exchange, index);
@@ -393,10 +406,6 @@
         return retryOrSettle(exchange, index);
     }
     part.mayHaveRun = true;
-    if (failure == AttemptFailure::Lost) {
-        m_quarantine.addLoss(exchange.signature, exchange.request->requestId, server, m_now);
-        exchange.lostServers.push_back(server);
-    }
     if (exchange.route->repeatable)
         retryOrSettle(exchange, index);
     else
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -56,17 +56,35 @@
             std::clamp(kMaxJointLossReports / hosts, kMinLossReports, kMaxLossReports));
 }
 
-void RequestDispatcher::reportLostServers(const Exchange &exchange)
+void RequestDispatcher::reportLoss(const RequestLosses &losses, const ServerId &server)
 {
     // A request that crashes servers gets no answer from any of them. Servers that lose only some
     // of their answers would cause reports for a large part of the requests.
-    if (exchange.wasAnswered)
+    if (!losses.wasAnswered && m_lossReportLimit.take(m_now))
+        m_effects->push_back(ReportServerLoss { { losses.signature, server } });
+}
+
+void RequestDispatcher::endRequest(RequestLosses &losses)
+{
+    losses.hasRequestEnded = true;
+    for (std::size_t i = 0; i < std::min(losses.servers.size(), kReportedServers); ++i)
+        reportLoss(losses, losses.servers[i]);
+}
+
+void RequestDispatcher::addLoss(RequestLosses &losses, const ServerId &server)
+{
+    if (losses.wasAnswered)
         return;
-    for (std::size_t i = 0; i < std::min(exchange.lostServers.size(), kReportedServers); ++i) {
-        if (m_lossReportLimit.take(m_now))
-            m_effects->push_back(
-                    ReportServerLoss { { exchange.signature, exchange.lostServers[i] } });
-    }
+    m_quarantine.addLoss(losses.signature, losses.requestId, server, m_now);
+    losses.servers.push_back(server);
+    if (losses.hasRequestEnded && losses.servers.size() <= kReportedServers)
+        reportLoss(losses, server);
+}
+
+void RequestDispatcher::addSuccess(RequestLosses &losses)
+{
+    m_quarantine.addSuccess(losses.signature);
+    losses.wasAnswered = true;
 }
 
 void RequestDispatcher::addReportedLoss(const HostId &reporter, const SignatureLoss &loss)
@@ -177,7 +195,9 @@
     exchange.request = event.request;
     exchange.configuration = configuration;
     exchange.route = route;
-    exchange.signature = signature;
+    exchange.losses = std::make_shared<RequestLosses>();
+    exchange.losses->signature = signature;
+    exchange.losses->requestId = request.requestId;
     exchange.arrivedAt = m_now - event.readDelay;
     const Duration callerTimeLeft = request.deadline.value_or(route->timeout) - kReplyMargin;
     exchange.deadlineAt = exchange.arrivedAt + std::min(callerTimeLeft, route->timeout);
@@ -278,7 +298,7 @@
     if (!exchange)
         return;
     m_counters.add("callers_left_total");
-    reportLostServers(*exchange);
+    endRequest(*exchange->losses);
     for (Part &part : exchange->parts) {
         stopWaiting(part);
         releaseAttempts(part, kDisconnectLinger);
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -101,6 +101,7 @@
         std::shared_ptr<Backend> backend;
         MonotonicTime startedAt;
         bool isFirstAtServer = true; ///< no earlier attempt of the part went to this server
+        std::shared_ptr<RequestLosses> losses; ///< of the attempt's request
     };
 
     /** Microseconds since `start` as text, for log lines. */
@@ -160,8 +161,16 @@
     void settle(Exchange &exchange, std::size_t index);
     void releaseAttempts(Part &part, Duration linger);
 
-    /** Reports to the other hosts that a request without any answer has lost servers. */
-    void reportLostServers(const Exchange &exchange);
+    /** Records that a server has run the request and is still alive. */
+    void addSuccess(RequestLosses &losses);
+    /** Records that a server was lost while it ran the request, unless another one has answered. */
+    void addLoss(RequestLosses &losses, const ServerId &server);
+    /**
+     * Reports the lost servers of a request without any answer to the other hosts. Servers that are
+     * lost from now on are reported one by one.
+     */
+    void endRequest(RequestLosses &losses);
+    void reportLoss(const RequestLosses &losses, const ServerId &server);
     /** Replies to the caller if the parts suffice for an answer or cannot suffice any more. */
     void replyIfDone(Exchange &exchange);
     void replyToGatherIfDone(Exchange &exchange);
--- a/src/gateway/RequestReplies.cpp
+++ b/src/gateway/RequestReplies.cpp
@@ -116,7 +116,7 @@
         stopWaiting(part);
         releaseAttempts(part, kFinishLinger);
     }
-    reportLostServers(exchange);
+    endRequest(*exchange.losses);
     const std::string outcome = outcomeOf(reply);
     logReply(exchange, reply, outcome);
     m_effects->push_back(
--- a/tests/core/BackendSchedulerTest.cpp
+++ b/tests/core/BackendSchedulerTest.cpp
@@ -317,6 +317,19 @@
     REQUIRE(fixture.m_signatureAdmission.m_suspects == std::set<Signature> { { 7 } });
 }
 
+// Guards against a request that crashes servers unnoticed because its caller has given it up.
+TEST_CASE("a lost server is reported although its part was cancelled", "[scheduler]")
+{
+    Fixture fixture;
+    const PartId part = fixture.submit(Priority::Routine, true);
+    const SendId send = fixture.sends().back();
+    fixture.step([&](StepContext &context) {
+        fixture.m_scheduler.cancel(context, { "bulaq-1" }, part);
+    });
+    fixture.finish(send, BackendStatus::ConnectionLost);
+    REQUIRE(fixture.m_signatureAdmission.m_suspects == std::set { Fixture::kTrialSignature });
+}
+
 TEST_CASE("one part of an unknown signature is sent at a time; a server loss refuses the rest",
           "[scheduler]")
 {
