Limit servers that may have started again as cold ones

Callers saw: servers that crashed and were back cold, with their identifiers and addresses, got the whole load until their registrations had been read, and crashed again.

Cause: the limit for cold servers began only when the registration had been read. Until then a gateway took whatever answered at the address for the process it knew, although its connections had been lost or refused meanwhile, and what it had sent did not count towards the limit afterwards. Class: an identity that is taken to go on while the evidence for it is gone. The entry host (`serve`) takes each lost or refused connection for a restart already.

Change: RestartDetector suspects a server after a lost or refused connection, also if the last connection was idle. A suspected server gets this host's share of the limit for cold servers, until the registration of another process is read or the store refutes the restart. Requests of the last second are always counted and carried over to the new process. Services that declare no limit are treated as before.

Why it holds: each host keeps its share in any second, before and after the registration is read, and the shares add up to the limit for any number of hosts. No message is sent.

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -65,7 +65,8 @@
               },
               [this](const ServerId &server, bool isConnected) {
                   enqueue(ConnectionAttemptEnded { server, isConnected });
-              })
+              },
+              [this](const ServerId &server) { enqueue(LastConnectionLost { server }); })
     , m_seeds(
               m_settings.seeds,
               [&context](std::function<void()> function) {
--- a/src/gateway/BackendDirectory.cpp
+++ b/src/gateway/BackendDirectory.cpp
@@ -25,8 +25,10 @@
         known.removeAt.reset();
         return;
     }
-    remove(registration.server);
     auto backend = std::make_shared<Backend>();
+    if (found != m_servers.end())
+        backend->load.takeRecentRequests(found->second->load);
+    remove(registration.server);
     backend->registration = registration;
     backend->coldUntil = now + registration.coldFor;
     m_servers[registration.server] = backend;
--- a/src/gateway/BackendDirectory.h
+++ b/src/gateway/BackendDirectory.h
@@ -39,6 +39,7 @@
     BackendLoad load;
     ServerNeeds needs;
     PermitHolder permits;             ///< used while the server names a request limit
+    bool mayHaveRestarted = false;    ///< another process may have taken its place; RestartDetector
     bool hasInvalidStatement = false; ///< a field of a response could not be read; logged once
 };
 
@@ -53,7 +54,8 @@
 public:
     /**
      * Adds or updates a server and cancels its removal. The observed load is kept unless the
-     * process, the service or the endpoint has changed. Does nothing if the server was displaced
+     * process, the service or the endpoint has changed; then only the requests of the last second
+     * are, since the new process may have got them. Does nothing if the server was displaced
      * and its process is still the same.
      */
     void put(const BackendRegistration &registration, MonotonicTime now);
--- a/src/gateway/BackendLoad.cpp
+++ b/src/gateway/BackendLoad.cpp
@@ -44,6 +44,8 @@
 void BackendLoad::addStart(AttemptId attempt, MonotonicTime now)
 {
     m_startTimes.emplace(attempt, now);
+    requestsInLastSecond(now);
+    m_recentRequests.push_back(now);
 }
 
 std::optional<Duration> BackendLoad::removeAttempt(AttemptId attempt, MonotonicTime now)
@@ -121,6 +123,18 @@
         addPenalty(now);
 }
 
+void BackendLoad::addUnsent(AttemptId attempt, MonotonicTime now)
+{
+    const auto started = m_startTimes.find(attempt);
+    if (started == m_startTimes.end())
+        return;
+    const auto recent =
+            std::lower_bound(m_recentRequests.begin(), m_recentRequests.end(), started->second);
+    if (recent != m_recentRequests.end() && *recent == started->second)
+        m_recentRequests.erase(recent);
+    addFailure(attempt, now);
+}
+
 void BackendLoad::addAbandoned(AttemptId attempt, MonotonicTime now)
 {
     if (const auto age = removeAttempt(attempt, now); age && (!m_hasSample || *age > m_average))
@@ -145,16 +159,16 @@
     return expected + Duration(static_cast<Duration::rep>(penalty));
 }
 
-std::size_t BackendLoad::coldRequestsInLastSecond(MonotonicTime now)
+std::size_t BackendLoad::requestsInLastSecond(MonotonicTime now)
 {
-    while (!m_coldRequests.empty() && now - m_coldRequests.front() >= std::chrono::seconds(1))
-        m_coldRequests.pop_front();
-    return m_coldRequests.size();
+    while (!m_recentRequests.empty() && now - m_recentRequests.front() >= std::chrono::seconds(1))
+        m_recentRequests.pop_front();
+    return m_recentRequests.size();
 }
 
-void BackendLoad::addColdRequest(MonotonicTime now)
+void BackendLoad::takeRecentRequests(const BackendLoad &former)
 {
-    m_coldRequests.push_back(now);
+    m_recentRequests = former.m_recentRequests;
 }
 
 } // namespace greengagestair
--- a/src/gateway/BackendLoad.h
+++ b/src/gateway/BackendLoad.h
@@ -24,6 +24,8 @@
     void addRefusal(AttemptId attempt, MonotonicTime now);
     /** Records that the attempt ended without a usable response. */
     void addFailure(AttemptId attempt, MonotonicTime now);
+    /** Records a failure by which no byte of the attempt has reached the server. */
+    void addUnsent(AttemptId attempt, MonotonicTime now);
     /**
      * Records that this host stopped waiting for the attempt. Its age counts as a response time if
      * it exceeds the average; it does not count as a failure.
@@ -44,10 +46,10 @@
      */
     Duration expectedTime(Duration fallback, std::size_t slots, MonotonicTime now) const;
 
-    /** Number of requests recorded by addColdRequest() in the last second. */
-    std::size_t coldRequestsInLastSecond(MonotonicTime now);
-    /** Records a request that was sent while the server was cold. */
-    void addColdRequest(MonotonicTime now);
+    /** Number of attempts sent in the last second, without those recorded by addUnsent(). */
+    std::size_t requestsInLastSecond(MonotonicTime now);
+    /** Takes over the attempts of the last second that `former` has recorded. */
+    void takeRecentRequests(const BackendLoad &former);
 
 private:
     /** Removes the attempt and returns its age; nullopt if it is unknown. */
@@ -68,7 +70,7 @@
     MonotonicTime m_penaltyUpdatedAt;
     double m_refusalShare = 0; ///< moving average, 0 to 1
     MonotonicTime m_refusalShareUpdatedAt;
-    std::deque<MonotonicTime> m_coldRequests;
+    std::deque<MonotonicTime> m_recentRequests; ///< of the last second, the earliest first
 };
 
 } // namespace greengagestair
--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -86,10 +86,10 @@
     const double share = m_connections.share(service, backend);
     if (static_cast<double>(backend.load.inFlight()) >= std::max(std::floor(share), 1.0))
         return false;
-    if (now >= backend.coldUntil || service.coldRequestsPerSecond <= 0)
+    const bool mayBeCold = now < backend.coldUntil || backend.mayHaveRestarted;
+    if (!mayBeCold || service.coldRequestsPerSecond <= 0)
         return true;
-    return static_cast<double>(backend.load.coldRequestsInLastSecond(now))
-            < coldShare(service, now);
+    return static_cast<double>(backend.load.requestsInLastSecond(now)) < coldShare(service, now);
 }
 
 Duration BackendSelector::cost(const BackendService &service, const Backend &backend,
@@ -103,7 +103,7 @@
         cost += kNotPreferredPenalty;
     else if (!backend.load.isLikelyConnected(now))
         cost += kConnectPenalty;
-    if (now < backend.coldUntil)
+    if (now < backend.coldUntil || backend.mayHaveRestarted)
         cost += kColdPenalty;
     if (backend.removeAt)
         cost += kUnregisteredCost;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -17,10 +17,11 @@
 Gateway::Gateway(const GatewayOptions &options)
     : m_reachability(options.selector.failureDomain, m_directory)
     , m_serverLimits(options.selector.host, options.randomSeed)
+    , m_restarts(m_directory)
     , m_selector(options.selector, m_directory, m_reachability, m_serverLimits)
     , m_warmer(m_directory, options.randomSeed)
     , m_jointRepeatLimits(options.repeats)
-    , m_dispatcher(m_selector, m_reachability, m_serverLimits, repeatShare())
+    , m_dispatcher(m_selector, m_reachability, m_serverLimits, m_restarts, repeatShare())
     , m_ownDomain(options.selector.failureDomain)
 {
 }
@@ -54,7 +55,7 @@
     std::optional<MonotonicTime> next = m_dispatcher.nextWakeUp();
     for (const auto &other :
          { m_directory.nextRemoval(), m_reachability.nextWakeUp(), m_warmer.nextWakeUp(),
-           m_retention.nextExpiry(), m_lowerCountValidAt }) {
+           m_restarts.nextWakeUp(), m_retention.nextExpiry(), m_lowerCountValidAt }) {
         if (other && (!next || *other < *next))
             next = other;
     }
@@ -83,6 +84,7 @@
     if (!isNewer)
         return;
     m_configuration = event.configuration;
+    m_restarts.setConfiguration(m_configuration);
     m_effects.push_back(
             LogRecord { LogPriority::State,
                         "configurationInForce",
@@ -246,6 +248,7 @@
 void Gateway::on(const StoreCaughtUp & /*event*/)
 {
     m_caughtUpAt = m_now;
+    m_restarts.addStoreNews(m_now);
 }
 
 void Gateway::on(const HostsRead &event)
@@ -313,9 +316,20 @@
 void Gateway::on(const ConnectionAttemptEnded &event)
 {
     m_reachability.addConnectionResult(event.server, event.isConnected);
+    const auto backend = m_directory.find(event.server);
+    if (backend && event.isConnected)
+        m_restarts.addContact(*backend, m_now);
+    else if (backend)
+        m_restarts.addConnectionLoss(*backend, m_now);
     m_dispatcher.retryWaiting();
 }
 
+void Gateway::on(const LastConnectionLost &event)
+{
+    if (const auto backend = m_directory.find(event.server))
+        m_restarts.addConnectionLoss(*backend, m_now);
+}
+
 bool Gateway::isCutOff(const GatewayRoute &route) const
 {
     if (!route.gather) {
@@ -372,6 +386,7 @@
     }
     removeDueServers();
     m_reachability.advance();
+    m_restarts.advance(m_now);
     m_warmer.advance(m_now, m_effects);
     m_dispatcher.advance();
 }
@@ -397,14 +412,17 @@
     counters.push_back({ "attempts_in_progress", m_dispatcher.attempts() });
     counters.push_back({ "entry_hosts", m_hostCount.all });
     std::uint64_t limited = 0;
+    std::uint64_t suspected = 0;
     std::uint64_t leaving = 0;
     std::uint64_t paused = 0;
     for (const auto &[server, backend] : m_directory.servers()) {
         limited += backend->needs.requestLimit() ? 1 : 0;
+        suspected += backend->mayHaveRestarted ? 1 : 0;
         leaving += backend->needs.isLeaving() ? 1 : 0;
         paused += m_now < backend->needs.pausedUntil() ? 1 : 0;
     }
     counters.push_back({ "servers_limited", limited });
+    counters.push_back({ "servers_suspected_of_restart", suspected });
     counters.push_back({ "servers_leaving", leaving });
     counters.push_back({ "servers_paused", paused });
     const double slackMillis = m_dispatcher.repeatLimits().slack * 1000;
@@ -425,6 +443,7 @@
                   { "inService", m_directory.isInService(*backend) },
                   { "reachable", m_reachability.isReachable(registration.failureDomain) },
                   { "cold", now < backend->coldUntil },
+                  { "mayHaveRestarted", backend->mayHaveRestarted },
                   { "registered", !backend->removeAt.has_value() },
                   { "leaving", backend->needs.isLeaving() },
                   { "paused", now < backend->needs.pausedUntil() },
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/GatewayEvent.h"
 #include "gateway/LostEntryRetention.h"
 #include "gateway/RequestDispatcher.h"
+#include "gateway/RestartDetector.h"
 
 #include <boost/json/object.hpp>
 
@@ -68,6 +69,7 @@
     void on(const PermitsRequested &event);
     void on(const PermitsGranted &event);
     void on(const ConnectionAttemptEnded &event);
+    void on(const LastConnectionLost &event);
     void on(const OptionsChanged &event);
     void on(const GatewayStopRequested &event);
     void on(const TimeAdvanced &event);
@@ -92,6 +94,7 @@
     LostEntryRetention m_retention;
     DomainReachability m_reachability;
     JointServerLimits m_serverLimits;
+    RestartDetector m_restarts;
     BackendSelector m_selector;
     ConnectionWarmer m_warmer;
     RepeatLimits m_jointRepeatLimits; ///< for all entry hosts together
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -112,6 +112,12 @@
     bool isConnected = false;
 };
 
+/** The last connection to a server, which was idle, was closed by the server or broke. */
+struct LastConnectionLost
+{
+    ServerId server;
+};
+
 /** The settings file was loaded again; these options replace the former ones. */
 struct OptionsChanged
 {
@@ -134,7 +140,7 @@
         std::variant<RequestReceived, CallerDisconnected, AttemptEnded, ConfigurationRead,
                      EvacuationsRead, RegistrationsRead, RegistrationWritten, RegistrationRemoved,
                      StoreCaughtUp, HostsRead, ServerLossReported, UnreachableDomainReported,
-                     PermitsRequested, PermitsGranted, ConnectionAttemptEnded, OptionsChanged,
-                     GatewayStopRequested, TimeAdvanced>;
+                     PermitsRequested, PermitsGranted, ConnectionAttemptEnded, LastConnectionLost,
+                     OptionsChanged, GatewayStopRequested, TimeAdvanced>;
 
 } // namespace greengagestair
--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -126,8 +126,6 @@
     backend->load.addStart(attempt, m_now);
     m_limits.take(*backend);
     m_reachability.addStart(registration);
-    if (m_now < backend->coldUntil)
-        backend->load.addColdRequest(m_now);
     m_attempts.emplace(
             attempt, AttemptRecord { exchange.id, index, backend, m_now, isNew, exchange.losses });
     const bool isOwnDomain = m_selector.isOwnDomain(*backend);
@@ -276,20 +274,36 @@
 
 void RequestDispatcher::releaseAttempts(Part &part, Duration linger)
 {
-    for (const AttemptId attempt : part.openAttempts)
+    for (const AttemptId attempt : part.openAttempts) {
+        m_attempts.at(attempt).isReleased = true;
         m_effects->push_back(ReleaseAttempt { attempt, linger });
+    }
     part.openAttempts.clear();
 }
 
+void RequestDispatcher::recordFailure(const AttemptRecord &record, AttemptId attempt,
+                                      AttemptFailure failure)
+{
+    BackendLoad &load = record.backend->load;
+    const bool isUnsent = failure == AttemptFailure::NotSent;
+    if (failure == AttemptFailure::Expired)
+        load.addAbandoned(attempt, m_now);
+    else if (isUnsent)
+        load.addUnsent(attempt, m_now);
+    else
+        load.addFailure(attempt, m_now);
+    if (failure == AttemptFailure::Lost || (isUnsent && !record.isReleased))
+        m_restarts.addConnectionLoss(*record.backend, m_now);
+}
+
 void RequestDispatcher::recordLoad(const AttemptRecord &record, AttemptId attempt,
                                    const AttemptResult &result)
 {
     BackendLoad &load = record.backend->load;
     const auto *answer = std::get_if<BackendAnswer>(&result);
-    if (!answer) {
-        const bool isExpired = std::get<AttemptFailure>(result) == AttemptFailure::Expired;
-        return isExpired ? load.addAbandoned(attempt, m_now) : load.addFailure(attempt, m_now);
-    }
+    if (!answer)
+        return recordFailure(record, attempt, std::get<AttemptFailure>(result));
+    m_restarts.addContact(*record.backend, m_now);
     m_reachability.addResponse(record.backend->registration.failureDomain);
     m_limits.addResponse(*record.backend, answer->statement, record.startedAt);
     if (answer->status == kMisdirectedRequest) {
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -34,10 +34,12 @@
 static constexpr std::size_t kReportedServers = 3;
 
 RequestDispatcher::RequestDispatcher(BackendSelector &selector, DomainReachability &reachability,
-                                     JointServerLimits &limits, const RepeatLimits &repeats)
+                                     JointServerLimits &limits, RestartDetector &restarts,
+                                     const RepeatLimits &repeats)
     : m_selector(selector)
     , m_reachability(reachability)
     , m_limits(limits)
+    , m_restarts(restarts)
     , m_repeatLimits(repeats)
     , m_lossReportLimit(kMaxLossReports, kLossReportWindow)
 {
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -11,6 +11,7 @@
 #include "gateway/PartWaitQueue.h"
 #include "gateway/RepeatBudget.h"
 #include "gateway/RequestQuarantine.h"
+#include "gateway/RestartDetector.h"
 
 #include <map>
 #include <memory>
@@ -29,7 +30,8 @@
 {
 public:
     RequestDispatcher(BackendSelector &selector, DomainReachability &reachability,
-                      JointServerLimits &limits, const RepeatLimits &repeats);
+                      JointServerLimits &limits, RestartDetector &restarts,
+                      const RepeatLimits &repeats);
 
     /** Sets this host's share of the limits on retries and hedges, for each service. */
     void setRepeatLimits(const RepeatLimits &limits);
@@ -102,6 +104,7 @@
         MonotonicTime startedAt;
         bool isFirstAtServer = true; ///< no earlier attempt of the part went to this server
         std::shared_ptr<RequestLosses> losses; ///< of the attempt's request
+        bool isReleased = false;               ///< this host may have closed the connection itself
     };
 
     /** Microseconds since `start` as text, for log lines. */
@@ -152,6 +155,7 @@
     /** Sends, queues or settles a part after a failure, unless another attempt is in progress. */
     void retryOrSettle(Exchange &exchange, std::size_t index);
     void onRefusal(Exchange &exchange, std::size_t index, const ServerId &server);
+    void recordFailure(const AttemptRecord &record, AttemptId attempt, AttemptFailure failure);
     void recordLoad(const AttemptRecord &record, AttemptId attempt, const AttemptResult &result);
     void onAnswer(Exchange &exchange, std::size_t index, const AttemptRecord &record,
                   BackendAnswer answer);
@@ -189,6 +193,7 @@
     BackendSelector &m_selector;
     DomainReachability &m_reachability;
     JointServerLimits &m_limits;
+    RestartDetector &m_restarts;
     RepeatLimits m_repeatLimits;
     MonotonicTime m_now;
     std::optional<MonotonicTime> m_startedAt; ///< time of the first step
--- a/src/gateway/RoutingConfiguration.h
+++ b/src/gateway/RoutingConfiguration.h
@@ -48,6 +48,7 @@
     ServiceId name;
     std::size_t connectionLimit = 0;  ///< connections that one server accepts from all clients
     double coldRequestsPerSecond = 0; ///< request rate that a cold server handles; 0: no limit
+    std::optional<Duration> coldTime; ///< time for which a server is cold after its start
 };
 
 /** Limits on callers' requests and connections. */
--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -209,8 +209,10 @@
 
 void BackendConnection::onEnd(StreamEnd end)
 {
-    if (!m_attempt)
-        return abort(AttemptFailure::Lost);
+    if (!m_attempt) {
+        abort(AttemptFailure::Lost);
+        return m_pool.onIdleLost(m_server);
+    }
     const bool isEndedByClose = end == StreamEnd::Closed && m_parser->is_header_done()
             && !m_parser->is_done() && m_parser->need_eof();
     if (isEndedByClose) {
--- a/src/http/BackendConnectionPool.cpp
+++ b/src/http/BackendConnectionPool.cpp
@@ -13,11 +13,13 @@
 
 BackendConnectionPool::BackendConnectionPool(boost::asio::io_context &context, HeaderNames names,
                                              OnAttemptEnded onAttemptEnded,
-                                             OnConnectionAttemptEnded onConnectionAttemptEnded)
+                                             OnConnectionAttemptEnded onConnectionAttemptEnded,
+                                             OnLastConnectionLost onLastConnectionLost)
     : m_context(context)
     , m_names(std::move(names))
     , m_onAttemptEnded(std::move(onAttemptEnded))
     , m_onConnectionAttemptEnded(std::move(onConnectionAttemptEnded))
+    , m_onLastConnectionLost(std::move(onLastConnectionLost))
     , m_timer(context)
 {
 }
@@ -140,6 +142,17 @@
     std::erase_if(found->second.idle, [&](const auto &other) { return other.get() == connection; });
 }
 
+void BackendConnectionPool::onIdleLost(const ServerId &server)
+{
+    const auto found = m_servers.find(server);
+    const bool hasIdle = found != m_servers.end() && !found->second.idle.empty();
+    const bool isActive = std::any_of(m_active.begin(), m_active.end(), [&](const auto &active) {
+        return active.second->server() == server && active.second->isConnected();
+    });
+    if (!hasIdle && !isActive)
+        m_onLastConnectionLost(server);
+}
+
 void BackendConnectionPool::scheduleClose(Clock::time_point at, const ScheduledClose &scheduled)
 {
     m_scheduledCloses.emplace(at, scheduled);
--- a/src/http/BackendConnectionPool.h
+++ b/src/http/BackendConnectionPool.h
@@ -40,11 +40,14 @@
     using OnAttemptEnded = std::function<void(AttemptId attempt, AttemptResult result)>;
     /** Reports whether openIdleConnection() established a connection. */
     using OnConnectionAttemptEnded = std::function<void(const ServerId &server, bool isConnected)>;
+    /** Reports that a server has closed the last connection to it, which was idle. */
+    using OnLastConnectionLost = std::function<void(const ServerId &server)>;
 
     /** Opens no connection yet. `names` holds the header fields shared with backend servers. */
     BackendConnectionPool(boost::asio::io_context &context, HeaderNames names,
                           OnAttemptEnded onAttemptEnded,
-                          OnConnectionAttemptEnded onConnectionAttemptEnded);
+                          OnConnectionAttemptEnded onConnectionAttemptEnded,
+                          OnLastConnectionLost onLastConnectionLost);
     ~BackendConnectionPool();
 
     /** Sends a request on the most recently used idle connection to the server, or on a new one. */
@@ -101,6 +104,8 @@
     ServerConnections &connectionsTo(const ServerId &server, const Endpoint &endpoint);
     void keepIdle(const std::shared_ptr<BackendConnection> &connection);
     void removeIdle(const BackendConnection *connection);
+    /** Handles the end of an idle connection by its server. */
+    void onIdleLost(const ServerId &server);
     void scheduleClose(Clock::time_point at, const ScheduledClose &scheduled);
     void armTimer();
     void onTimer();
@@ -110,6 +115,7 @@
     HeaderNames m_names;
     OnAttemptEnded m_onAttemptEnded;
     OnConnectionAttemptEnded m_onConnectionAttemptEnded;
+    OnLastConnectionLost m_onLastConnectionLost;
     std::unordered_map<ServerId, ServerConnections> m_servers;
     std::unordered_map<AttemptId, std::shared_ptr<BackendConnection>> m_active;
     /** Connections of openIdleConnection() with their connect deadlines, the earliest first. */
--- a/tests/http/BackendConnectionPoolTest.cpp
+++ b/tests/http/BackendConnectionPoolTest.cpp
@@ -22,7 +22,8 @@
                   },
                   [this](const ServerId &server, bool isConnected) {
                       connectionAttempts.emplace_back(server.value, isConnected);
-                  })
+                  },
+                  [this](const ServerId &server) { lostServers.push_back(server.value); })
     {
     }
 
@@ -91,6 +92,7 @@
     RawServer server;
     std::map<std::uint64_t, AttemptResult> ended;
     std::vector<std::pair<std::string, bool>> connectionAttempts;
+    std::vector<std::string> lostServers;
     IdleConnectionLimits idleLimits;
     BackendConnectionPool pool;
 };
@@ -514,3 +516,27 @@
     // A line break within the head that a lenient parser takes for its end.
     CHECK(failureOf("HTTP/1.1 200 OK\r\nSignature: sig\r\n\r") != AttemptFailure::NotSent);
 }
+
+// Guards against a server that starts again unnoticed while none of this host's requests is in
+// progress.
+TEST_CASE("the loss of the last connection to a server is reported", "[http]")
+{
+    PoolFixture fixture;
+    fixture.start(1);
+    fixture.start(2);
+    runUntil(fixture.context, [&] { return fixture.server.peers.size() == 2; });
+    const auto answer = [&](RawPeer &peer) {
+        runUntil(fixture.context, [&] { return !peer.received.empty(); });
+        peer.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        runUntil(fixture.context, [&] { return fixture.pool.idleConnections() == 1; });
+    };
+    // The other connection still carries a request.
+    answer(*fixture.server.peers[0]);
+    fixture.server.peers[0]->reset();
+    runUntil(fixture.context, [&] { return fixture.pool.idleConnections() == 0; });
+    CHECK(fixture.lostServers.empty());
+    answer(*fixture.server.peers[1]);
+    fixture.server.peers[1]->reset();
+    runUntil(fixture.context, [&] { return fixture.pool.idleConnections() == 0; });
+    CHECK(fixture.lostServers.size() == 1);
+}
