Read the store on a new connection after a pause

Callers could see: routes and servers that are out of date for up to 3.8 s after the host that watches the store went silent together with the open connections to the store.

Cause: waits in series. A neighbour notices after up to 2.1 s that it hears nothing, and then called the store on a connection that was idle since, which can be silent, too; only the timeout of the call showed that. Calls for leases shared the connections of the reads.

Evidence: platform_test "a read after a pause*" failed before (the read waited on the silent connection) and passes now.

--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -32,6 +32,8 @@
     std::string body;
     std::string contentType = "application/octet-stream"; ///< of the body; not sent with GET
     bool sendKeepAliveProbes = false; ///< end the request if the server host stops responding
+    bool useNewConnection = false;    ///< open a connection although an idle one can be reused
+    std::optional<std::chrono::seconds> maxIdleTime; ///< longest idle time of a reused connection
     MonotonicTime deadline;           ///< steady-clock time at which the request ends
     MonotonicTime notAfter;           ///< steady-clock time after which it is not sent any more
     Duration connectTimeout {};       ///< time limit for opening a connection
--- a/src/net/HttpTransfer.cpp
+++ b/src/net/HttpTransfer.cpp
@@ -78,6 +78,11 @@
         curl_easy_setopt(handle, CURLOPT_TCP_KEEPIDLE, kKeepAliveProbeSeconds);
         curl_easy_setopt(handle, CURLOPT_TCP_KEEPINTVL, kKeepAliveProbeSeconds);
     }
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, m_request.useNewConnection ? 1L : 0L);
+    if (m_request.maxIdleTime) {
+        const auto seconds = static_cast<long>(m_request.maxIdleTime->count());
+        curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, seconds);
+    }
     setTimeouts(m_request.deadline - now);
     setHeaders();
     return true;
--- a/tests/platform/StoreClientTest.cpp
+++ b/tests/platform/StoreClientTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/StoreClient.h"
 
+#include "http/RawPeers.h"
 #include "standins/RegistryStandIn.h"
 
 #include <boost/asio/post.hpp>
@@ -150,3 +151,89 @@
     fixture.client.renewLease(grant.lease, onDone);
     CHECK(std::get<StoreFailure>(fixture.waitFor(done)) == StoreFailure::LeaseEnded);
 }
+
+namespace {
+
+/** A store client with a store whose answers and silence the test decides. */
+class SilentStoreFixture
+{
+public:
+    SilentStoreFixture()
+        : store(context)
+        , client({ "127.0.0.1", store.port() }, [this](std::function<void()> function) {
+            boost::asio::post(context, std::move(function));
+        })
+    {
+    }
+
+    void watch()
+    {
+        result.reset();
+        client.awaitChanges({ 5 }, 100ms,
+                            [this](const StoreResult<StoreEntries> &answer) { result = answer; });
+    }
+    /** Answers on the connection with this index, once it has received `requests` in all. */
+    void answerOn(std::size_t connection, std::size_t requests)
+    {
+        const auto hasRequests = [&] {
+            return store.peers.size() > connection
+                    && countRequests(store.peers[connection]->received) == requests;
+        };
+        runUntil(context, hasRequests);
+        const std::string body = R"({"events":[],"current_rev":5})";
+        store.peers[connection]->write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                                       "Content-Length: "
+                                       + std::to_string(body.size()) + "\r\n\r\n" + body);
+        runUntil(context, [this] { return result.has_value(); });
+        CHECK(std::holds_alternative<StoreEntries>(*result));
+    }
+    static std::size_t countRequests(const std::string &received)
+    {
+        std::size_t count = 0;
+        for (auto at = received.find("GET "); at != std::string::npos;
+             at = received.find("GET ", at + 1))
+            ++count;
+        return count;
+    }
+
+    boost::asio::io_context context { 1 };
+    RawServer store;
+    StoreClient client;
+    std::optional<StoreResult<StoreEntries>> result;
+};
+
+} // namespace
+
+// Guards against a host that takes over the watch of the store on a connection that has gone silent
+// while it was idle.
+TEST_CASE("a read after a pause uses a new connection", "[platform]")
+{
+    SilentStoreFixture fixture;
+    fixture.watch();
+    fixture.answerOn(0, 1);
+    fixture.watch();
+    fixture.answerOn(0, 2);
+    fixture.context.restart();
+    fixture.context.run_for(1200ms);
+    fixture.watch();
+    fixture.answerOn(1, 1);
+    fixture.context.restart();
+    fixture.context.run_for(1200ms);
+    fixture.watch();
+    fixture.answerOn(2, 1);
+    CHECK(SilentStoreFixture::countRequests(fixture.store.peers[0]->received) == 2);
+    CHECK(SilentStoreFixture::countRequests(fixture.store.peers[1]->received) == 1);
+}
+
+// Guards against a second wait for the answer to a call on a silent connection.
+TEST_CASE("a read that got no answer is followed by one on a new connection", "[platform]")
+{
+    SilentStoreFixture fixture;
+    fixture.watch();
+    fixture.answerOn(0, 1);
+    fixture.watch();
+    runUntil(fixture.context, [&] { return fixture.result.has_value(); });
+    CHECK(std::holds_alternative<StoreFailure>(*fixture.result));
+    fixture.watch();
+    fixture.answerOn(1, 1);
+}
