Ask the quarantine before second attempts and waiting requests

Callers could see: a request in progress crashed one more server although other hosts had told of the crashes by then.

Cause: the quarantine was asked at the start of a request and before a repeat after a failure, but not before a second attempt that goes out beside the first, nor before the first attempt of a request that had to wait.

Change: each send asks it.

Evidence: gateway_test "a request in progress is not sent again*" failed before (one attempt was sent) and passes now.

--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -80,7 +80,7 @@
     const bool isRepeat = !part.reached.empty();
     const Duration typical = typicalTime(*exchange.route);
     const bool isTooLate = isRepeat && exchange.deadlineAt - m_now < typical / kMinTimeDivisor;
-    const bool isBlocked = isRepeat && m_quarantine.isBlocked(exchange.losses->signature, m_now);
+    const bool isBlocked = m_quarantine.isBlocked(exchange.losses->signature, m_now);
     if (isTooLate || isBlocked || part.unsent >= kMaxUnsentAttempts)
         return SendResult::Hopeless;
     const bool isWaitAllowed = mayWait(exchange, part);
@@ -232,7 +232,8 @@
 {
     Part &part = exchange.parts[index];
     const bool isUseful = !part.isSettled && !part.openAttempts.empty()
-            && part.reached.size() < exchange.route->maxAttempts;
+            && part.reached.size() < exchange.route->maxAttempts
+            && !m_quarantine.isBlocked(exchange.losses->signature, m_now);
     if (!isUseful)
         return;
     ServerFilter filter = filterFor(exchange, part);
--- a/tests/gateway/CrashingRequestTest.cpp
+++ b/tests/gateway/CrashingRequestTest.cpp
@@ -1,5 +1,7 @@
 #include "gateway/GatewayFixture.h"
 
+#include "core/quarantine/Signature.h"
+
 #include <catch2/catch.hpp>
 
 namespace greengagestair {
@@ -73,6 +75,23 @@
     CHECK(fixture->refusal() == RefusalReason::Quarantined);
 }
 
+// Guards against second attempts and waiting requests that crash further servers although other
+// hosts have told of the crashes by then.
+TEST_CASE("a request in progress is not sent again once its signature is blocked", "[gateway]")
+{
+    const auto fixture = fixtureWithFatalRoute();
+    fixture->request(kFatalHost, kFatalTarget);
+    REQUIRE(fixture->takeAttempts().size() == 1);
+    const Signature signature =
+            computeSignature({ kFatalHost }, { std::string("GET") + kFatalTarget }, "");
+    for (const char *server : { "ledger-7", "ledger-8", "ledger-9" }) {
+        for (const char *host : { "h1", "h2" })
+            fixture->send(ServerLossReported { { host }, { signature, { server } } });
+    }
+    fixture->wait(2s);
+    CHECK(fixture->takeAttempts().empty());
+}
+
 // Guards against a block of requests that servers answer: the loss of a slower second attempt, or
 // of an attempt to another server, doesn't show that the request crashes servers.
 TEST_CASE("an attempt that is lost after its request was answered does not count", "[gateway]")
