Keep connections until their responses are sent

Callers saw: a planned stop cut off answers that were on their way, 3 s after SIGTERM with 6 s of grace.

Cause: a response counted as sent once it was in the write queue. So its connection was idle for the close at a stop, for the 1 s after a connection's last response, and for the idle timeout.

Change: a connection with bytes to send is not idle, and is closed only if its caller has read nothing for the idle timeout.

--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -93,8 +93,8 @@
     bool closesAfterResponse() const { return m_closesAfterResponse; }
     /**
      * Closes the listening socket at once, and then all connections without a request in progress.
-     * Connections that the kernel has accepted, and those with bytes that were not handled yet, are
-     * kept.
+     * Connections that the kernel has accepted, and those with bytes that were not handled or sent
+     * yet, are kept.
      */
     void closeListenerAndIdleConnections();
     /** Number of open connections. */
--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -189,7 +189,8 @@
 
 bool HttpServerConnection::isIdle() const
 {
-    return !m_exchange && m_unparsed.empty() && !m_stream->hasUnreadBytes();
+    return !m_exchange && m_unparsed.empty() && !m_stream->hasUnsentBytes()
+            && !m_stream->hasUnreadBytes();
 }
 
 void HttpServerConnection::onEnd()
@@ -213,7 +214,16 @@
 {
     if (m_exchange)
         return;
+    const std::size_t unsentBytes = m_stream->unsentBytes();
+    if (unsentBytes < m_unsentBytes)
+        m_stateSince = now;
+    m_unsentBytes = unsentBytes;
     const auto age = now - m_stateSince;
+    if (unsentBytes > 0) {
+        if (age > m_server.limits().idleTimeout)
+            close();
+        return;
+    }
     const bool isReading = !m_unparsed.empty() || m_parser->got_some();
     if (m_isClosing) {
         if (age > kLingerTimeout)
--- a/src/http/HttpServerConnection.h
+++ b/src/http/HttpServerConnection.h
@@ -28,15 +28,16 @@
     /** Writes the response to the request in progress, then continues with the next request. */
     void reply(const HttpServerResponse &response);
     /**
-     * True if no request is in progress, all received bytes were parsed and the kernel holds no
-     * further ones. Also true while a request is incomplete, if all of its bytes so far were
-     * parsed.
+     * True if no request is in progress, all responses were sent, all received bytes were parsed
+     * and the kernel holds no further ones. Also true while a request is incomplete, if all of its
+     * bytes so far were parsed.
      */
     bool isIdle() const;
     /** Closes the connection at once. A request in progress is reported as disconnected. */
     void close();
     /**
-     * Closes the connection if it was idle for too long. Rejects a request with status 408 if its
+     * Closes the connection if it was idle for too long, or if its caller has not read any of the
+     * response for as long. Rejects a request with status 408 if its
      * bytes take too long to arrive.
      */
     void checkTimeouts(std::chrono::steady_clock::time_point now);
@@ -63,7 +64,9 @@
     bool m_keepAlive = true;
     bool m_isClosing = false; ///< the last response was written; later bytes are dropped
     bool m_continueSent = false;
-    std::chrono::steady_clock::time_point m_stateSince; ///< start of the current state
+    /** Start of the current state, or the last check that found that more bytes were sent. */
+    std::chrono::steady_clock::time_point m_stateSince;
+    std::size_t m_unsentBytes = 0; ///< of the response, at the last check
 };
 
 } // namespace greengagestair
--- a/src/http/TcpStream.cpp
+++ b/src/http/TcpStream.cpp
@@ -82,26 +82,38 @@
     }
     if (sent == bytes.size())
         return true;
-    bytes.erase(0, sent);
+    m_unsentBytes += bytes.size() - sent;
     m_unsent.push_back(std::move(bytes));
-    if (m_unsent.size() == 1)
+    if (m_unsent.size() == 1) {
+        m_sentOfFirst = sent;
         writeNext();
+    }
     return true;
 }
 
 void TcpStream::writeNext()
 {
-    asio::async_write(m_socket, asio::buffer(m_unsent.front()),
-                      [self = shared_from_this()](const error_code &error, std::size_t) {
-                          // After a failed write, reading fails too and calls m_onEnd.
-                          if (error || self->m_unsent.empty())
-                              return;
-                          self->m_unsent.pop_front();
-                          if (self->m_unsent.empty())
-                              self->shutDownIfAllSent();
-                          else
-                              self->writeNext();
-                      });
+    m_socket.async_write_some(
+            asio::buffer(m_unsent.front()) + m_sentOfFirst,
+            [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+                // After a failed write, reading fails too and calls m_onEnd.
+                if (!error && !self->m_unsent.empty())
+                    self->onWritten(bytes);
+            });
+}
+
+void TcpStream::onWritten(std::size_t bytes)
+{
+    m_unsentBytes -= bytes;
+    m_sentOfFirst += bytes;
+    if (m_sentOfFirst == m_unsent.front().size()) {
+        m_unsent.pop_front();
+        m_sentOfFirst = 0;
+    }
+    if (m_unsent.empty())
+        shutDownIfAllSent();
+    else
+        writeNext();
 }
 
 void TcpStream::finishWriting()
--- a/src/http/TcpStream.h
+++ b/src/http/TcpStream.h
@@ -50,7 +50,9 @@
     /** True if bytes or the end of the stream were received, but not read yet. */
     bool hasUnreadBytes() const;
     /** True if buffered bytes are not sent yet. */
-    bool hasUnsentBytes() const { return !m_unsent.empty(); }
+    bool hasUnsentBytes() const { return m_unsentBytes > 0; }
+    /** Number of buffered bytes that the socket has not accepted yet. */
+    std::size_t unsentBytes() const { return m_unsentBytes; }
     /** Shuts down the sending side once all buffered bytes are sent; reading continues. */
     void finishWriting();
     /** Closes the socket at once. No handler is called afterwards. */
@@ -62,6 +64,7 @@
     void read();
     void onRead(const boost::system::error_code &error, std::size_t bytes);
     void writeNext();
+    void onWritten(std::size_t bytes);
     void shutDownIfAllSent();
 
     static constexpr std::size_t kReadBytes = 8192;
@@ -71,6 +74,8 @@
     OnEnd m_onEnd;
     std::array<char, kReadBytes> m_buffer {};
     std::deque<std::string> m_unsent;
+    std::size_t m_sentOfFirst = 0; ///< bytes of the first buffer that the socket has accepted
+    std::size_t m_unsentBytes = 0; ///< of all buffers
     bool m_isReadPending = false;
     bool m_isReadingEnabled = true;
     bool m_isShutdownRequested = false;
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -293,3 +293,85 @@
     REQUIRE(fixture.handler.badRequests.size() == 1);
     CHECK(fixture.handler.requests.empty());
 }
+
+namespace {
+
+/** A caller that reads its response only when the test asks for it. */
+class SlowCaller
+{
+public:
+    static constexpr std::size_t kBodyBytes = 24'000'000; ///< more than the kernel buffers
+
+    explicit SlowCaller(ServerFixture &fixture)
+        : m_fixture(fixture)
+        , m_socket(fixture.context)
+    {
+        m_socket.connect(
+                { boost::asio::ip::make_address("127.0.0.1"), fixture.server.endpoint().port });
+        boost::asio::write(m_socket,
+                           boost::asio::buffer(std::string("GET /x HTTP/1.1\r\n"
+                                                           "Host: h\r\n\r\n")));
+        fixture.awaitRequests(1);
+        fixture.reply(0, std::string(kBodyBytes, 'r'));
+    }
+
+    /** Reads until the end of the body or of the connection; returns the number of bytes. */
+    std::size_t readAll()
+    {
+        std::size_t received = 0;
+        std::vector<char> buffer(1'000'000);
+        boost::system::error_code error;
+        m_socket.non_blocking(true);
+        const auto end = std::chrono::steady_clock::now() + 10s;
+        while (received < kBodyBytes && std::chrono::steady_clock::now() < end) {
+            received += m_socket.read_some(boost::asio::buffer(buffer), error);
+            if (error && error != boost::asio::error::would_block)
+                break;
+            m_fixture.context.restart();
+            m_fixture.context.run_for(1ms);
+        }
+        return received;
+    }
+
+private:
+    ServerFixture &m_fixture;
+    RawPeer::Socket m_socket;
+};
+
+} // namespace
+
+// Guards against answers that are cut off at a planned stop while they are on their way.
+TEST_CASE("a connection whose response is not sent yet is not closed as idle", "[http]")
+{
+    ServerFixture fixture;
+    SlowCaller caller(fixture);
+    fixture.server.closeListenerAndIdleConnections();
+    fixture.context.restart();
+    fixture.context.run_for(100ms);
+    CHECK(fixture.server.connections() == 1);
+    CHECK(caller.readAll() >= SlowCaller::kBodyBytes);
+}
+
+// Guards against the last response of a connection that is cut off after the time to close it.
+TEST_CASE("the last response of a connection is sent in full to a slow caller", "[http]")
+{
+    ServerFixture fixture;
+    fixture.server.setCloseAfterResponse(true);
+    SlowCaller caller(fixture);
+    fixture.context.restart();
+    fixture.context.run_for(2500ms);
+    CHECK(caller.readAll() >= SlowCaller::kBodyBytes);
+}
+
+// Guards against callers that keep a response in memory for ever.
+TEST_CASE("a caller that reads nothing of its response is closed", "[http]")
+{
+    ServerFixture fixture;
+    CallerLimits limits;
+    limits.idleTimeout = 1s;
+    fixture.server.setLimits(limits);
+    const SlowCaller caller(fixture);
+    fixture.context.restart();
+    fixture.context.run_for(2500ms);
+    CHECK(fixture.server.connections() == 0);
+}
