Accept times with fractions in the gateway settings

Callers saw: no gateway started any more once the platform's grace time was 6.5 s, and no request was served.

Cause: the settings template made milliseconds of seconds by writing three zeros behind the figure (6.5000), and the settings took whole milliseconds only.

--- a/src/app/GatewaySettings.cpp
+++ b/src/app/GatewaySettings.cpp
@@ -10,8 +10,8 @@
 
 static constexpr std::size_t kMaxEndpointLength = 64;
 static constexpr std::size_t kMaxSeeds = 64;
-static constexpr std::uint64_t kMaxStopTimeoutMs = 600'000;
-static constexpr std::uint64_t kMaxWindowMs = 600'000;
+static constexpr double kMinTimeMs = 100;
+static constexpr double kMaxTimeMs = 600'000;
 static constexpr double kMaxRatio = 1;
 static constexpr double kMaxCount = 1'000'000;
 
@@ -39,11 +39,18 @@
     return endpoints;
 }
 
+/** A time in milliseconds, which may be a fraction. */
+static Duration timeOf(const JsonReader &reader, std::string_view key)
+{
+    const double count = reader.decimal(key, kMinTimeMs, kMaxTimeMs);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(count));
+}
+
 static RepeatLimits repeatLimitsOf(const JsonReader &reader)
 {
     RepeatLimits limits;
     limits.ratio = reader.decimal("repeatRatio", 0, kMaxRatio);
-    limits.window = reader.milliseconds("repeatWindowMs", 100, kMaxWindowMs);
+    limits.window = timeOf(reader, "repeatWindowMs");
     limits.slack = reader.decimal("repeatSlack", 0, kMaxCount);
     return limits;
 }
@@ -66,7 +73,7 @@
     settings.store = endpointOf(reader, "store");
     settings.linkMbps = reader.decimal("linkMbps", 0, kMaxCount);
     settings.seeds = endpointsOf(reader, "seeds");
-    settings.stopTimeout = reader.milliseconds("stopTimeoutMs", 100, kMaxStopTimeoutMs);
+    settings.stopTimeout = timeOf(reader, "stopTimeoutMs");
     settings.options.selector.host = settings.host;
     settings.options.selector.failureDomain.value = reader.name("failureDomain");
     settings.options.selector.coldFactor = reader.decimal("coldFactor", 0, kMaxCount);
--- a/tests/app/GatewaySettingsTest.cpp
+++ b/tests/app/GatewaySettingsTest.cpp
@@ -61,6 +61,31 @@
     CHECK(faultOf("{") != "");
 }
 
+// Guards against gateways that don't start since the platform gives a bound as a fraction of a
+// second.
+TEST_CASE("times in gateway settings may be fractions", "[app]")
+{
+    const auto stopTimeoutOf = [](const std::string &text) {
+        return boost::leaf::try_handle_all(
+                [&]() -> boost::leaf::result<Duration> {
+                    BOOST_LEAF_AUTO(settings, parseGatewaySettings(text, "file"));
+                    return settings.stopTimeout;
+                },
+                [](const SettingsProblem &problem) {
+                    FAIL(problem.path);
+                    return Duration(0);
+                },
+                [] { return Duration(0); });
+    };
+    CHECK(stopTimeoutOf(with("6000", "6e3")) == 6s);
+    CHECK(stopTimeoutOf(with("6000", "6.5e3")) == 6500ms);
+    CHECK(stopTimeoutOf(with("6000", "6000.25")) == 6000250us);
+    CHECK(faultOf(with("10000", "7.5e3")).empty());
+    CHECK(faultOf(with("6000", "0.05e3")) == "$.stopTimeoutMs");
+    CHECK(faultOf(with("6000", "1e300")) == "$.stopTimeoutMs");
+    CHECK(faultOf(with("10000", "\"7.5\"")) == "$.repeatWindowMs");
+}
+
 // Guards against callers that come back too early or never.
 TEST_CASE("refusals say truthfully whether the request ran, and when to come back", "[app]")
 {
