Name the steps of the last changes more clearly

No change of behaviour: the count of recent requests is pruned by a function of its own, the answer to a request for permits has a name, and comments say what the functions do.

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -163,13 +163,19 @@
         enqueue(ServerLossReported { envelope.sender, *loss });
     else if (const auto *doubt = std::get_if<UnreachableDomain>(&envelope.message))
         enqueue(UnreachableDomainReported { doubt->failureDomain });
-    else if (const auto *request = std::get_if<PermitRequest>(&envelope.message);
-             request && !m_isStopping) // Another host issues the permits from now on.
-        enqueue(PermitsRequested { envelope.sender, *request });
+    else if (const auto *request = std::get_if<PermitRequest>(&envelope.message))
+        answerPermitRequest(envelope.sender, *request);
     else if (const auto *grant = std::get_if<PermitGrant>(&envelope.message))
         enqueue(PermitsGranted { *grant });
 }
 
+void GatewayServer::answerPermitRequest(const HostId &sender, const PermitRequest &request)
+{
+    // Once this host stops, another one issues the permits.
+    if (!m_isStopping)
+        enqueue(PermitsRequested { sender, request });
+}
+
 void GatewayServer::share(const StoreChanges &changes)
 {
     std::size_t bytes = 0;
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -48,6 +48,7 @@
     void enqueue(GatewayEvent event);
     /** Events of the peer transport. */
     void post(Event event) override;
+    void answerPermitRequest(const HostId &sender, const PermitRequest &request);
     void share(const StoreChanges &changes);
     void drain();
     void apply(const GatewayEffects &effects);
--- a/src/gateway/BackendDirectory.h
+++ b/src/gateway/BackendDirectory.h
@@ -39,7 +39,7 @@
     BackendLoad load;
     ServerNeeds needs;
     PermitHolder permits;             ///< used while the server names a request limit
-    bool mayHaveRestarted = false;    ///< another process may have taken its place; RestartDetector
+    bool mayHaveRestarted = false;    ///< by another process; set by RestartDetector
     bool hasInvalidStatement = false; ///< a field of a response could not be read; logged once
 };
 
--- a/src/gateway/BackendLoad.cpp
+++ b/src/gateway/BackendLoad.cpp
@@ -44,7 +44,7 @@
 void BackendLoad::addStart(AttemptId attempt, MonotonicTime now)
 {
     m_startTimes.emplace(attempt, now);
-    requestsInLastSecond(now);
+    forgetOldRequests(now);
     m_recentRequests.push_back(now);
 }
 
@@ -159,10 +159,15 @@
     return expected + Duration(static_cast<Duration::rep>(penalty));
 }
 
-std::size_t BackendLoad::requestsInLastSecond(MonotonicTime now)
+void BackendLoad::forgetOldRequests(MonotonicTime now)
 {
     while (!m_recentRequests.empty() && now - m_recentRequests.front() >= std::chrono::seconds(1))
         m_recentRequests.pop_front();
+}
+
+std::size_t BackendLoad::requestsInLastSecond(MonotonicTime now)
+{
+    forgetOldRequests(now);
     return m_recentRequests.size();
 }
 
--- a/src/gateway/BackendLoad.h
+++ b/src/gateway/BackendLoad.h
@@ -52,6 +52,8 @@
     void takeRecentRequests(const BackendLoad &former);
 
 private:
+    /** Removes the recent requests that were sent a second ago or earlier. */
+    void forgetOldRequests(MonotonicTime now);
     /** Removes the attempt and returns its age; nullopt if it is unknown. */
     std::optional<Duration> removeAttempt(AttemptId attempt, MonotonicTime now);
     void addSample(Duration time, MonotonicTime now);
