Add the messages of quotas, roll-outs and shared observations

Gateways of earlier builds drop the new ones. Result: codec_test passes, each message is encoded and decoded unchanged.

--- a/include/greengagestair/Messages.h
+++ b/include/greengagestair/Messages.h
@@ -231,10 +231,102 @@
     bool operator==(const StoreChanges &) const = default;
 };
 
+/** How a host may use the quota of a tenant, as the answering host states it. */
+enum class QuotaMode {
+    Free,       ///< requests may be sent at once and are reported afterwards
+    Controlled, ///< each request needs a permit
+    Reduced,    ///< permits of the standby while the issuing host may be alive elsewhere
+    Referred    ///< the sender does not issue now; the standby has to be asked
+};
+
+/** Asks the host that issues the permits of a tenant for some, or reports requests sent. */
+struct QuotaRequest
+{
+    std::uint64_t id = 0; ///< returned in the answer
+    TenantId tenant;
+    std::uint32_t wanted = 0;  ///< permits for requests that wait or are expected soon
+    std::uint32_t used = 0;    ///< requests sent without a permit since the last report
+    bool isIssuerGone = false; ///< to the standby: the issuing host has stopped or crashed
+    bool isCopy = false;       ///< to the standby: a report only, which gets no answer
+
+    bool operator==(const QuotaRequest &) const = default;
+};
+
+/** Answer to a QuotaRequest, or a notice that the mode has changed. */
+struct QuotaGrant
+{
+    std::uint64_t id = 0; ///< of the request; 0 for a notice
+    TenantId tenant;
+    std::uint32_t permits = 0; ///< each allows one request and expires soon
+    Duration pause {};         ///< time until more permits can be had, if none was granted
+    QuotaMode mode = QuotaMode::Controlled;
+
+    bool operator==(const QuotaGrant &) const = default;
+};
+
+/** Results of the attempts of one route at servers of one kind during a step of a roll-out. */
+struct RolloutCounts
+{
+    std::string route;
+    bool isTarget = false; ///< at servers of the target version; otherwise at all others
+    std::uint32_t answers = 0;
+    std::uint32_t failures = 0;
+    Duration totalTime {}; ///< sum of the response times of the answers
+
+    bool operator==(const RolloutCounts &) const = default;
+};
+
+/** What a host has seen of a roll-out since its current step began. */
+struct RolloutReport
+{
+    ServiceId service;
+    Revision orderRevision;
+    Revision stateRevision;          ///< the last state of the roll-out that the sender applies
+    std::uint32_t oldInProgress = 0; ///< attempts in progress on servers of other versions
+    std::vector<RolloutCounts> counts;
+
+    bool operator==(const RolloutReport &) const = default;
+};
+
+/** Tells a host to send nothing more to the servers of a target version. */
+struct RolloutNotice
+{
+    ServiceId service;
+    Revision orderRevision;
+    std::string targetVersion;
+
+    bool operator==(const RolloutNotice &) const = default;
+};
+
+/** What one host or all hosts of a failure domain have seen of one process of a server. */
+struct ServerObservation
+{
+    ServerId server;
+    std::uint64_t startedAt = 0; ///< start of the process, milliseconds since the Unix epoch
+    double answers = 0;          ///< a fraction if older results count less
+    double refusals = 0;
+    double failures = 0;
+    Duration totalTime {}; ///< sum of the response times of the answers
+    Duration age {};       ///< time since the last of these results
+
+    bool operator==(const ServerObservation &) const = default;
+};
+
+/** Observations of one host, or the collected ones of a failure domain. */
+struct ServerObservations
+{
+    bool isSummary = false; ///< collected from the hosts of the sender's failure domain
+    std::vector<ServerObservation> observations;
+
+    bool operator==(const ServerObservations &) const = default;
+};
+
 /** Any message between two entry hosts or two gateways. */
-using PeerMessage = std::variant<Heartbeat, HeartbeatAck, JoinRequest, DocumentRequest,
-                                 DocumentPush, PartRequest, PartCancel, PartAnswer, SignatureLoss,
-                                 StoreChanges, UnreachableDomain, PermitRequest, PermitGrant>;
+using PeerMessage =
+        std::variant<Heartbeat, HeartbeatAck, JoinRequest, DocumentRequest, DocumentPush,
+                     PartRequest, PartCancel, PartAnswer, SignatureLoss, StoreChanges,
+                     UnreachableDomain, PermitRequest, PermitGrant, QuotaRequest, QuotaGrant,
+                     RolloutReport, RolloutNotice, ServerObservations>;
 
 /** A message between processes together with its sender. */
 struct PeerEnvelope
--- a/include/greengagestair/Types.h
+++ b/include/greengagestair/Types.h
@@ -58,6 +58,8 @@
 using FailureDomainId = Name<struct FailureDomainTag>;
 /** Name of a service, as given in the configuration. */
 using ServiceId = Name<struct ServiceTag>;
+/** Name of a tenant: an organisation whose callers share keys and a quota. */
+using TenantId = Name<struct TenantTag>;
 /** Name of an operation of a service, as given in the configuration. */
 using OperationId = Name<struct OperationTag>;
 /** Name of a group of replicas; unique within its service. */
--- a/src/codec/Peer_generated.h
+++ b/src/codec/Peer_generated.h
@@ -64,6 +64,27 @@
 struct PermitGrant;
 struct PermitGrantBuilder;
 
+struct QuotaRequest;
+struct QuotaRequestBuilder;
+
+struct QuotaGrant;
+struct QuotaGrantBuilder;
+
+struct RolloutCounts;
+struct RolloutCountsBuilder;
+
+struct RolloutReport;
+struct RolloutReportBuilder;
+
+struct RolloutNotice;
+struct RolloutNoticeBuilder;
+
+struct ServerObservation;
+struct ServerObservationBuilder;
+
+struct ServerObservations;
+struct ServerObservationsBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -241,6 +262,42 @@
   return EnumNamesPartReason()[index];
 }
 
+enum class QuotaMode : uint8_t {
+  Free = 0,
+  Controlled = 1,
+  Reduced = 2,
+  Referred = 3,
+  MIN = Free,
+  MAX = Referred
+};
+
+inline const QuotaMode (&EnumValuesQuotaMode())[4] {
+  static const QuotaMode values[] = {
+    QuotaMode::Free,
+    QuotaMode::Controlled,
+    QuotaMode::Reduced,
+    QuotaMode::Referred
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesQuotaMode() {
+  static const char * const names[5] = {
+    "Free",
+    "Controlled",
+    "Reduced",
+    "Referred",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameQuotaMode(QuotaMode e) {
+  if (flatbuffers::IsOutRange(e, QuotaMode::Free, QuotaMode::Referred)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesQuotaMode()[index];
+}
+
 enum class Payload : uint8_t {
   NONE = 0,
   Heartbeat = 1,
@@ -256,11 +313,16 @@
   UnreachableDomain = 11,
   PermitRequest = 12,
   PermitGrant = 13,
+  QuotaRequest = 14,
+  QuotaGrant = 15,
+  RolloutReport = 16,
+  RolloutNotice = 17,
+  ServerObservations = 18,
   MIN = NONE,
-  MAX = PermitGrant
+  MAX = ServerObservations
 };
 
-inline const Payload (&EnumValuesPayload())[14] {
+inline const Payload (&EnumValuesPayload())[19] {
   static const Payload values[] = {
     Payload::NONE,
     Payload::Heartbeat,
@@ -275,13 +337,18 @@
     Payload::StoreChanges,
     Payload::UnreachableDomain,
     Payload::PermitRequest,
-    Payload::PermitGrant
+    Payload::PermitGrant,
+    Payload::QuotaRequest,
+    Payload::QuotaGrant,
+    Payload::RolloutReport,
+    Payload::RolloutNotice,
+    Payload::ServerObservations
   };
   return values;
 }
 
 inline const char * const *EnumNamesPayload() {
-  static const char * const names[15] = {
+  static const char * const names[20] = {
     "NONE",
     "Heartbeat",
     "HeartbeatAck",
@@ -296,13 +363,18 @@
     "UnreachableDomain",
     "PermitRequest",
     "PermitGrant",
+    "QuotaRequest",
+    "QuotaGrant",
+    "RolloutReport",
+    "RolloutNotice",
+    "ServerObservations",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePayload(Payload e) {
-  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::PermitGrant)) return "";
+  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::ServerObservations)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPayload()[index];
 }
@@ -363,6 +435,26 @@
   static const Payload enum_value = Payload::PermitGrant;
 };
 
+template<> struct PayloadTraits<greengagestair::wire::QuotaRequest> {
+  static const Payload enum_value = Payload::QuotaRequest;
+};
+
+template<> struct PayloadTraits<greengagestair::wire::QuotaGrant> {
+  static const Payload enum_value = Payload::QuotaGrant;
+};
+
+template<> struct PayloadTraits<greengagestair::wire::RolloutReport> {
+  static const Payload enum_value = Payload::RolloutReport;
+};
+
+template<> struct PayloadTraits<greengagestair::wire::RolloutNotice> {
+  static const Payload enum_value = Payload::RolloutNotice;
+};
+
+template<> struct PayloadTraits<greengagestair::wire::ServerObservations> {
+  static const Payload enum_value = Payload::ServerObservations;
+};
+
 bool VerifyPayload(flatbuffers::Verifier &verifier, const void *obj, Payload type);
 bool VerifyPayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Payload> *types);
 
@@ -1794,6 +1886,681 @@
       statement);
 }
 
+struct QuotaRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_TENANT = 6,
+    VT_WANTED = 8,
+    VT_USED = 10,
+    VT_ISSUER_GONE = 12,
+    VT_COPY = 14
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  uint32_t wanted() const {
+    return GetField<uint32_t>(VT_WANTED, 0);
+  }
+  uint32_t used() const {
+    return GetField<uint32_t>(VT_USED, 0);
+  }
+  bool issuer_gone() const {
+    return GetField<uint8_t>(VT_ISSUER_GONE, 0) != 0;
+  }
+  bool copy() const {
+    return GetField<uint8_t>(VT_COPY, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint32_t>(verifier, VT_WANTED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_USED, 4) &&
+           VerifyField<uint8_t>(verifier, VT_ISSUER_GONE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_COPY, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaRequestBuilder {
+  typedef QuotaRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(QuotaRequest::VT_ID, id, 0);
+  }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(QuotaRequest::VT_TENANT, tenant);
+  }
+  void add_wanted(uint32_t wanted) {
+    fbb_.AddElement<uint32_t>(QuotaRequest::VT_WANTED, wanted, 0);
+  }
+  void add_used(uint32_t used) {
+    fbb_.AddElement<uint32_t>(QuotaRequest::VT_USED, used, 0);
+  }
+  void add_issuer_gone(bool issuer_gone) {
+    fbb_.AddElement<uint8_t>(QuotaRequest::VT_ISSUER_GONE, static_cast<uint8_t>(issuer_gone), 0);
+  }
+  void add_copy(bool copy) {
+    fbb_.AddElement<uint8_t>(QuotaRequest::VT_COPY, static_cast<uint8_t>(copy), 0);
+  }
+  explicit QuotaRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaRequest> CreateQuotaRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    uint32_t wanted = 0,
+    uint32_t used = 0,
+    bool issuer_gone = false,
+    bool copy = false) {
+  QuotaRequestBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_used(used);
+  builder_.add_wanted(wanted);
+  builder_.add_tenant(tenant);
+  builder_.add_copy(copy);
+  builder_.add_issuer_gone(issuer_gone);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QuotaRequest> CreateQuotaRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *tenant = nullptr,
+    uint32_t wanted = 0,
+    uint32_t used = 0,
+    bool issuer_gone = false,
+    bool copy = false) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  return greengagestair::wire::CreateQuotaRequest(
+      _fbb,
+      id,
+      tenant__,
+      wanted,
+      used,
+      issuer_gone,
+      copy);
+}
+
+struct QuotaGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaGrantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_TENANT = 6,
+    VT_PERMITS = 8,
+    VT_PAUSE = 10,
+    VT_MODE = 12
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  uint32_t permits() const {
+    return GetField<uint32_t>(VT_PERMITS, 0);
+  }
+  int64_t pause() const {
+    return GetField<int64_t>(VT_PAUSE, 0);
+  }
+  greengagestair::wire::QuotaMode mode() const {
+    return static_cast<greengagestair::wire::QuotaMode>(GetField<uint8_t>(VT_MODE, 0));
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint32_t>(verifier, VT_PERMITS, 4) &&
+           VerifyField<int64_t>(verifier, VT_PAUSE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_MODE, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaGrantBuilder {
+  typedef QuotaGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(QuotaGrant::VT_ID, id, 0);
+  }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(QuotaGrant::VT_TENANT, tenant);
+  }
+  void add_permits(uint32_t permits) {
+    fbb_.AddElement<uint32_t>(QuotaGrant::VT_PERMITS, permits, 0);
+  }
+  void add_pause(int64_t pause) {
+    fbb_.AddElement<int64_t>(QuotaGrant::VT_PAUSE, pause, 0);
+  }
+  void add_mode(greengagestair::wire::QuotaMode mode) {
+    fbb_.AddElement<uint8_t>(QuotaGrant::VT_MODE, static_cast<uint8_t>(mode), 0);
+  }
+  explicit QuotaGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaGrant> CreateQuotaGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    uint32_t permits = 0,
+    int64_t pause = 0,
+    greengagestair::wire::QuotaMode mode = greengagestair::wire::QuotaMode::Free) {
+  QuotaGrantBuilder builder_(_fbb);
+  builder_.add_pause(pause);
+  builder_.add_id(id);
+  builder_.add_permits(permits);
+  builder_.add_tenant(tenant);
+  builder_.add_mode(mode);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QuotaGrant> CreateQuotaGrantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *tenant = nullptr,
+    uint32_t permits = 0,
+    int64_t pause = 0,
+    greengagestair::wire::QuotaMode mode = greengagestair::wire::QuotaMode::Free) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  return greengagestair::wire::CreateQuotaGrant(
+      _fbb,
+      id,
+      tenant__,
+      permits,
+      pause,
+      mode);
+}
+
+struct RolloutCounts FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutCountsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTE = 4,
+    VT_TARGET = 6,
+    VT_ANSWERS = 8,
+    VT_FAILURES = 10,
+    VT_TOTAL_TIME = 12
+  };
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  bool target() const {
+    return GetField<uint8_t>(VT_TARGET, 0) != 0;
+  }
+  uint32_t answers() const {
+    return GetField<uint32_t>(VT_ANSWERS, 0);
+  }
+  uint32_t failures() const {
+    return GetField<uint32_t>(VT_FAILURES, 0);
+  }
+  int64_t total_time() const {
+    return GetField<int64_t>(VT_TOTAL_TIME, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyField<uint8_t>(verifier, VT_TARGET, 1) &&
+           VerifyField<uint32_t>(verifier, VT_ANSWERS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_FAILURES, 4) &&
+           VerifyField<int64_t>(verifier, VT_TOTAL_TIME, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct RolloutCountsBuilder {
+  typedef RolloutCounts Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(RolloutCounts::VT_ROUTE, route);
+  }
+  void add_target(bool target) {
+    fbb_.AddElement<uint8_t>(RolloutCounts::VT_TARGET, static_cast<uint8_t>(target), 0);
+  }
+  void add_answers(uint32_t answers) {
+    fbb_.AddElement<uint32_t>(RolloutCounts::VT_ANSWERS, answers, 0);
+  }
+  void add_failures(uint32_t failures) {
+    fbb_.AddElement<uint32_t>(RolloutCounts::VT_FAILURES, failures, 0);
+  }
+  void add_total_time(int64_t total_time) {
+    fbb_.AddElement<int64_t>(RolloutCounts::VT_TOTAL_TIME, total_time, 0);
+  }
+  explicit RolloutCountsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutCounts> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutCounts>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutCounts> CreateRolloutCounts(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    bool target = false,
+    uint32_t answers = 0,
+    uint32_t failures = 0,
+    int64_t total_time = 0) {
+  RolloutCountsBuilder builder_(_fbb);
+  builder_.add_total_time(total_time);
+  builder_.add_failures(failures);
+  builder_.add_answers(answers);
+  builder_.add_route(route);
+  builder_.add_target(target);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RolloutCounts> CreateRolloutCountsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *route = nullptr,
+    bool target = false,
+    uint32_t answers = 0,
+    uint32_t failures = 0,
+    int64_t total_time = 0) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  return greengagestair::wire::CreateRolloutCounts(
+      _fbb,
+      route__,
+      target,
+      answers,
+      failures,
+      total_time);
+}
+
+struct RolloutReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ORDER_REVISION = 6,
+    VT_STATE_REVISION = 8,
+    VT_OLD_IN_PROGRESS = 10,
+    VT_COUNTS = 12
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint64_t order_revision() const {
+    return GetField<uint64_t>(VT_ORDER_REVISION, 0);
+  }
+  uint64_t state_revision() const {
+    return GetField<uint64_t>(VT_STATE_REVISION, 0);
+  }
+  uint32_t old_in_progress() const {
+    return GetField<uint32_t>(VT_OLD_IN_PROGRESS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::RolloutCounts>> *counts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::RolloutCounts>> *>(VT_COUNTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint64_t>(verifier, VT_ORDER_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STATE_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_OLD_IN_PROGRESS, 4) &&
+           VerifyOffset(verifier, VT_COUNTS) &&
+           verifier.VerifyVector(counts()) &&
+           verifier.VerifyVectorOfTables(counts()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RolloutReportBuilder {
+  typedef RolloutReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RolloutReport::VT_SERVICE, service);
+  }
+  void add_order_revision(uint64_t order_revision) {
+    fbb_.AddElement<uint64_t>(RolloutReport::VT_ORDER_REVISION, order_revision, 0);
+  }
+  void add_state_revision(uint64_t state_revision) {
+    fbb_.AddElement<uint64_t>(RolloutReport::VT_STATE_REVISION, state_revision, 0);
+  }
+  void add_old_in_progress(uint32_t old_in_progress) {
+    fbb_.AddElement<uint32_t>(RolloutReport::VT_OLD_IN_PROGRESS, old_in_progress, 0);
+  }
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::RolloutCounts>>> counts) {
+    fbb_.AddOffset(RolloutReport::VT_COUNTS, counts);
+  }
+  explicit RolloutReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutReport> CreateRolloutReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint64_t order_revision = 0,
+    uint64_t state_revision = 0,
+    uint32_t old_in_progress = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::RolloutCounts>>> counts = 0) {
+  RolloutReportBuilder builder_(_fbb);
+  builder_.add_state_revision(state_revision);
+  builder_.add_order_revision(order_revision);
+  builder_.add_counts(counts);
+  builder_.add_old_in_progress(old_in_progress);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RolloutReport> CreateRolloutReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    uint64_t order_revision = 0,
+    uint64_t state_revision = 0,
+    uint32_t old_in_progress = 0,
+    const std::vector<flatbuffers::Offset<greengagestair::wire::RolloutCounts>> *counts = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto counts__ = counts ? _fbb.CreateVector<flatbuffers::Offset<greengagestair::wire::RolloutCounts>>(*counts) : 0;
+  return greengagestair::wire::CreateRolloutReport(
+      _fbb,
+      service__,
+      order_revision,
+      state_revision,
+      old_in_progress,
+      counts__);
+}
+
+struct RolloutNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutNoticeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ORDER_REVISION = 6,
+    VT_TARGET_VERSION = 8
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint64_t order_revision() const {
+    return GetField<uint64_t>(VT_ORDER_REVISION, 0);
+  }
+  const flatbuffers::String *target_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET_VERSION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint64_t>(verifier, VT_ORDER_REVISION, 8) &&
+           VerifyOffset(verifier, VT_TARGET_VERSION) &&
+           verifier.VerifyString(target_version()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RolloutNoticeBuilder {
+  typedef RolloutNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RolloutNotice::VT_SERVICE, service);
+  }
+  void add_order_revision(uint64_t order_revision) {
+    fbb_.AddElement<uint64_t>(RolloutNotice::VT_ORDER_REVISION, order_revision, 0);
+  }
+  void add_target_version(flatbuffers::Offset<flatbuffers::String> target_version) {
+    fbb_.AddOffset(RolloutNotice::VT_TARGET_VERSION, target_version);
+  }
+  explicit RolloutNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutNotice> CreateRolloutNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint64_t order_revision = 0,
+    flatbuffers::Offset<flatbuffers::String> target_version = 0) {
+  RolloutNoticeBuilder builder_(_fbb);
+  builder_.add_order_revision(order_revision);
+  builder_.add_target_version(target_version);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RolloutNotice> CreateRolloutNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    uint64_t order_revision = 0,
+    const char *target_version = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto target_version__ = target_version ? _fbb.CreateString(target_version) : 0;
+  return greengagestair::wire::CreateRolloutNotice(
+      _fbb,
+      service__,
+      order_revision,
+      target_version__);
+}
+
+struct ServerObservation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerObservationBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVER = 4,
+    VT_STARTED_AT = 6,
+    VT_ANSWERS = 8,
+    VT_REFUSALS = 10,
+    VT_FAILURES = 12,
+    VT_TOTAL_TIME = 14,
+    VT_AGE = 16
+  };
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  uint64_t started_at() const {
+    return GetField<uint64_t>(VT_STARTED_AT, 0);
+  }
+  float answers() const {
+    return GetField<float>(VT_ANSWERS, 0.0f);
+  }
+  float refusals() const {
+    return GetField<float>(VT_REFUSALS, 0.0f);
+  }
+  float failures() const {
+    return GetField<float>(VT_FAILURES, 0.0f);
+  }
+  int64_t total_time() const {
+    return GetField<int64_t>(VT_TOTAL_TIME, 0);
+  }
+  int64_t age() const {
+    return GetField<int64_t>(VT_AGE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_AT, 8) &&
+           VerifyField<float>(verifier, VT_ANSWERS, 4) &&
+           VerifyField<float>(verifier, VT_REFUSALS, 4) &&
+           VerifyField<float>(verifier, VT_FAILURES, 4) &&
+           VerifyField<int64_t>(verifier, VT_TOTAL_TIME, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct ServerObservationBuilder {
+  typedef ServerObservation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(ServerObservation::VT_SERVER, server);
+  }
+  void add_started_at(uint64_t started_at) {
+    fbb_.AddElement<uint64_t>(ServerObservation::VT_STARTED_AT, started_at, 0);
+  }
+  void add_answers(float answers) {
+    fbb_.AddElement<float>(ServerObservation::VT_ANSWERS, answers, 0.0f);
+  }
+  void add_refusals(float refusals) {
+    fbb_.AddElement<float>(ServerObservation::VT_REFUSALS, refusals, 0.0f);
+  }
+  void add_failures(float failures) {
+    fbb_.AddElement<float>(ServerObservation::VT_FAILURES, failures, 0.0f);
+  }
+  void add_total_time(int64_t total_time) {
+    fbb_.AddElement<int64_t>(ServerObservation::VT_TOTAL_TIME, total_time, 0);
+  }
+  void add_age(int64_t age) {
+    fbb_.AddElement<int64_t>(ServerObservation::VT_AGE, age, 0);
+  }
+  explicit ServerObservationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerObservation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerObservation>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerObservation> CreateServerObservation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> server = 0,
+    uint64_t started_at = 0,
+    float answers = 0.0f,
+    float refusals = 0.0f,
+    float failures = 0.0f,
+    int64_t total_time = 0,
+    int64_t age = 0) {
+  ServerObservationBuilder builder_(_fbb);
+  builder_.add_age(age);
+  builder_.add_total_time(total_time);
+  builder_.add_started_at(started_at);
+  builder_.add_failures(failures);
+  builder_.add_refusals(refusals);
+  builder_.add_answers(answers);
+  builder_.add_server(server);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ServerObservation> CreateServerObservationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *server = nullptr,
+    uint64_t started_at = 0,
+    float answers = 0.0f,
+    float refusals = 0.0f,
+    float failures = 0.0f,
+    int64_t total_time = 0,
+    int64_t age = 0) {
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return greengagestair::wire::CreateServerObservation(
+      _fbb,
+      server__,
+      started_at,
+      answers,
+      refusals,
+      failures,
+      total_time,
+      age);
+}
+
+struct ServerObservations FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerObservationsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SUMMARY = 4,
+    VT_OBSERVATIONS = 6
+  };
+  bool summary() const {
+    return GetField<uint8_t>(VT_SUMMARY, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::ServerObservation>> *observations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::ServerObservation>> *>(VT_OBSERVATIONS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_SUMMARY, 1) &&
+           VerifyOffset(verifier, VT_OBSERVATIONS) &&
+           verifier.VerifyVector(observations()) &&
+           verifier.VerifyVectorOfTables(observations()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ServerObservationsBuilder {
+  typedef ServerObservations Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_summary(bool summary) {
+    fbb_.AddElement<uint8_t>(ServerObservations::VT_SUMMARY, static_cast<uint8_t>(summary), 0);
+  }
+  void add_observations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::ServerObservation>>> observations) {
+    fbb_.AddOffset(ServerObservations::VT_OBSERVATIONS, observations);
+  }
+  explicit ServerObservationsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerObservations> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerObservations>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerObservations> CreateServerObservations(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool summary = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::ServerObservation>>> observations = 0) {
+  ServerObservationsBuilder builder_(_fbb);
+  builder_.add_observations(observations);
+  builder_.add_summary(summary);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ServerObservations> CreateServerObservationsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool summary = false,
+    const std::vector<flatbuffers::Offset<greengagestair::wire::ServerObservation>> *observations = nullptr) {
+  auto observations__ = observations ? _fbb.CreateVector<flatbuffers::Offset<greengagestair::wire::ServerObservation>>(*observations) : 0;
+  return greengagestair::wire::CreateServerObservations(
+      _fbb,
+      summary,
+      observations__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1866,6 +2633,21 @@
   const greengagestair::wire::PermitGrant *payload_as_PermitGrant() const {
     return payload_type() == greengagestair::wire::Payload::PermitGrant ? static_cast<const greengagestair::wire::PermitGrant *>(payload()) : nullptr;
   }
+  const greengagestair::wire::QuotaRequest *payload_as_QuotaRequest() const {
+    return payload_type() == greengagestair::wire::Payload::QuotaRequest ? static_cast<const greengagestair::wire::QuotaRequest *>(payload()) : nullptr;
+  }
+  const greengagestair::wire::QuotaGrant *payload_as_QuotaGrant() const {
+    return payload_type() == greengagestair::wire::Payload::QuotaGrant ? static_cast<const greengagestair::wire::QuotaGrant *>(payload()) : nullptr;
+  }
+  const greengagestair::wire::RolloutReport *payload_as_RolloutReport() const {
+    return payload_type() == greengagestair::wire::Payload::RolloutReport ? static_cast<const greengagestair::wire::RolloutReport *>(payload()) : nullptr;
+  }
+  const greengagestair::wire::RolloutNotice *payload_as_RolloutNotice() const {
+    return payload_type() == greengagestair::wire::Payload::RolloutNotice ? static_cast<const greengagestair::wire::RolloutNotice *>(payload()) : nullptr;
+  }
+  const greengagestair::wire::ServerObservations *payload_as_ServerObservations() const {
+    return payload_type() == greengagestair::wire::Payload::ServerObservations ? static_cast<const greengagestair::wire::ServerObservations *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL_VERSION, 4) &&
@@ -1934,6 +2716,26 @@
   return payload_as_PermitGrant();
 }
 
+template<> inline const greengagestair::wire::QuotaRequest *Envelope::payload_as<greengagestair::wire::QuotaRequest>() const {
+  return payload_as_QuotaRequest();
+}
+
+template<> inline const greengagestair::wire::QuotaGrant *Envelope::payload_as<greengagestair::wire::QuotaGrant>() const {
+  return payload_as_QuotaGrant();
+}
+
+template<> inline const greengagestair::wire::RolloutReport *Envelope::payload_as<greengagestair::wire::RolloutReport>() const {
+  return payload_as_RolloutReport();
+}
+
+template<> inline const greengagestair::wire::RolloutNotice *Envelope::payload_as<greengagestair::wire::RolloutNotice>() const {
+  return payload_as_RolloutNotice();
+}
+
+template<> inline const greengagestair::wire::ServerObservations *Envelope::payload_as<greengagestair::wire::ServerObservations>() const {
+  return payload_as_ServerObservations();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2069,6 +2871,26 @@
       auto ptr = reinterpret_cast<const greengagestair::wire::PermitGrant *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Payload::QuotaRequest: {
+      auto ptr = reinterpret_cast<const greengagestair::wire::QuotaRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Payload::QuotaGrant: {
+      auto ptr = reinterpret_cast<const greengagestair::wire::QuotaGrant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Payload::RolloutReport: {
+      auto ptr = reinterpret_cast<const greengagestair::wire::RolloutReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Payload::RolloutNotice: {
+      auto ptr = reinterpret_cast<const greengagestair::wire::RolloutNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Payload::ServerObservations: {
+      auto ptr = reinterpret_cast<const greengagestair::wire::ServerObservations *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/core/Reducer.cpp
+++ b/src/core/Reducer.cpp
@@ -34,6 +34,10 @@
  * Owns the modules and routes events and messages to them. All policy is in the modules, except for
  * the order of the steps of a planned stop.
  */
+/** True if `Type` is one of the others. */
+template <typename Type, typename... Others>
+concept IsOneOf = (std::is_same_v<Type, Others> || ...);
+
 class Reducer::State : public PartRouter
 {
 public:
@@ -95,6 +99,14 @@
                  const PermitGrant & /*message*/)
     {
     }
+    /** Ignored: only gateways have tenants, roll-outs and shared observations. */
+    template <typename Message>
+    requires IsOneOf<Message, QuotaRequest, QuotaGrant, RolloutReport, RolloutNotice,
+                     ServerObservations>
+    void receive(StepContext & /*context*/, const PeerEnvelope & /*envelope*/,
+                 const Message & /*message*/)
+    {
+    }
 
     void deliverLocalMessages(StepContext &context);
     void tickModules(StepContext &context);
--- a/src/net/Description.h
+++ b/src/net/Description.h
@@ -52,6 +52,16 @@
 BOOST_DESCRIBE_STRUCT(LimitStatement, (), (isLimited, perSecond, age))
 BOOST_DESCRIBE_STRUCT(PermitRequest, (), (id, server, serverStartedAt, permits, statement))
 BOOST_DESCRIBE_STRUCT(PermitGrant, (), (id, server, serverStartedAt, permits, pause, statement))
+BOOST_DESCRIBE_ENUM(QuotaMode, Free, Controlled, Reduced, Referred)
+BOOST_DESCRIBE_STRUCT(QuotaRequest, (), (id, tenant, wanted, used, isIssuerGone, isCopy))
+BOOST_DESCRIBE_STRUCT(QuotaGrant, (), (id, tenant, permits, pause, mode))
+BOOST_DESCRIBE_STRUCT(RolloutCounts, (), (route, isTarget, answers, failures, totalTime))
+BOOST_DESCRIBE_STRUCT(RolloutReport, (),
+                      (service, orderRevision, stateRevision, oldInProgress, counts))
+BOOST_DESCRIBE_STRUCT(RolloutNotice, (), (service, orderRevision, targetVersion))
+BOOST_DESCRIBE_STRUCT(ServerObservation, (),
+                      (server, startedAt, answers, refusals, failures, totalTime, age))
+BOOST_DESCRIBE_STRUCT(ServerObservations, (), (isSummary, observations))
 BOOST_DESCRIBE_STRUCT(PartAnswer, (),
                       (part, outcome, reason, version, heldVersions, expectedWait, body))
 BOOST_DESCRIBE_STRUCT(PeerEnvelope, (), (sender, incarnation, endpoint, message))
--- a/tests/codec/FrameCodecTest.cpp
+++ b/tests/codec/FrameCodecTest.cpp
@@ -57,6 +57,23 @@
         PermitRequest { 3, { "s" }, 1700000000000, 2, { true, 26.5, milliseconds(4) } },
         PermitGrant {
                 3, { "s" }, 1700000000000, 1, milliseconds(9), { false, 0, milliseconds(1) } },
+        QuotaRequest { 4, { "builders" }, 2, 3, true, true },
+        QuotaGrant { 4, { "builders" }, 2, milliseconds(5), QuotaMode::Reduced },
+        RolloutReport { { "s1" },
+                        { 11 },
+                        { 12 },
+                        3,
+                        { { "lookup", true, 40, 2, milliseconds(400) },
+                          { "lookup", false, 400, 0, milliseconds(3900) } } },
+        RolloutNotice { { "s1" }, { 11 }, "v2" },
+        ServerObservations { true,
+                             { { { "s" },
+                                 1700000000000,
+                                 7.5,
+                                 1.25,
+                                 0.5,
+                                 milliseconds(90),
+                                 milliseconds(250) } } },
     };
 }
 
