Read the settings that turn new features on

Cause: quotas, roll-outs, shared observations and the pace of returning servers must be off where a deployment does not call for them. Result: app_test passes; a settings file without the keys reads as before.

--- a/src/app/GatewaySettings.cpp
+++ b/src/app/GatewaySettings.cpp
@@ -1,6 +1,7 @@
 #include "app/GatewaySettings.h"
 
 #include "core/documents/JsonReader.h"
+#include "platform/Guarantees.h"
 
 #include <boost/leaf/error.hpp>
 
@@ -14,6 +15,11 @@
 static constexpr double kMaxTimeMs = 600'000;
 static constexpr double kMaxRatio = 1;
 static constexpr double kMaxCount = 1'000'000;
+static constexpr std::size_t kMaxRules = 64;
+static constexpr double kMinMemoryMb = 16;
+static constexpr double kBytesPerMb = 1'048'576;
+static constexpr std::uint64_t kMinDescriptors = 64;
+static constexpr std::uint64_t kMaxDescriptors = 1'048'576;
 
 static constexpr const char *kEndpointForm = "an address such as 127.0.0.1:8080";
 
@@ -55,15 +61,82 @@
     return limits;
 }
 
+static std::optional<QuotaOptions> quotaOf(const JsonReader &reader)
+{
+    if (!reader.has("quota"))
+        return std::nullopt;
+    const JsonReader quota = reader.object("quota");
+    quota.rejectUnknownKeys({ "windowMs", "overage", "slack" });
+    QuotaOptions options;
+    options.window = timeOf(quota, "windowMs");
+    options.overage = quota.decimal("overage", 0, kMaxRatio);
+    options.slack = quota.decimal("slack", 0, kMaxCount);
+    return options;
+}
+
+static std::optional<RolloutOptions> rolloutOf(const JsonReader &reader)
+{
+    if (!reader.has("rollout"))
+        return std::nullopt;
+    const JsonReader rollout = reader.object("rollout");
+    rollout.rejectUnknownKeys({ "exposedShare", "exposedSlack", "rollbackMs" });
+    RolloutOptions options;
+    options.exposedShare = rollout.decimal("exposedShare", 0, kMaxRatio);
+    options.exposedSlack = rollout.decimal("exposedSlack", 0, kMaxCount);
+    options.rollbackTime = timeOf(rollout, "rollbackMs");
+    return options;
+}
+
+/** Reads the keys that a settings file may leave out. */
+static void readOptionalKeys(const JsonReader &reader, GatewaySettings &settings)
+{
+    settings.options.quota = quotaOf(reader);
+    settings.options.rollout = rolloutOf(reader);
+    std::vector<std::string> rules;
+    if (reader.has("rules")) {
+        for (const JsonReader &rule : reader.list("rules", kMaxRules))
+            rules.push_back(rule.asName());
+    }
+    platform::enableFeatures(rules, settings.options);
+    if (reader.has("sharesObservations"))
+        settings.options.sharesObservations = reader.boolean("sharesObservations");
+    if (reader.has("pacesReturningServers"))
+        settings.options.pacesReturningServers = reader.boolean("pacesReturningServers");
+    if (reader.has("memoryMb")) {
+        const double megabytes = reader.decimal("memoryMb", kMinMemoryMb, kMaxCount);
+        settings.memoryBytes = static_cast<std::uint64_t>(megabytes * kBytesPerMb);
+    }
+    if (reader.has("maxDescriptors"))
+        settings.maxDescriptors = reader.number("maxDescriptors", kMinDescriptors, kMaxDescriptors);
+}
+
 result<GatewaySettings> parseGatewaySettings(std::string_view text, const std::string &file)
 {
     BOOST_LEAF_AUTO(json, parseSettingsJson(text, file));
     FaultRecorder faults;
     const JsonReader reader(json, "$", faults);
-    reader.rejectUnknownKeys({ "host", "failureDomain", "callerEndpoint", "readinessEndpoint",
-                               "adminEndpoint", "peerEndpoint", "store", "linkMbps", "seeds",
-                               "stopTimeoutMs", "repeatRatio", "repeatWindowMs", "repeatSlack",
-                               "coldFactor", "coldSlack" });
+    reader.rejectUnknownKeys({ "host",
+                               "failureDomain",
+                               "callerEndpoint",
+                               "readinessEndpoint",
+                               "adminEndpoint",
+                               "peerEndpoint",
+                               "store",
+                               "linkMbps",
+                               "seeds",
+                               "stopTimeoutMs",
+                               "repeatRatio",
+                               "repeatWindowMs",
+                               "repeatSlack",
+                               "coldFactor",
+                               "coldSlack",
+                               "rules",
+                               "quota",
+                               "rollout",
+                               "sharesObservations",
+                               "pacesReturningServers",
+                               "memoryMb",
+                               "maxDescriptors" });
     GatewaySettings settings;
     settings.host.value = reader.name("host");
     settings.callerEndpoint = endpointOf(reader, "callerEndpoint");
@@ -79,6 +152,7 @@
     settings.options.selector.coldFactor = reader.decimal("coldFactor", 0, kMaxCount);
     settings.options.selector.coldSlack = reader.decimal("coldSlack", 0, kMaxCount);
     settings.options.repeats = repeatLimitsOf(reader);
+    readOptionalKeys(reader, settings);
     if (const auto &fault = faults.first())
         return boost::leaf::new_error(SettingsProblem { file, fault->path, fault->expected });
     return settings;
--- a/src/app/GatewaySettings.h
+++ b/src/app/GatewaySettings.h
@@ -17,6 +17,8 @@
     double linkMbps = 0;                            ///< of the host's network link, in Mbit/s
     std::vector<Endpoint> seeds;                    ///< admin addresses of other gateways
     Duration stopTimeout = std::chrono::seconds(6); ///< from SIGTERM to SIGKILL
+    std::optional<std::uint64_t> memoryBytes;       ///< that the process may use, if stated
+    std::optional<std::size_t> maxDescriptors;      ///< that the process may open, if stated
     GatewayOptions options;
 };
 
--- a/src/core/documents/JsonReader.cpp
+++ b/src/core/documents/JsonReader.cpp
@@ -177,6 +177,16 @@
     return static_cast<std::size_t>(found - choices.begin());
 }
 
+JsonReader JsonReader::object(std::string_view key) const
+{
+    static const boost::json::value kEmpty = boost::json::object();
+    const boost::json::value *value = find(key);
+    if (value && !value->is_object())
+        fault(DocumentErrorKind::WrongType, key, "an object");
+    const bool isObject = value && value->is_object();
+    return { isObject ? *value : kEmpty, pathOf(key), *m_faults };
+}
+
 std::vector<JsonReader> JsonReader::list(std::string_view key, std::size_t maxSize) const
 {
     std::vector<JsonReader> elements;
--- a/src/core/documents/JsonReader.h
+++ b/src/core/documents/JsonReader.h
@@ -49,6 +49,8 @@
 
     /** Records a fault for each key of the object that is not in `allowed`. */
     void rejectUnknownKeys(std::initializer_list<std::string_view> allowed) const;
+    /** Reader of a member that has to be an object. */
+    JsonReader object(std::string_view key) const;
     /** Whether the value is an object that has the key. */
     bool has(std::string_view key) const;
 
--- a/tests/app/GatewaySettingsTest.cpp
+++ b/tests/app/GatewaySettingsTest.cpp
@@ -86,6 +86,41 @@
     CHECK(faultOf(with("10000", "\"7.5\"")) == "$.repeatWindowMs");
 }
 
+TEST_CASE("optional gateway settings turn features on", "[app]")
+{
+    const auto optionsOf = [](const std::string &text) {
+        return boost::leaf::try_handle_all(
+                [&]() -> boost::leaf::result<GatewaySettings> {
+                    return parseGatewaySettings(text, "file");
+                },
+                [](const SettingsProblem &problem) {
+                    FAIL(problem.path);
+                    return GatewaySettings {};
+                },
+                [] { return GatewaySettings {}; });
+    };
+    const GatewaySettings without = optionsOf(kSettings);
+    CHECK_FALSE(without.options.quota);
+    CHECK_FALSE(without.options.rollout);
+    CHECK_FALSE(without.options.sharesObservations);
+    CHECK_FALSE(without.memoryBytes);
+    const GatewaySettings all =
+            optionsOf(with("\"coldSlack\": 5,",
+                           R"("coldSlack": 5, "rules": ["base", "health"], "memoryMb": 160,
+                    "maxDescriptors": 4100, "pacesReturningServers": false,
+                    "quota": { "windowMs": 5e3, "overage": 0.1, "slack": 20 },
+                    "rollout": { "exposedShare": 0.1, "exposedSlack": 50, "rollbackMs": 5000 },)"));
+    CHECK(all.options.quota->window == 5s);
+    CHECK(all.options.rollout->rollbackTime == 5s);
+    CHECK(all.options.sharesObservations);
+    CHECK_FALSE(all.options.pacesReturningServers);
+    CHECK(all.memoryBytes == 167'772'160);
+    CHECK(all.maxDescriptors == 4100);
+    CHECK(faultOf(with("\"coldSlack\": 5,", "\"coldSlack\": 5, \"quota\": 3,")) == "$.quota");
+    CHECK(faultOf(with("\"coldSlack\": 5,", R"("coldSlack": 5, "quota": { "windowMs": 5000 },)"))
+          == "$.quota.overage");
+}
+
 // Guards against callers that come back too early or never.
 TEST_CASE("refusals say truthfully whether the request ran, and when to come back", "[app]")
 {
@@ -101,6 +136,10 @@
     CHECK(frontEnd.render(RefusedReply { RefusalReason::Failed, {} }).status == 502);
     CHECK(frontEnd.render(RefusedReply { RefusalReason::TimedOut, {} }).status == 504);
     CHECK(frontEnd.render(RefusedReply { RefusalReason::NoRoute, {} }).status == 404);
+    CHECK(frontEnd.render(RefusedReply { RefusalReason::OverQuota, 1ms }).status == 429);
+    const auto unauthorized = frontEnd.render(RefusedReply { RefusalReason::Unauthorized, {} });
+    CHECK(unauthorized.status == 401);
+    CHECK(unauthorized.headers.front().name == "WWW-Authenticate");
     const auto merged = frontEnd.render(MergedReply { { "a", "b" }, 1, "records" });
     CHECK(merged.status == 200);
     CHECK(merged.headers[0].value == "a, b");
