Serve tenants: check keys, name the tenant to servers

Cause: 'tenants' of a configuration was not read. Callers without a valid key were served, and their keys reached the backend servers. Change: one Authorization field with a known key is required on routes that are not public, otherwise 401. Servers get the verified tenant and never the key. The tenant's rank goes before the route's.

--- a/src/app/GatewayFrontEnd.cpp
+++ b/src/app/GatewayFrontEnd.cpp
@@ -83,6 +83,10 @@
     switch (reason) {
     case RefusalReason::NoRoute:
         return 404;
+    case RefusalReason::Unauthorized:
+        return 401;
+    case RefusalReason::OverQuota:
+        return 429;
     case RefusalReason::NoConfiguration:
     case RefusalReason::NoBackend:
     case RefusalReason::Shed:
@@ -108,6 +112,8 @@
                                      std::to_string(ms / 1000) + "."
                                              + std::string(3 - fraction.size(), '0') + fraction });
     }
+    if (reply.reason == RefusalReason::Unauthorized)
+        response.headers.push_back({ "WWW-Authenticate", "Bearer" });
     response.body = std::string(toText(reply.reason)) + "\n";
     return response;
 }
--- a/src/gateway/BackendDirectory.h
+++ b/src/gateway/BackendDirectory.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -27,6 +28,7 @@
     Duration coldFor {};     ///< time for which the server stays cold after the registration
     std::uint64_t startedAt =
             0; ///< start of the server's process, milliseconds since the Unix epoch
+    std::string softwareVersion; ///< empty if not stated
 };
 
 /** A registered backend server with the load and failures that this host has observed. */
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -50,9 +50,10 @@
     std::shared_ptr<const GatewayRequest> request;
     std::shared_ptr<const RoutingConfiguration> configuration; ///< version used for all parts
     const GatewayRoute *route = nullptr;                       ///< belongs to `configuration`
-    MonotonicTime arrivedAt;       ///< time of the RequestReceived event minus its readDelay
-    MonotonicTime deadlineAt;      ///< latest time of the reply
-    MonotonicTime partialAnswerAt; ///< earliest time of a partial answer with minimum coverage
+    const Tenant *tenant = nullptr; ///< belongs to `configuration`; null if there is none
+    MonotonicTime arrivedAt;        ///< time of the RequestReceived event minus its readDelay
+    MonotonicTime deadlineAt;       ///< latest time of the reply
+    MonotonicTime partialAnswerAt;  ///< earliest time of a partial answer with minimum coverage
     std::vector<Part> parts;
     std::shared_ptr<RequestLosses> losses;
 };
--- a/src/gateway/GatewayEffect.h
+++ b/src/gateway/GatewayEffect.h
@@ -5,6 +5,7 @@
 #include "greengagestair/Types.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -29,6 +30,11 @@
     std::shared_ptr<const GatewayRequest> request;
     Duration remaining {}; ///< time left for the response
     IdleConnectionLimits idleLimits;
+    /**
+     * Set if the configuration has tenants: the server then gets the tenant's name and neither the
+     * caller's key nor a tenant that the caller names.
+     */
+    std::optional<VerifiedCaller> caller {};
 };
 
 /**
--- a/src/gateway/HttpMessage.cpp
+++ b/src/gateway/HttpMessage.cpp
@@ -21,8 +21,10 @@
     case RefusalReason::Shed:
     case RefusalReason::Quarantined:
     case RefusalReason::Stopping:
+    case RefusalReason::OverQuota:
         return true;
     case RefusalReason::NoRoute:
+    case RefusalReason::Unauthorized:
     case RefusalReason::Failed:
     case RefusalReason::TimedOut:
         return false;
@@ -37,6 +39,10 @@
         return "noConfiguration";
     case RefusalReason::NoRoute:
         return "noRoute";
+    case RefusalReason::Unauthorized:
+        return "unauthorized";
+    case RefusalReason::OverQuota:
+        return "overQuota";
     case RefusalReason::NoBackend:
         return "noBackend";
     case RefusalReason::Shed:
--- a/src/gateway/HttpMessage.h
+++ b/src/gateway/HttpMessage.h
@@ -35,6 +35,12 @@
     std::string body;
 };
 
+/** Whom a request is sent for, as this host has verified it. */
+struct VerifiedCaller
+{
+    std::optional<TenantId> tenant; ///< nullopt on a public route without a valid key
+};
+
 /** What a backend server says of itself in a response. */
 struct ServerStatement
 {
@@ -86,6 +92,8 @@
 enum class RefusalReason {
     NoConfiguration, ///< not run: no configuration was read yet
     NoRoute,         ///< no route for the host and path; no guarantee that the request has not run
+    Unauthorized,    ///< no valid key of a tenant; no guarantee that the request has not run
+    OverQuota,       ///< not run: the tenant has used up its quota
     NoBackend,       ///< not run: no backend server can take the request now
     Shed,            ///< not run: refused by the servers reached, or read after its deadline
     Quarantined,     ///< not run: requests with the same signature crashed backend servers
--- a/src/gateway/PartWaitQueue.h
+++ b/src/gateway/PartWaitQueue.h
@@ -13,6 +13,7 @@
 /** A part of a request that waits until it can be sent to a server of its service. */
 struct WaitingPart
 {
+    int tenantRank = 0;      ///< rank of the request's tenant; 0 is the most urgent
     int urgencyRank = 0;     ///< rank of the request's route; 0 is the most urgent
     std::size_t lacking = 0; ///< parts that the request still needed for an answer when it queued
     MonotonicTime deadline;
@@ -26,7 +27,7 @@
      */
     auto order() const
     {
-        return std::tuple(urgencyRank, lacking == 0, lacking, deadline, exchange, part);
+        return std::tuple(tenantRank, urgencyRank, lacking == 0, lacking, deadline, exchange, part);
     }
     bool operator<(const WaitingPart &other) const { return order() < other.order(); }
 };
--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -109,6 +109,16 @@
     return SendResult::Sent;
 }
 
+/** Whom the servers are told that a request is sent for; nullopt without tenants. */
+static std::optional<VerifiedCaller> verifiedCaller(const Exchange &exchange)
+{
+    if (exchange.configuration->tenants.empty())
+        return std::nullopt;
+    if (!exchange.tenant)
+        return VerifiedCaller {};
+    return VerifiedCaller { exchange.tenant->name };
+}
+
 void RequestDispatcher::send(Exchange &exchange, std::size_t index,
                              const std::shared_ptr<Backend> &backend)
 {
@@ -133,7 +143,8 @@
                                : "attempts_total{failureDomain=\"other\"}");
     m_effects->push_back(StartAttempt { attempt, registration.server, registration.endpoint,
                                         exchange.request, exchange.deadlineAt - m_now,
-                                        m_selector.idleLimitsFor(*part.service, *backend) });
+                                        m_selector.idleLimitsFor(*part.service, *backend),
+                                        verifiedCaller(exchange) });
     if (exchange.route->repeatable && part.reached.size() < exchange.route->maxAttempts) {
         addTimer(m_now + hedgeDelay(*exchange.route), { TimerKind::Hedge, exchange.id, index });
     }
@@ -159,8 +170,13 @@
     m_counters.add("waits_total");
     if (m_waitingParts.isEmpty())
         m_nextServeAt = m_now + kServeInterval;
-    part.waiting = WaitingPart { exchange.route->urgencyRank, lackingParts(exchange),
-                                 exchange.deadlineAt, exchange.id, index };
+    const int tenantRank = exchange.tenant ? exchange.tenant->urgencyRank : 0;
+    part.waiting = WaitingPart { tenantRank,
+                                 exchange.route->urgencyRank,
+                                 lackingParts(exchange),
+                                 exchange.deadlineAt,
+                                 exchange.id,
+                                 index };
     m_waitingParts.add(part.service->name, *part.waiting);
     if (!part.reached.empty())
         return;
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Assert.h"
 #include "core/quarantine/Signature.h"
+#include "gateway/CallerAuthentication.h"
 
 #include <algorithm>
 
@@ -185,6 +186,9 @@
     const GatewayRoute *route = findRoute(*configuration, request.host, request.target);
     if (!route)
         return refuse(event.exchange, request, RefusalReason::NoRoute);
+    const Authentication authentication = authenticate(*configuration, *route, request);
+    if (!authentication.isAllowed)
+        return refuse(event.exchange, request, RefusalReason::Unauthorized);
     if (endsBeforeAnswer(*route))
         return refuse(event.exchange, request, RefusalReason::Stopping);
     const Signature signature =
@@ -197,6 +201,7 @@
     exchange.request = event.request;
     exchange.configuration = configuration;
     exchange.route = route;
+    exchange.tenant = authentication.tenant;
     exchange.losses = std::make_shared<RequestLosses>();
     exchange.losses->signature = signature;
     exchange.losses->requestId = request.requestId;
--- a/src/gateway/RoutingConfiguration.cpp
+++ b/src/gateway/RoutingConfiguration.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/HttpMessage.h"
 
+#include <utility>
+
 namespace greengagestair {
 
 static std::string_view withoutPort(std::string_view host)
@@ -10,6 +12,14 @@
     return colon == std::string_view::npos ? host : host.substr(0, colon);
 }
 
+void addTenant(RoutingConfiguration &configuration, Tenant tenant)
+{
+    const std::size_t index = configuration.tenants.size();
+    for (const std::string &key : tenant.keys)
+        configuration.tenantByKey.emplace(key, index);
+    configuration.tenants.push_back(std::move(tenant));
+}
+
 const GatewayRoute *findRoute(const RoutingConfiguration &configuration, std::string_view host,
                               std::string_view target)
 {
--- a/src/gateway/RoutingConfiguration.h
+++ b/src/gateway/RoutingConfiguration.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace greengagestair {
@@ -40,6 +41,7 @@
     int urgencyRank = 0;                  ///< 0 is the most urgent
     std::vector<WeightedService> targets; ///< empty for a gathering route
     std::optional<GatherPolicy> gather;   ///< set for a gathering route
+    bool isPublic = false;                ///< requests need no key even if there are tenants
 };
 
 /** Properties that hold for each backend server of a service. */
@@ -51,6 +53,18 @@
     std::optional<Duration> coldTime; ///< time for which a server is cold after its start
 };
 
+/** An organisation whose callers share keys and a quota. */
+struct Tenant
+{
+    TenantId name;
+    std::vector<std::string> keys; ///< any of them proves that a request is the tenant's
+    int urgencyRank = 0;           ///< goes before the rank of the route; 0 is the most urgent
+    double requestsPerSecond = 0;  ///< quota over all entry hosts; 0: no limit
+    double burst = 0;              ///< requests beyond the rate that the quota allows at once
+
+    bool operator==(const Tenant &) const = default;
+};
+
 /** Limits on callers' requests and connections. */
 struct CallerLimits
 {
@@ -67,8 +81,14 @@
     std::vector<GatewayRoute> routes;
     std::map<ServiceId, BackendService> services;
     CallerLimits limits;
+    std::vector<Tenant> tenants; ///< empty: requests need no key
+    /** Index of the tenant that holds a key. */
+    std::unordered_map<std::string, std::size_t> tenantByKey;
 };
 
+/** Adds a tenant and its keys. A key that an earlier tenant holds stays with that tenant. */
+void addTenant(RoutingConfiguration &configuration, Tenant tenant);
+
 /**
  * The route for this host whose prefix is the longest that matches the target's path; null if there
  * is none. The port of `host` and the query of `target` are ignored.
--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -1,5 +1,6 @@
 #include "http/BackendConnection.h"
 
+#include "gateway/CallerAuthentication.h"
 #include "http/HttpFields.h"
 #include "http/ServerStatementReader.h"
 
@@ -117,6 +118,12 @@
         m_parser->skip(true);
 }
 
+/** True if the field tells who the caller is, which only this host may tell a server. */
+static bool isIdentityField(std::string_view name, const HeaderNames &names)
+{
+    return equalsIgnoringCase(name, kAuthorizationField) || equalsIgnoringCase(name, names.tenant);
+}
+
 std::string BackendConnection::serialize(const StartAttempt &attempt) const
 {
     const GatewayRequest &request = *attempt.request;
@@ -126,8 +133,12 @@
     std::string text;
     text.reserve(512 + request.body.size());
     text += request.method + " " + request.target + " HTTP/1.1\r\n";
-    for (const HeaderField &field : request.headers)
-        text += field.name + ": " + field.value + "\r\n";
+    for (const HeaderField &field : request.headers) {
+        if (!attempt.caller || !isIdentityField(field.name, names))
+            text += field.name + ": " + field.value + "\r\n";
+    }
+    if (attempt.caller && attempt.caller->tenant)
+        text += names.tenant + ": " + attempt.caller->tenant->value + "\r\n";
     text += names.deadline + ": " + std::to_string(std::max<long long>(remainingMs, 1)) + "\r\n";
     text += names.expectedServer + ": " + m_server.value + "\r\n";
     const bool mayOmitContentLength = request.method == "GET" || request.method == "HEAD"
--- a/src/http/HeaderNames.h
+++ b/src/http/HeaderNames.h
@@ -16,6 +16,7 @@
     std::string signature;      ///< proof by a backend server that it processed the request
     std::string notExecuted;    ///< present if the server did not run the request
     std::string requestLimit;   ///< requests per second that a server takes from all hosts
+    std::string tenant;         ///< name of the tenant that a request is sent for
     std::string leaving;        ///< "1" if a server is shutting down
     std::string partSignatures; ///< signatures of the parts that a merged answer includes
     std::string missingParts;   ///< number of parts that are missing from a merged answer
--- a/tests/gateway/LoadPatternTest.cpp
+++ b/tests/gateway/LoadPatternTest.cpp
@@ -108,11 +108,11 @@
     PartWaitQueue queue;
     const ServiceId service { "shard-0" };
     const MonotonicTime deadline(10s);
-    queue.add(service, { 2, 1, deadline, { 1 }, 0 });
-    queue.add(service, { 1, 3, deadline, { 2 }, 0 });
-    queue.add(service, { 1, 0, deadline, { 3 }, 0 });
-    queue.add(service, { 1, 1, deadline, { 4 }, 0 });
-    queue.add(service, { 1, 1, deadline - 1s, { 5 }, 0 });
+    queue.add(service, { 0, 2, 1, deadline, { 1 }, 0 });
+    queue.add(service, { 0, 1, 3, deadline, { 2 }, 0 });
+    queue.add(service, { 0, 1, 0, deadline, { 3 }, 0 });
+    queue.add(service, { 0, 1, 1, deadline, { 4 }, 0 });
+    queue.add(service, { 0, 1, 1, deadline - 1s, { 5 }, 0 });
     std::vector<std::uint64_t> order;
     queue.serve(service, [&](const WaitingPart &part) {
         order.push_back(part.exchange.value);
@@ -122,7 +122,7 @@
     CHECK(queue.isEmpty());
     // A blocked part keeps its place, and only a few blocked parts are tried.
     for (std::uint64_t exchange = 1; exchange <= 100; ++exchange)
-        queue.add(service, { 1, 1, deadline, { exchange }, 0 });
+        queue.add(service, { 0, 1, 1, deadline, { exchange }, 0 });
     std::size_t tried = 0;
     queue.serveAll([&](const WaitingPart &) {
         ++tried;
@@ -130,7 +130,7 @@
     });
     CHECK(tried <= 10);
     CHECK(queue.size() == 100);
-    queue.remove(service, { 1, 1, deadline, { 50 }, 0 });
+    queue.remove(service, { 0, 1, 1, deadline, { 50 }, 0 });
     CHECK(queue.size() == 99);
 }
 
--- a/tests/http/BackendConnectionPoolTest.cpp
+++ b/tests/http/BackendConnectionPoolTest.cpp
@@ -37,6 +37,7 @@
         names.notExecuted = "Not-Executed";
         names.requestLimit = "Request-Limit";
         names.leaving = "Leaving";
+        names.tenant = "Tenant";
         return names;
     }
 
@@ -48,13 +49,15 @@
         request->host = "h";
         request->requestId = "id-" + std::to_string(attempt);
         request->headers = { { "Host", "h" }, { "Request-Id", request->requestId } };
+        request->headers.insert(request->headers.end(), extraFields.begin(), extraFields.end());
         request->body = body;
         pool.start({ { attempt },
                      { "s" },
                      { "127.0.0.1", server.port() },
                      request,
                      500ms,
-                     idleLimits });
+                     idleLimits,
+                     caller });
     }
 
     RawPeer &peer(std::size_t index = 0)
@@ -94,6 +97,8 @@
     std::vector<std::pair<std::string, bool>> connectionAttempts;
     std::vector<std::string> lostServers;
     IdleConnectionLimits idleLimits;
+    Headers extraFields;
+    std::optional<VerifiedCaller> caller;
     BackendConnectionPool pool;
 };
 
@@ -121,6 +126,31 @@
 }
 
 // Guards against the first requests after a restart having to wait for TCP handshakes.
+// Guards against a server that learns a caller's key, or believes the tenant that a caller names.
+TEST_CASE("a server gets the verified tenant and not the caller's key", "[http]")
+{
+    PoolFixture fixture;
+    fixture.extraFields = { { "AUTHORIZATION", "Bearer secret" }, { "tenant", "other" } };
+    fixture.caller = VerifiedCaller { TenantId { "builders" } };
+    fixture.start(1);
+    fixture.respond(1, response(1, "x"));
+    fixture.answer(1);
+    CHECK(fixture.peer().received.find("secret") == std::string::npos);
+    CHECK(fixture.peer().received.find("other") == std::string::npos);
+    CHECK(fixture.peer().received.find("Tenant: builders\r\n") != std::string::npos);
+}
+
+TEST_CASE("without tenants a caller's own fields are passed on", "[http]")
+{
+    PoolFixture fixture;
+    fixture.extraFields = { { "Authorization", "Bearer secret" }, { "Tenant", "other" } };
+    fixture.start(1);
+    fixture.respond(1, response(1, "x"));
+    fixture.answer(1);
+    CHECK(fixture.peer().received.find("Bearer secret") != std::string::npos);
+    CHECK(fixture.peer().received.find("Tenant: other\r\n") != std::string::npos);
+}
+
 TEST_CASE("a connection opened in advance is used for the next request", "[http]")
 {
     PoolFixture fixture;
--- a/tests/platform/EntryDecoderTest.cpp
+++ b/tests/platform/EntryDecoderTest.cpp
@@ -32,6 +32,7 @@
     CHECK(registration.coldFor == 1500ms);
     CHECK_FALSE(registration.isDraining);
     CHECK(registration.startedAt == 1700000000123);
+    CHECK(registration.softwareVersion == "v1");
 }
 
 // Guards against using a malformed entry as a server, and against crashing on one.
@@ -93,6 +94,36 @@
     CHECK(configuration.limits.idleTimeout == 15s);
 }
 
+TEST_CASE("tenants and public routes of a configuration are decoded", "[platform]")
+{
+    const StoreEntry entry = decode("op/config", R"({"version":8,"routes":[
+        {"name":"b","host":"h","prefix":"/b/","type":"idempotent","timeout_ms":2500,
+         "target_latency_ms":250,"priority":1,"service":"s1","max_attempts":1,"public":true}],
+        "services":[{"name":"s1","max_conns":26}],
+        "tenants":[{"name":"t1","api_keys":["a","b"],"priority":2,"rate_per_s":43,"burst":20.5},
+                   {"name":"t2","api_keys":["c","a"]}]})");
+    const auto &configuration = *std::get<ConfigurationEntry>(entry.value).configuration;
+    CHECK(configuration.routes.front().isPublic);
+    REQUIRE(configuration.tenants.size() == 2);
+    CHECK(configuration.tenants[0] == Tenant { { "t1" }, { "a", "b" }, 2, 43, 20.5 });
+    CHECK(configuration.tenants[1].requestsPerSecond == 0);
+    CHECK(configuration.tenantByKey.at("a") == 0);
+    CHECK(configuration.tenantByKey.at("c") == 1);
+}
+
+// Guards against a tenant's name that adds fields to requests, and against a key that is empty.
+TEST_CASE("a configuration with an unusable tenant is unreadable", "[platform]")
+{
+    const std::string tenant =
+            GENERATE(as<std::string> {}, R"({"name":"a b","api_keys":["k"]})",
+                     R"({"name":"a\r\nX: 1","api_keys":["k"]})", R"({"name":"a"})",
+                     R"({"name":"a","api_keys":[""]})", R"({"name":"a","api_keys":[7]})",
+                     R"({"name":"a","api_keys":["k"],"rate_per_s":-1})");
+    const StoreEntry entry = decode(
+            "op/config", R"({"version":8,"routes":[],"services":[],"tenants":[)" + tenant + "]}");
+    CHECK(std::holds_alternative<AbsentEntry>(entry.value));
+}
+
 TEST_CASE("an unreadable configuration is absent with its problem", "[platform]")
 {
     const StoreEntry entry = decode("op/config", R"({"version":"7","routes":[]})");
