Play tenants with keys and quotas in the soak

Cause: the soak knew no tenants. Servers check that they get the verified tenant and no key, the ledger checks refusals, keys that were taken away and the quota.

--- a/tools/soak_parts/backends.py
+++ b/tools/soak_parts/backends.py
@@ -123,7 +123,7 @@
         if headers.get("x-target-instance") != self.identifier:
             writer.write(wire.render("HTTP/1.1 421 Misdirected", {"X-Request-Id": request}))
             return True
-        self.ledger.arrived(request, self, method, path, body)
+        self.ledger.arrived(request, self, method, path, headers, body)
         if self._waiting >= QUEUE or self.rng.random() < self.refuse_share:
             writer.write(wire.render("HTTP/1.1 503 Busy",
                                      {"X-Request-Id": request, "X-Not-Executed": "1",
--- a/tools/soak_parts/callers.py
+++ b/tools/soak_parts/callers.py
@@ -27,6 +27,7 @@
         self.rest = REST
         self.keeps_connection = rng.random() < KEEP_SHARE
         self.order_service = "orders"
+        self.tenant = None        # name of the caller's tenant in runs with tenants
         self.planned_stop = None  # callable: whether a stop without another fault is under way
 
     async def run(self):
@@ -50,7 +51,8 @@
             f"{request.method} {request.path} HTTP/1.1",
             {"Host": "orders.example" if request.service else "lookup.example",
              "X-Request-Id": request.identifier,
-             "X-Deadline-Ms": str(int(DEADLINE * 1000))}, request.body))
+             "X-Deadline-Ms": str(int(DEADLINE * 1000)), **self.credentials(request)},
+            request.body))
         leaves = self.rng.random() < LEAVE_SHARE
         try:
             first, headers, body = await asyncio.wait_for(
@@ -76,6 +78,15 @@
         return Request(identifier, self.gateway, "GET", f"/find/{self.rng.randrange(500)}", b"",
                        None)
 
+    def credentials(self, request):
+        """Header fields with the key of the caller's tenant, and a tenant that is none of its own.
+        """
+        if self.tenant is None:
+            return {}
+        request.tenant = self.tenant
+        request.key = self.ledger.tenants.key_for(self.tenant)
+        return {"Authorization": f"Bearer {request.key.text}", "X-Tenant": "steady"}
+
     def drop(self):
         if self.connection:
             wire.reset(self.connection[1])
--- a/tools/soak_parts/ledger.py
+++ b/tools/soak_parts/ledger.py
@@ -36,6 +36,7 @@
         self.status = None
         self.arrivals = []
         self.runs = []
+        self.tenant = self.key = None
 
 
 class Ledger:
@@ -51,6 +52,7 @@
         self.told_at = {}                   # (server, gateway, statement): first time
         self.pauses = {}                    # (server, gateway): begin, end, arrivals within
         self.limited = defaultdict(list)    # server: arrivals that its limit counts
+        self.tenants = None                 # set in runs with tenants
 
     def violation(self, text):
         self.violations.append(f"{time.monotonic():.3f} {text}")
@@ -121,7 +123,7 @@
 
     # Backend servers
 
-    def arrived(self, identifier, server, method, path, body):
+    def arrived(self, identifier, server, method, path, headers, body):
         now = time.monotonic()
         request = self.requests.get(identifier)
         if request is None:
@@ -129,6 +131,8 @@
             return
         if (method, path, body) != (request.method, request.path, request.body):
             self.violation(f"UNASKED {identifier} reached {server.identifier} changed")
+        if self.tenants:
+            self.tenants.check_arrival(request, headers)
         request.arrivals.append((now, server.service, server.identifier))
         self.arrivals[server.service].append((now, identifier))
         if request.service is not None and server.service != request.service:
@@ -156,6 +160,8 @@
         if request is None:
             return
         request.runs.append(server.identifier)
+        if self.tenants:
+            self.tenants.check_run(request)
         if request.is_order and len(request.runs) > 1:
             self.violation(f"TWICE order {identifier} ran on {request.runs}")
         if request.status in (429, 503):
@@ -168,6 +174,8 @@
 
     def received(self, request, status, headers, body):
         request.status = status
+        if self.tenants:
+            self.tenants.check_reply(request, status)
         if status in (429, 503) and request.runs:
             self.violation(f"REFUSED {request.identifier} is said not to have run")
         if status in (429, 503) and "retry-after" not in headers:
@@ -233,11 +241,14 @@
 
     def check_end(self, recovery_since):
         self.check_budget()
+        if self.tenants:
+            self.tenants.check_end()
         if self.late_arrivals > MAX_LATE_ARRIVALS:
             self.violation(f"GONE {self.late_arrivals} requests reached servers after their "
                            "callers had left")
         late = [request for request in self.requests.values()
-                if request.sent >= recovery_since and request.left is None]
+                if request.sent >= recovery_since and request.left is None
+                and request.tenant != "limited" and not (request.key and request.key.removed)]
         served = sum(request.status == 200 for request in late)
         if not late or served < RECOVERED_SHARE * len(late):
             self.violation(f"RECOVER {served} of {len(late)} requests served after the faults")
--- a/tools/soak_parts/scenario.py
+++ b/tools/soak_parts/scenario.py
@@ -12,6 +12,7 @@
 from .callers import Caller
 from .fleet import Gateway, Registry
 from .ledger import BUDGET_SLACK, LEAST_COVERAGE, TOP_RECORDS, Ledger
+from .tenants import NAMES, OVERAGE, SLACK, WINDOW, Tenants
 
 DOMAINS = ["shubra", "bulaq", "helwan"]
 SHARD_SETS = [["a0", "a1", "a2", "a3"], ["b0", "b1", "b2", "b3", "b4"]]
@@ -28,6 +29,8 @@
               f'{{{ODD_FIELDS},"slots":18446744073709551615,"slow_start_ms":0}}',
               f'{{{ODD_FIELDS},"slots":2,"slow_start_ms":1e300}}',
               f'{{{ODD_FIELDS},"slots":{"[" * 40}{"]" * 40},"slow_start_ms":0}}']
+FEATURES = {"quota": {"windowMs": WINDOW * 1000, "overage": OVERAGE, "slack": SLACK},
+            "sharesObservations": True, "pacesReturningServers": True}
 USUAL_GATEWAYS = 6       # with more of them, each caller rests longer
 
 
@@ -44,6 +47,9 @@
         self.version = 1
         self.next_backend = 0
         self.log = []
+        # Every second seed plays with tenants; the draws of the others stay as they were.
+        if seed % 2 == 0:
+            self.ledger.tenants = Tenants(random.Random(seed + 1), self.ledger)
 
     def note(self, text):
         self.log.append(f"{time.monotonic():.3f} {text}")
@@ -64,13 +70,18 @@
                    "max_attempts": 2}]
         services = [{"name": name, "health_path": "/h", "max_conns": 60, "warmup_per_s": 0}
                     for name in [*sum(SHARD_SETS, []), "orders"]]
-        return {"version": self.version, "routes": routes, "services": services, "limits": {
+        content = {"version": self.version, "routes": routes, "services": services, "limits": {
             "max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
             "idle_timeout_ms": 8000}}
+        if self.ledger.tenants:
+            content["tenants"] = self.ledger.tenants.entries()
+        return content
 
     async def configure(self):
         self.version += self.rng.randint(1, 3)
         version = self.version
+        if self.ledger.tenants:
+            self.ledger.tenants.change()
         if SHARD_SETS[self.shards] not in self.ledger.shard_sets:
             self.ledger.shard_sets.append(SHARD_SETS[self.shards])
         await self.registry.put("op/config", json.dumps(self.configuration()))
@@ -87,6 +98,7 @@
             request = probe.new_request()
             request.method, request.path, request.body = "GET", f"/new-{version}/x", b""
             request.service, request.is_order = "orders", False
+            probe.tenant = "steady" if self.ledger.tenants else None
             self.ledger.requests[request.identifier] = request
             status = await self.probe(probe, request)
             if status == 404 and self.version == version:
@@ -100,7 +112,7 @@
             status, _ = await wire.call(
                 caller.endpoint, "GET", request.path, timeout=2.0,
                 headers={"Host": "orders.example", "X-Request-Id": request.identifier,
-                         "X-Deadline-Ms": "1500"})
+                         "X-Deadline-Ms": "1500", **caller.credentials(request)})
             return status
         except (OSError, asyncio.TimeoutError, wire.Broken):
             return None
@@ -124,10 +136,13 @@
             for service in [*SHARD_SETS[0], "orders", "orders"]:
                 await self.add_backend(service, domain)
             for index in range(self.per_domain):
-                self.gateways.append(Gateway(
+                gateway = Gateway(
                     f"{domain}-{index + 1}", domain,
                     f"127.{self.network}.{number + 1}.{index + 1}", PORT, store, self.ledger,
-                    self.folder, BUDGET_SLACK))
+                    self.folder, BUDGET_SLACK)
+                if self.ledger.tenants:
+                    gateway.settings |= FEATURES
+                self.gateways.append(gateway)
         seeds = [gateway.settings["adminEndpoint"]
                  for gateway in self.gateways if gateway.name.endswith("-1")]
         for gateway in self.gateways:
@@ -138,6 +153,8 @@
             for _ in range(2):
                 caller = Caller(gateway.name, gateway.callers.listen, self.ledger, self.rng)
                 caller.planned_stop = self.planned_stop_of(gateway)
+                if self.ledger.tenants:
+                    caller.tenant = NAMES[len(self.callers) % len(NAMES)]
                 caller.rest *= max(1.0, len(self.gateways) / USUAL_GATEWAYS)
                 self.callers.append(caller)
                 self.tasks.append(asyncio.create_task(caller.run()))
