--- a/src/gateway/JointServerLimits.cpp
+++ b/src/gateway/JointServerLimits.cpp
@@ -1,10 +1,7 @@
 #include "gateway/JointServerLimits.h"
 
-#include "core/Hashing.h"
-
 #include <algorithm>
 #include <string_view>
-#include <unordered_set>
 #include <utility>
 
 namespace greengagestair {
@@ -14,12 +11,6 @@
  * from the issuing host.
  */
 static constexpr double kFallbackShare = 0.1;
-/**
- * A host issues no permits for this time after it has taken over: the permits of the former issuer
- * expire and the change of the host list reaches all hosts.
- */
-static constexpr Duration kTakeoverTime = std::chrono::seconds(2);
-
 /**
  * Limits on notices of changed limits, each of which goes to all hosts; the joint rate is what a
  * single host receives. A host that misses a notice learns from its own requests.
@@ -32,9 +23,8 @@
 static constexpr double kPauseSpread = 0.2;
 
 JointServerLimits::JointServerLimits(HostId self, std::uint64_t randomSeed)
-    : m_self(std::move(self))
-    , m_random(randomSeed)
-    , m_hosts(std::make_shared<const std::vector<HostEntry>>())
+    : m_random(randomSeed)
+    , m_election(std::move(self))
     , m_noticeLimit(kMaxNotices, kNoticeWindow)
 {
 }
@@ -45,72 +35,15 @@
     m_effects = &effects;
 }
 
-void JointServerLimits::addDeparted(const std::vector<HostEntry> &hosts)
-{
-    if (m_hosts->empty())
-        return;
-    std::unordered_set<std::string_view> listed;
-    for (const HostEntry &host : hosts)
-        listed.insert(host.host.value);
-    for (const HostEntry &former : *m_hosts) {
-        if (!listed.contains(former.host.value))
-            m_departed.push_back({ former.host, m_now });
-    }
-}
-
 void JointServerLimits::setHosts(std::shared_ptr<const std::vector<HostEntry>> hosts)
 {
-    std::erase_if(m_departed, [this](const DepartedHost &departed) {
-        return departed.at + kTakeoverTime < m_now;
-    });
-    addDeparted(*hosts);
-    const bool isListed = std::any_of(hosts->begin(), hosts->end(), [this](const HostEntry &host) {
-        return host.host == m_self;
-    });
-    if (!isListed)
-        m_listedSince.reset();
-    else if (!m_listedSince)
-        m_listedSince = m_now;
-    m_hosts = std::move(hosts);
-    m_issuers.clear();
-}
-
-const HostEntry *JointServerLimits::issuerOf(const ServerId &server) const
-{
-    if (m_hosts->empty())
-        return nullptr;
-    const auto [found, isNew] = m_issuers.try_emplace(server, 0);
-    if (isNew) {
-        const auto score = [&server](const HostEntry &entry) {
-            return rendezvousScore(server.value, entry.host.value);
-        };
-        const auto best = std::max_element(m_hosts->begin(), m_hosts->end(),
-                                           [&score](const auto &left, const auto &right) {
-                                               return score(left) < score(right);
-                                           });
-        found->second = static_cast<std::size_t>(best - m_hosts->begin());
-    }
-    return &(*m_hosts)[found->second];
-}
-
-std::optional<MonotonicTime> JointServerLimits::issuesFrom(const ServerId &server) const
-{
-    const HostEntry *issuer = issuerOf(server);
-    if (!issuer || issuer->host != m_self || !m_listedSince)
-        return std::nullopt;
-    MonotonicTime from = *m_listedSince + kTakeoverTime;
-    const std::uint64_t ownScore = rendezvousScore(server.value, m_self.value);
-    for (const DepartedHost &departed : m_departed) {
-        if (rendezvousScore(server.value, departed.host.value) > ownScore)
-            from = std::max(from, departed.at + kTakeoverTime);
-    }
-    return from;
+    m_election.setHosts(std::move(hosts), m_now);
 }
 
 std::optional<PermitGrant> JointServerLimits::issue(const HostId &sender,
                                                     const PermitRequest &request)
 {
-    const auto from = issuesFrom(request.server);
+    const auto from = m_election.issuesFrom(request.server.value);
     if (!from || m_now < *from)
         return std::nullopt;
     const bool isNews = m_issuer.addStatement(request, m_now);
@@ -129,8 +62,8 @@
     notice.id = 0;
     notice.permits = 0;
     notice.pause = Duration(0);
-    for (const HostEntry &host : *m_hosts) {
-        if (host.host != m_self && host.host != source)
+    for (const HostEntry &host : m_election.hosts()) {
+        if (host.host != m_election.self() && host.host != source)
             m_effects->push_back(SendToHost { host.host, host.peer, notice });
     }
 }
@@ -192,9 +125,9 @@
         return;
     // The other hosts learn it from the issuing host; their own requests may be rare.
     const PermitRequest notice = makeRequest(backend, 0);
-    const HostEntry *issuer = issuerOf(backend.registration.server);
-    if (issuer && issuer->host == m_self)
-        issue(m_self, notice);
+    const HostEntry *issuer = m_election.issuerOf(backend.registration.server.value);
+    if (issuer && issuer->host == m_election.self())
+        issue(m_election.self(), notice);
     else if (issuer)
         m_effects->push_back(SendToHost { issuer->host, issuer->peer, notice });
 }
@@ -204,7 +137,7 @@
     const auto &limit = backend.needs.requestLimit();
     if (!limit)
         return Permission::Granted;
-    const double fallback = m_hosts->empty() ? 0 : kFallbackShare * *limit;
+    const double fallback = m_election.hosts().empty() ? 0 : kFallbackShare * *limit;
     backend.permits.setFallbackRate(fallback / static_cast<double>(m_hostCount), m_now);
     return backend.permits.permission(m_now, m_random);
 }
@@ -231,14 +164,14 @@
         return;
     m_counters.add("permit_requests_total");
     const PermitRequest request = makeRequest(backend, permits);
-    const HostEntry *issuer = issuerOf(backend.registration.server);
+    const HostEntry *issuer = m_election.issuerOf(backend.registration.server.value);
     if (!issuer)
         return;
-    if (issuer->host != m_self) {
+    if (issuer->host != m_election.self()) {
         m_effects->push_back(SendToHost { issuer->host, issuer->peer, request });
         return;
     }
-    if (const auto grant = issue(m_self, request))
+    if (const auto grant = issue(m_election.self(), request))
         addGrant(backend, *grant);
 }
 
@@ -250,10 +183,8 @@
 
 void JointServerLimits::answer(const HostId &sender, const PermitRequest &request, Backend *backend)
 {
-    const auto entry =
-            std::find_if(m_hosts->begin(), m_hosts->end(),
-                         [&sender](const HostEntry &host) { return host.host == sender; });
-    if (entry == m_hosts->end())
+    const HostEntry *entry = m_election.find(sender);
+    if (!entry)
         return;
     const auto grant = issue(sender, request);
     if (!grant)
--- a/src/gateway/JointServerLimits.h
+++ b/src/gateway/JointServerLimits.h
@@ -4,12 +4,12 @@
 #include "gateway/BackendDirectory.h"
 #include "gateway/EventRateLimit.h"
 #include "gateway/GatewayEffect.h"
+#include "gateway/IssuerElection.h"
 #include "gateway/PermitIssuer.h"
 #include "gateway/RegistryStore.h"
 
 #include <memory>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 namespace greengagestair {
@@ -62,19 +62,7 @@
     const CounterSet &counters() const { return m_counters; }
 
 private:
-    struct DepartedHost
-    {
-        HostId host;
-        MonotonicTime at;
-    };
-
     void addPause(Backend &backend, Duration pause);
-    /** Records which hosts of the current list are missing from a new one. */
-    void addDeparted(const std::vector<HostEntry> &hosts);
-    /** The host that issues the permits of a server; null if no host is listed. */
-    const HostEntry *issuerOf(const ServerId &server) const;
-    /** Time from which this host, being the issuer of the server, may issue permits. */
-    std::optional<MonotonicTime> issuesFrom(const ServerId &server) const;
     /** Issues permits and passes on the statement; nullopt if this host does not issue them now. */
     std::optional<PermitGrant> issue(const HostId &sender, const PermitRequest &request);
     /** Sends a changed statement to all hosts but the one that it came from. */
@@ -85,16 +73,11 @@
     void log(const Backend &backend, ServerNeeds::Change change, std::string_view source,
              MonotonicTime attemptStartedAt);
 
-    HostId m_self;
     RandomSource m_random;
     MonotonicTime m_now;
     GatewayEffects *m_effects = nullptr;
-    std::shared_ptr<const std::vector<HostEntry>> m_hosts;
-    /** Index of the issuing host by server; filled when it is needed, cleared with the list. */
-    mutable std::unordered_map<ServerId, std::size_t> m_issuers;
+    IssuerElection m_election; ///< keys are the names of servers
     std::size_t m_hostCount = 1;
-    std::optional<MonotonicTime> m_listedSince; ///< since when the list includes this host
-    std::vector<DepartedHost> m_departed;       ///< hosts that left the list a short time ago
     PermitIssuer m_issuer;
     EventRateLimit m_noticeLimit;
     CounterSet m_counters;
