--- a/src/gateway/IssuerElection.cpp
+++ b/src/gateway/IssuerElection.cpp
@@ -47,9 +47,8 @@
 
 const HostEntry *IssuerElection::find(const HostId &host) const
 {
-    const auto found =
-            std::find_if(m_hosts->begin(), m_hosts->end(),
-                         [&host](const HostEntry &entry) { return entry.host == host; });
+    const auto found = std::find_if(m_hosts->begin(), m_hosts->end(),
+                                    [&host](const HostEntry &entry) { return entry.host == host; });
     return found == m_hosts->end() ? nullptr : &*found;
 }
 
--- /dev/null
+++ b/src/gateway/quota/QuotaLimits.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "gateway/GatewayOptions.h"
+#include "gateway/RoutingConfiguration.h"
+
+#include <chrono>
+
+namespace greengagestair {
+
+/**
+ * Division of a tenant's limit, (rate x window + burst) x (1 + overage) + slack in each window,
+ * among those who may issue permits at the same time. The shares of the overage add up to 1 and so
+ * do those of the slack.
+ */
+struct QuotaLimits
+{
+    double rate = 0;         ///< of the issuer's bucket, per second
+    double capacity = 0;     ///< of the issuer's bucket
+    double initial = 0;      ///< content of the bucket of an issuer that has just taken over
+    double reduced = 0;      ///< permits of the standby in each window while the issuer is silent
+    double fallbackRate = 0; ///< of all hosts that reach neither, per second
+
+    static QuotaLimits of(double perSecond, double burst, const QuotaOptions &options)
+    {
+        const std::chrono::duration<double> window = options.window;
+        QuotaLimits limits;
+        limits.rate = perSecond * (1 + 0.25 * options.overage);
+        limits.capacity = burst * (1 + 0.25 * options.overage) + 0.25 * options.slack;
+        limits.initial = 0.1 * options.slack;
+        limits.reduced = 0.7 * options.overage * perSecond * window.count() + 0.6 * options.slack;
+        limits.fallbackRate =
+                0.05 * options.overage * perSecond + 0.05 * options.slack / window.count();
+        return limits;
+    }
+};
+
+} // namespace greengagestair
