Enforce the quotas of tenants in the gateway

Cause: tenants have a rate and a burst, but nothing kept them. Change: RequestDispatcher::start() asks TenantQuotas before the first part is sent; a request that waits for a permit is dropped when its caller leaves and gets its reply at the deadline or a stop. PeerLost states whether the other machine refused the connection, since only then has the issuer ended; a host that is merely silent may still issue elsewhere.

--- a/include/greengagestair/Event.h
+++ b/include/greengagestair/Event.h
@@ -46,6 +46,8 @@
 struct PeerLost
 {
     HostId host;
+    /** The host's machine refused or reset the connection, so the process there has ended. */
+    bool isRefused = false;
 };
 
 /** How one request to a backend server ended. */
--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -153,6 +153,8 @@
 
 void GatewayServer::post(Event event)
 {
+    if (const auto *lost = std::get_if<PeerLost>(&event))
+        return enqueue(HostLost { lost->host, lost->isRefused });
     const auto *received = std::get_if<PeerReceived>(&event);
     if (!received)
         return;
@@ -167,6 +169,10 @@
         answerPermitRequest(envelope.sender, *request);
     else if (const auto *grant = std::get_if<PermitGrant>(&envelope.message))
         enqueue(PermitsGranted { *grant });
+    else if (const auto *question = std::get_if<QuotaRequest>(&envelope.message))
+        enqueue(QuotaRequested { envelope.sender, envelope.endpoint, *question });
+    else if (const auto *quota = std::get_if<QuotaGrant>(&envelope.message))
+        enqueue(QuotaGranted { envelope.sender, *quota });
 }
 
 void GatewayServer::answerPermitRequest(const HostId &sender, const PermitRequest &request)
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -17,11 +17,12 @@
 Gateway::Gateway(const GatewayOptions &options)
     : m_reachability(options.selector.failureDomain, m_directory)
     , m_serverLimits(options.selector.host, options.randomSeed)
+    , m_quotas(options.selector.host, options.quota, options.randomSeed)
     , m_restarts(m_directory)
     , m_selector(options.selector, m_directory, m_reachability, m_serverLimits)
     , m_warmer(m_directory, options.randomSeed)
     , m_jointRepeatLimits(options.repeats)
-    , m_dispatcher(m_selector, m_reachability, m_serverLimits, m_restarts, repeatShare())
+    , m_dispatcher(m_selector, m_reachability, m_serverLimits, m_quotas, m_restarts, repeatShare())
     , m_ownDomain(options.selector.failureDomain)
 {
 }
@@ -44,8 +45,10 @@
     m_effects.clear();
     m_reachability.beginStep(m_now, m_effects);
     m_serverLimits.beginStep(m_now, m_effects);
+    m_quotas.beginStep(m_now, m_effects);
     m_dispatcher.beginStep(m_now, m_effects);
     std::visit([&](const auto &typed) { on(typed); }, event);
+    m_dispatcher.applyQuotaDecisions();
     updateCutOff();
     return std::move(m_effects);
 }
@@ -55,7 +58,8 @@
     std::optional<MonotonicTime> next = m_dispatcher.nextWakeUp();
     for (const auto &other :
          { m_directory.nextRemoval(), m_reachability.nextWakeUp(), m_warmer.nextWakeUp(),
-           m_restarts.nextWakeUp(), m_retention.nextExpiry(), m_lowerCountValidAt }) {
+           m_restarts.nextWakeUp(), m_quotas.nextWakeUp(), m_retention.nextExpiry(),
+           m_lowerCountValidAt }) {
         if (other && (!next || *other < *next))
             next = other;
     }
@@ -85,6 +89,7 @@
         return;
     m_configuration = event.configuration;
     m_restarts.setConfiguration(m_configuration);
+    m_quotas.setTenants(m_configuration->tenants);
     m_effects.push_back(
             LogRecord { LogPriority::State,
                         "configurationInForce",
@@ -249,6 +254,7 @@
 {
     m_caughtUpAt = m_now;
     m_restarts.addStoreNews(m_now);
+    m_quotas.addStoreContact();
 }
 
 void Gateway::on(const HostsRead &event)
@@ -256,6 +262,7 @@
     const auto hosts =
             std::make_shared<const std::vector<HostEntry>>(m_retention.hostsAfter(event, m_now));
     m_serverLimits.setHosts(hosts);
+    m_quotas.setHosts(hosts);
     m_lastHostCount = {};
     for (const HostEntry &host : *hosts)
         ++m_lastHostCount.byDomain[host.failureDomain];
@@ -281,6 +288,7 @@
     m_hostCount = hosts;
     m_selector.setHostCount(hosts);
     m_serverLimits.setHostCount(hosts.all);
+    m_quotas.setHostCount(hosts.all);
     m_dispatcher.setHostCount(hosts.all);
     m_dispatcher.setRepeatLimits(repeatShare());
     m_effects.push_back(LogRecord { LogPriority::State,
@@ -313,6 +321,21 @@
     }
 }
 
+void Gateway::on(const QuotaRequested &event)
+{
+    m_quotas.onRequest({ event.sender, event.endpoint }, event.request);
+}
+
+void Gateway::on(const QuotaGranted &event)
+{
+    m_quotas.onGrant(event.sender, event.grant);
+}
+
+void Gateway::on(const HostLost &event)
+{
+    m_quotas.onPeerLost(event.host, event.isRefused);
+}
+
 void Gateway::on(const ConnectionAttemptEnded &event)
 {
     m_reachability.addConnectionResult(event.server, event.isConnected);
@@ -367,11 +390,13 @@
     m_selector.setOptions(event.options.selector);
     m_jointRepeatLimits = event.options.repeats;
     m_dispatcher.setRepeatLimits(repeatShare());
+    m_quotas.setOptions(event.options.quota);
 }
 
 void Gateway::on(const GatewayStopRequested &event)
 {
     m_isStopping = true;
+    m_quotas.stop();
     m_dispatcher.stopAt(m_now + event.remaining);
     m_effects.push_back(LogRecord { LogPriority::State, "stopping", {} });
 }
@@ -388,6 +413,7 @@
     m_reachability.advance();
     m_restarts.advance(m_now);
     m_warmer.advance(m_now, m_effects);
+    m_quotas.advance();
     m_dispatcher.advance();
 }
 
@@ -406,6 +432,8 @@
     std::vector<Counter> counters = m_dispatcher.counters().all();
     for (Counter &counter : m_serverLimits.counters().all())
         counters.push_back(std::move(counter));
+    for (Counter &counter : m_quotas.counters().all())
+        counters.push_back(std::move(counter));
     counters.push_back({ "configuration_version", m_configuration ? m_configuration->version : 0 });
     counters.push_back({ "registered_servers", m_directory.size() });
     counters.push_back({ "requests_in_progress", m_dispatcher.exchanges() });
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/LostEntryRetention.h"
 #include "gateway/RequestDispatcher.h"
 #include "gateway/RestartDetector.h"
+#include "gateway/quota/TenantQuotas.h"
 
 #include <boost/json/object.hpp>
 
@@ -68,6 +69,9 @@
     void on(const UnreachableDomainReported &event);
     void on(const PermitsRequested &event);
     void on(const PermitsGranted &event);
+    void on(const QuotaRequested &event);
+    void on(const QuotaGranted &event);
+    void on(const HostLost &event);
     void on(const ConnectionAttemptEnded &event);
     void on(const LastConnectionLost &event);
     void on(const OptionsChanged &event);
@@ -94,6 +98,7 @@
     LostEntryRetention m_retention;
     DomainReachability m_reachability;
     JointServerLimits m_serverLimits;
+    TenantQuotas m_quotas;
     RestartDetector m_restarts;
     BackendSelector m_selector;
     ConnectionWarmer m_warmer;
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -105,6 +105,28 @@
     PermitGrant grant;
 };
 
+/** Another entry host asks for permits of a tenant's quota, or reports requests sent. */
+struct QuotaRequested
+{
+    HostId sender;
+    Endpoint endpoint; ///< of the sender, which may not be listed yet
+    QuotaRequest request;
+};
+
+/** Another entry host has answered a QuotaRequest, or tells that a mode has changed. */
+struct QuotaGranted
+{
+    HostId sender;
+    QuotaGrant grant;
+};
+
+/** The connection to another entry host was lost or could not be established. */
+struct HostLost
+{
+    HostId host;
+    bool isRefused = false; ///< the process there has ended
+};
+
 /** An attempt to open a connection has ended; the result of OpenConnection. */
 struct ConnectionAttemptEnded
 {
@@ -140,7 +162,8 @@
         std::variant<RequestReceived, CallerDisconnected, AttemptEnded, ConfigurationRead,
                      EvacuationsRead, RegistrationsRead, RegistrationWritten, RegistrationRemoved,
                      StoreCaughtUp, HostsRead, ServerLossReported, UnreachableDomainReported,
-                     PermitsRequested, PermitsGranted, ConnectionAttemptEnded, LastConnectionLost,
-                     OptionsChanged, GatewayStopRequested, TimeAdvanced>;
+                     PermitsRequested, PermitsGranted, QuotaRequested, QuotaGranted, HostLost,
+                     ConnectionAttemptEnded, LastConnectionLost, OptionsChanged,
+                     GatewayStopRequested, TimeAdvanced>;
 
 } // namespace greengagestair
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -35,11 +35,12 @@
 static constexpr std::size_t kReportedServers = 3;
 
 RequestDispatcher::RequestDispatcher(BackendSelector &selector, DomainReachability &reachability,
-                                     JointServerLimits &limits, RestartDetector &restarts,
-                                     const RepeatLimits &repeats)
+                                     JointServerLimits &limits, TenantQuotas &quotas,
+                                     RestartDetector &restarts, const RepeatLimits &repeats)
     : m_selector(selector)
     , m_reachability(reachability)
     , m_limits(limits)
+    , m_quotas(quotas)
     , m_restarts(restarts)
     , m_repeatLimits(repeats)
     , m_lossReportLimit(kMaxLossReports, kLossReportWindow)
@@ -225,8 +226,40 @@
         addPart(exchange, chooseTarget(*route));
     }
     addTimer(exchange.deadlineAt, { TimerKind::Deadline, exchange.id, 0 });
-    if (refuseIfUnservable(exchange))
-        return;
+    if (!refuseIfUnservable(exchange) && admit(exchange))
+        sendParts(exchange);
+}
+
+bool RequestDispatcher::admit(Exchange &exchange)
+{
+    if (!exchange.tenant)
+        return true;
+    const QuotaAdmission admission = m_quotas.admit(exchange.tenant->name, exchange.id);
+    if (admission.verdict == QuotaVerdict::Refused)
+        refuseOverQuota(exchange, admission.retryAfter);
+    return admission.verdict == QuotaVerdict::Admitted;
+}
+
+void RequestDispatcher::refuseOverQuota(Exchange &exchange, Duration retryAfter)
+{
+    finish(exchange, RefusedReply { RefusalReason::OverQuota, retryAfter });
+}
+
+void RequestDispatcher::applyQuotaDecisions()
+{
+    for (const QuotaDecision &decision : m_quotas.takeDecisions()) {
+        Exchange *exchange = find(decision.exchange);
+        if (!exchange)
+            continue;
+        if (decision.admission.verdict == QuotaVerdict::Admitted)
+            sendParts(*exchange);
+        else
+            refuseOverQuota(*exchange, decision.admission.retryAfter);
+    }
+}
+
+void RequestDispatcher::sendParts(Exchange &exchange)
+{
     for (std::size_t index = 0; index < exchange.parts.size(); ++index) {
         if (!exchange.parts[index].isSettled)
             sendOrQueue(exchange, index);
@@ -305,6 +338,7 @@
     if (!exchange)
         return;
     m_counters.add("callers_left_total");
+    m_quotas.forget(id);
     endRequest(*exchange->losses);
     for (Part &part : exchange->parts) {
         stopWaiting(part);
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -12,6 +12,7 @@
 #include "gateway/RepeatBudget.h"
 #include "gateway/RequestQuarantine.h"
 #include "gateway/RestartDetector.h"
+#include "gateway/quota/TenantQuotas.h"
 
 #include <map>
 #include <memory>
@@ -30,7 +31,7 @@
 {
 public:
     RequestDispatcher(BackendSelector &selector, DomainReachability &reachability,
-                      JointServerLimits &limits, RestartDetector &restarts,
+                      JointServerLimits &limits, TenantQuotas &quotas, RestartDetector &restarts,
                       const RepeatLimits &repeats);
 
     /** Sets this host's share of the limits on retries and hedges, for each service. */
@@ -46,6 +47,8 @@
     /** Routes a new request and sends its parts, or refuses it. */
     void start(const RequestReceived &event,
                const std::shared_ptr<const RoutingConfiguration> &configuration);
+    /** Sends or refuses the requests whose wait for a permit of their tenant's quota has ended. */
+    void applyQuotaDecisions();
     /** Drops a request without a reply and releases its attempts. */
     void onCallerDisconnected(ExchangeId exchange);
     /** Handles the result of an attempt. After a release, the result only updates the load. */
@@ -129,6 +132,11 @@
      * could answer. Returns true if the request was refused.
      */
     bool refuseIfUnservable(Exchange &exchange);
+    /** Asks for admission by the quota; true if the request may be sent now. */
+    bool admit(Exchange &exchange);
+    void refuseOverQuota(Exchange &exchange, Duration retryAfter);
+    /** Sends the parts of a request for the first time. */
+    void sendParts(Exchange &exchange);
     const ServiceId &chooseTarget(const GatewayRoute &route);
     /** Servers that may get the part's next attempt. */
     ServerFilter filterFor(const Exchange &exchange, const Part &part);
@@ -193,6 +201,7 @@
     BackendSelector &m_selector;
     DomainReachability &m_reachability;
     JointServerLimits &m_limits;
+    TenantQuotas &m_quotas;
     RestartDetector &m_restarts;
     RepeatLimits m_repeatLimits;
     MonotonicTime m_now;
--- a/src/gateway/RequestReplies.cpp
+++ b/src/gateway/RequestReplies.cpp
@@ -112,6 +112,7 @@
 
 void RequestDispatcher::finish(Exchange &exchange, Reply reply)
 {
+    m_quotas.forget(exchange.id);
     for (Part &part : exchange.parts) {
         stopWaiting(part);
         releaseAttempts(part, kFinishLinger);
--- a/src/gateway/quota/TenantQuotas.cpp
+++ b/src/gateway/quota/TenantQuotas.cpp
@@ -382,6 +382,9 @@
             holder.endQuestion(false);
         else if (wasAsked)
             onUnanswered(tenant, holder);
+        // A process that has ended refuses the next connection at once.
+        if (wasAsked && !isRefused)
+            holder.nextProbeAt = m_now;
         if (isNewlyGone && first && first->host == host)
             holder.repeatRecentUses(m_now);
         if (wasAsked)
--- a/src/net/Description.h
+++ b/src/net/Description.h
@@ -71,7 +71,7 @@
 BOOST_DESCRIBE_STRUCT(OutcomeQuery, (), (caller, service, idempotencyKey))
 BOOST_DESCRIBE_STRUCT(CallerGone, (), (caller))
 BOOST_DESCRIBE_STRUCT(PeerReceived, (), (envelope))
-BOOST_DESCRIBE_STRUCT(PeerLost, (), (host))
+BOOST_DESCRIBE_STRUCT(PeerLost, (), (host, isRefused))
 BOOST_DESCRIBE_STRUCT(BackendFinished, (), (send, status, echoed, version, heldVersions, body))
 BOOST_DESCRIBE_STRUCT(KeyValue, (), (key, revision, value))
 BOOST_DESCRIBE_STRUCT(KeyAbsent, (), (key))
--- a/src/net/OutgoingPeerConnection.cpp
+++ b/src/net/OutgoingPeerConnection.cpp
@@ -49,6 +49,12 @@
     socket.set_option(UserTimeout(static_cast<int>(kUnacknowledgedTimeout.count())), ignored);
 }
 
+/** A machine that is cut off or stands still sends neither of these. */
+static bool isRefusal(const error_code &error)
+{
+    return error == asio::error::connection_refused || error == asio::error::connection_reset;
+}
+
 static void clearBuffer(FrameBytes &buffer)
 {
     if (buffer.capacity() > kMaxRetainedBufferBytes)
@@ -58,7 +64,7 @@
 
 OutgoingPeerConnection::OutgoingPeerConnection(asio::io_context &context, Endpoint endpoint,
                                                PeerTransportCounters &counters,
-                                               std::function<void()> onLost)
+                                               std::function<void(bool)> onLost)
     : m_context(context)
     , m_socket(context)
     , m_timer(context)
@@ -133,7 +139,7 @@
             onFailure();
     }));
     m_socket.async_connect(target, bindToGeneration([this](const error_code &result) {
-                               result ? onFailure() : onConnected();
+                               result ? onFailure(isRefusal(result)) : onConnected();
                            }));
 }
 
@@ -165,7 +171,7 @@
     ++m_counters.writes;
     asio::async_write(m_socket, asio::buffer(m_writing),
                       bindToGeneration([this](const error_code &error) {
-                          error ? onFailure() : onWritten();
+                          error ? onFailure(isRefusal(error)) : onWritten();
                       }));
 }
 
@@ -181,7 +187,7 @@
 void OutgoingPeerConnection::watchForClose()
 {
     m_socket.async_wait(tcp::socket::wait_read, bindToGeneration([this](const error_code &error) {
-                            error ? onFailure() : onReadable();
+                            error ? onFailure(isRefusal(error)) : onReadable();
                         }));
 }
 
@@ -191,7 +197,7 @@
     error_code error;
     m_socket.read_some(asio::buffer(ignored), error);
     if (error && error != asio::error::would_block)
-        onFailure();
+        onFailure(isRefusal(error));
     else
         watchForClose();
 }
@@ -211,7 +217,7 @@
     }));
 }
 
-void OutgoingPeerConnection::onFailure()
+void OutgoingPeerConnection::onFailure(bool isRefused)
 {
     const auto now = Clock::now();
     const bool stable = m_phase == Phase::Connected && now - m_connectedAt >= kMinStableDuration;
@@ -225,7 +231,7 @@
         return;
     }
     m_phase = Phase::Disconnected;
-    m_onLost();
+    m_onLost(isRefused);
 }
 
 void OutgoingPeerConnection::closeSocket()
--- a/src/net/OutgoingPeerConnection.h
+++ b/src/net/OutgoingPeerConnection.h
@@ -27,10 +27,10 @@
 public:
     using Clock = std::chrono::steady_clock;
 
-    /** `onLost` is called each time that the connection is lost or cannot be established. The
-     * queued frames have been dropped by then. */
+    /** `onLost` is called with PeerLost::isRefused each time that the connection is lost or cannot
+     * be established. The queued frames have been dropped by then. */
     OutgoingPeerConnection(boost::asio::io_context &context, Endpoint endpoint,
-                           PeerTransportCounters &counters, std::function<void()> onLost);
+                           PeerTransportCounters &counters, std::function<void(bool)> onLost);
 
     /** The peer's address and port. */
     const Endpoint &endpoint() const { return m_endpoint; }
@@ -67,7 +67,8 @@
     void watchForClose();
     void onReadable();
     void closeWhenIdle();
-    void onFailure();
+    /** `isRefused`: the other machine has no process at the endpoint any more. */
+    void onFailure(bool isRefused = false);
     void closeSocket();
     void dropQueued();
 
@@ -76,7 +77,7 @@
     boost::asio::steady_timer m_timer; ///< timeout of the current phase
     Endpoint m_endpoint;
     PeerTransportCounters &m_counters;
-    std::function<void()> m_onLost;
+    std::function<void(bool)> m_onLost;
     Phase m_phase = Phase::Disconnected;
     std::uint64_t m_generation = 0; ///< incremented on close; handlers of older values are ignored
     FrameBytes m_pending;           ///< frames that wait for the next write
--- a/src/net/TcpPeerTransport.cpp
+++ b/src/net/TcpPeerTransport.cpp
@@ -148,7 +148,9 @@
         }
         if (found == m_outgoing.end()) {
             removeIdle();
-            const auto onLost = [this, host] { m_queue.post(PeerLost { host }); };
+            const auto onLost = [this, host](bool isRefused) {
+                m_queue.post(PeerLost { host, isRefused });
+            };
             auto peer = std::make_shared<OutgoingPeerConnection>(m_context, endpoint, m_counters,
                                                                  onLost);
             found = m_outgoing.emplace(host, std::move(peer)).first;
