Let hosts share what they see of servers

Cause: with few requests a host sees a given server only every few seconds, so it keeps sending to servers that refuse, hang or fail for all hosts. Change: SharedObservations reports results to the collector of the failure domain, which summarises the servers that deviate. BackendSelector adds the time that a request is expected to lose there. Off unless sharesObservations is set.

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -167,6 +167,8 @@
         answerPermitRequest(envelope.sender, *request);
     else if (const auto *grant = std::get_if<PermitGrant>(&envelope.message))
         enqueue(PermitsGranted { *grant });
+    else if (const auto *observations = std::get_if<ServerObservations>(&envelope.message))
+        enqueue(ObservationsReceived { envelope.sender, *observations });
 }
 
 void GatewayServer::answerPermitRequest(const HostId &sender, const PermitRequest &request)
--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -14,6 +14,11 @@
 static constexpr Duration kNotPreferredPenalty = std::chrono::milliseconds(8);
 /** A cold server is chosen only if the others are expected to be slower by this time. */
 static constexpr Duration kColdPenalty = std::chrono::milliseconds(15);
+/**
+ * Weight of the loss that is expected at a server for a retry or a hedge: if it is refused or
+ * fails, the part has used up another repeat or all of its attempts.
+ */
+static constexpr int kRepeatLossFactor = 2;
 /** Penalty for a server whose registration has disappeared, since it has probably stopped. */
 static constexpr Duration kUnregisteredCost = std::chrono::milliseconds(40);
 /**
@@ -37,11 +42,13 @@
 }
 
 BackendSelector::BackendSelector(SelectorOptions options, const BackendDirectory &directory,
-                                 const DomainReachability &reachability, JointServerLimits &limits)
+                                 const DomainReachability &reachability, JointServerLimits &limits,
+                                 SharedObservations &observations)
     : m_options(std::move(options))
     , m_directory(directory)
     , m_reachability(reachability)
     , m_limits(limits)
+    , m_observations(observations)
     , m_connections(m_options, directory)
 {
 }
@@ -93,7 +100,7 @@
 }
 
 Duration BackendSelector::cost(const BackendService &service, const Backend &backend,
-                               Duration typical, MonotonicTime now) const
+                               Duration typical, bool isRepeat, MonotonicTime now) const
 {
     const BackendRegistration &registration = backend.registration;
     Duration cost = backend.load.expectedTime(typical, registration.slots, now);
@@ -107,6 +114,8 @@
         cost += kColdPenalty;
     if (backend.removeAt)
         cost += kUnregisteredCost;
+    const Duration extra = m_observations.extraTime(backend, typical, now);
+    cost += isRepeat ? extra * kRepeatLossFactor : extra;
     return cost;
 }
 
@@ -126,7 +135,11 @@
                 std::find(skipped.begin(), skipped.end(), backend.get()) != skipped.end();
         if (!isAllowed || isSkipped || !isUsable(*backend) || !hasCapacity(service, *backend, now))
             continue;
-        const Duration expected = cost(service, *backend, typical, now);
+        if (filter.mayTry && m_observations.isTrialDue(*backend, typical, now)) {
+            m_observations.takeTrial(*backend, now);
+            return backend;
+        }
+        const Duration expected = cost(service, *backend, typical, filter.isRepeat, now);
         if (expected < bestCost) {
             bestCost = expected;
             best = backend;
--- a/src/gateway/BackendSelector.h
+++ b/src/gateway/BackendSelector.h
@@ -6,6 +6,7 @@
 #include "gateway/GatewayOptions.h"
 #include "gateway/JointServerLimits.h"
 #include "gateway/RoutingConfiguration.h"
+#include "gateway/observations/SharedObservations.h"
 
 #include <memory>
 #include <vector>
@@ -21,6 +22,8 @@
     MonotonicTime usableBy {};
     bool mayWait = false;   ///< the part may wait for a permit of a server with a request limit
     bool isWaiting = false; ///< the part waits already, so its demand has been counted
+    bool mayTry = false;    ///< a server that others have found in a bad state may be chosen
+    bool isRepeat = false;  ///< the attempt is a retry or a hedge
 
     /** True if the server may be chosen. */
     bool allows(const ServerId &server) const;
@@ -37,7 +40,8 @@
 {
 public:
     BackendSelector(SelectorOptions options, const BackendDirectory &directory,
-                    const DomainReachability &reachability, JointServerLimits &limits);
+                    const DomainReachability &reachability, JointServerLimits &limits,
+                    SharedObservations &observations);
 
     /** Replaces the options given to the constructor. */
     void setOptions(const SelectorOptions &options) { m_options = options; }
@@ -82,12 +86,13 @@
     double coldShare(const BackendService &service, MonotonicTime now) const;
     bool hasCapacity(const BackendService &service, Backend &backend, MonotonicTime now) const;
     Duration cost(const BackendService &service, const Backend &backend, Duration typical,
-                  MonotonicTime now) const;
+                  bool isRepeat, MonotonicTime now) const;
 
     SelectorOptions m_options;
     const BackendDirectory &m_directory;
     const DomainReachability &m_reachability;
     JointServerLimits &m_limits;
+    SharedObservations &m_observations;
     ConnectionPlan m_connections;
     std::size_t m_hostCount = 0; ///< 0 until it is known
     MonotonicTime m_startedAt;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -17,13 +17,17 @@
 Gateway::Gateway(const GatewayOptions &options)
     : m_reachability(options.selector.failureDomain, m_directory)
     , m_serverLimits(options.selector.host, options.randomSeed)
+    , m_observations(options.selector.host, options.selector.failureDomain, m_directory,
+                     options.randomSeed)
     , m_restarts(m_directory)
-    , m_selector(options.selector, m_directory, m_reachability, m_serverLimits)
+    , m_selector(options.selector, m_directory, m_reachability, m_serverLimits, m_observations)
     , m_warmer(m_directory, options.randomSeed)
     , m_jointRepeatLimits(options.repeats)
-    , m_dispatcher(m_selector, m_reachability, m_serverLimits, m_restarts, repeatShare())
+    , m_dispatcher(m_selector, m_reachability, m_serverLimits, m_restarts, m_observations,
+                   repeatShare())
     , m_ownDomain(options.selector.failureDomain)
 {
+    m_observations.setEnabled(options.sharesObservations);
 }
 
 RepeatLimits Gateway::repeatShare() const
@@ -44,6 +48,7 @@
     m_effects.clear();
     m_reachability.beginStep(m_now, m_effects);
     m_serverLimits.beginStep(m_now, m_effects);
+    m_observations.beginStep(m_now, m_effects);
     m_dispatcher.beginStep(m_now, m_effects);
     std::visit([&](const auto &typed) { on(typed); }, event);
     updateCutOff();
@@ -55,7 +60,8 @@
     std::optional<MonotonicTime> next = m_dispatcher.nextWakeUp();
     for (const auto &other :
          { m_directory.nextRemoval(), m_reachability.nextWakeUp(), m_warmer.nextWakeUp(),
-           m_restarts.nextWakeUp(), m_retention.nextExpiry(), m_lowerCountValidAt }) {
+           m_restarts.nextWakeUp(), m_retention.nextExpiry(), m_observations.nextWakeUp(),
+           m_lowerCountValidAt }) {
         if (other && (!next || *other < *next))
             next = other;
     }
@@ -262,6 +268,7 @@
     m_lastHostCount.all = std::max<std::size_t>(hosts->size(), 1);
     const std::size_t ownDomainHosts = m_lastHostCount.byDomain[m_ownDomain];
     m_lastHostCount.ownDomain = std::max<std::size_t>(ownDomainHosts, 1);
+    m_observations.setHosts(*hosts);
     if (!std::exchange(m_areHostsKnown, true))
         m_dispatcher.setRepeatLimits(repeatShare());
     const bool isHigher = m_lastHostCount.all >= m_hostCount.all
@@ -313,6 +320,11 @@
     }
 }
 
+void Gateway::on(const ObservationsReceived &event)
+{
+    m_observations.receive(event.sender, event.message);
+}
+
 void Gateway::on(const ConnectionAttemptEnded &event)
 {
     m_reachability.addConnectionResult(event.server, event.isConnected);
@@ -364,6 +376,8 @@
 {
     m_ownDomain = event.options.selector.failureDomain;
     m_reachability.setOwnDomain(m_ownDomain);
+    m_observations.setOwnDomain(m_ownDomain);
+    m_observations.setEnabled(event.options.sharesObservations);
     m_selector.setOptions(event.options.selector);
     m_jointRepeatLimits = event.options.repeats;
     m_dispatcher.setRepeatLimits(repeatShare());
@@ -388,6 +402,7 @@
     m_reachability.advance();
     m_restarts.advance(m_now);
     m_warmer.advance(m_now, m_effects);
+    m_observations.advance();
     m_dispatcher.advance();
 }
 
@@ -406,6 +421,8 @@
     std::vector<Counter> counters = m_dispatcher.counters().all();
     for (Counter &counter : m_serverLimits.counters().all())
         counters.push_back(std::move(counter));
+    for (Counter &counter : m_observations.counters())
+        counters.push_back(std::move(counter));
     counters.push_back({ "configuration_version", m_configuration ? m_configuration->version : 0 });
     counters.push_back({ "registered_servers", m_directory.size() });
     counters.push_back({ "requests_in_progress", m_dispatcher.exchanges() });
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/LostEntryRetention.h"
 #include "gateway/RequestDispatcher.h"
 #include "gateway/RestartDetector.h"
+#include "gateway/observations/SharedObservations.h"
 
 #include <boost/json/object.hpp>
 
@@ -68,6 +69,7 @@
     void on(const UnreachableDomainReported &event);
     void on(const PermitsRequested &event);
     void on(const PermitsGranted &event);
+    void on(const ObservationsReceived &event);
     void on(const ConnectionAttemptEnded &event);
     void on(const LastConnectionLost &event);
     void on(const OptionsChanged &event);
@@ -94,6 +96,7 @@
     LostEntryRetention m_retention;
     DomainReachability m_reachability;
     JointServerLimits m_serverLimits;
+    SharedObservations m_observations;
     RestartDetector m_restarts;
     BackendSelector m_selector;
     ConnectionWarmer m_warmer;
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -105,6 +105,13 @@
     PermitGrant grant;
 };
 
+/** Another entry host reports results of its requests to servers, or a summary of such reports. */
+struct ObservationsReceived
+{
+    HostId sender;
+    ServerObservations message;
+};
+
 /** An attempt to open a connection has ended; the result of OpenConnection. */
 struct ConnectionAttemptEnded
 {
@@ -140,7 +147,7 @@
         std::variant<RequestReceived, CallerDisconnected, AttemptEnded, ConfigurationRead,
                      EvacuationsRead, RegistrationsRead, RegistrationWritten, RegistrationRemoved,
                      StoreCaughtUp, HostsRead, ServerLossReported, UnreachableDomainReported,
-                     PermitsRequested, PermitsGranted, ConnectionAttemptEnded, LastConnectionLost,
-                     OptionsChanged, GatewayStopRequested, TimeAdvanced>;
+                     PermitsRequested, PermitsGranted, ObservationsReceived, ConnectionAttemptEnded,
+                     LastConnectionLost, OptionsChanged, GatewayStopRequested, TimeAdvanced>;
 
 } // namespace greengagestair
--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -29,6 +29,8 @@
 /** After all its servers refused a part, it waits for this time for each refusal so far. */
 static constexpr Duration kRefusalPause = std::chrono::milliseconds(10);
 static constexpr Duration kMaxRefusalPause = std::chrono::milliseconds(40);
+/** A request that ends unanswered counts as a failure of the server after this time. */
+static constexpr Duration kMinUnansweredTime = std::chrono::milliseconds(250);
 /** A part is given up once less than its typical time divided by this is left. */
 static constexpr int kMinTimeDivisor = 2;
 
@@ -38,6 +40,8 @@
     ServerFilter filter { part.excluded, isLimited ? &part.reached : nullptr };
     filter.mayWait = mayWait(exchange, part);
     filter.isWaiting = part.waiting.has_value();
+    filter.isRepeat = !part.reached.empty();
+    filter.mayTry = exchange.route->repeatable && !filter.isRepeat;
     if (filter.mayWait)
         filter.usableBy = latestSend(exchange, part);
     return filter;
@@ -123,8 +127,10 @@
                              const std::shared_ptr<Backend> &backend)
 {
     Part &part = exchange.parts[index];
-    if (part.reached.empty())
+    if (part.reached.empty()) {
         part.firstSentAt = m_now;
+        m_observations.addFirstAttempt();
+    }
     const AttemptId attempt { ++m_lastAttemptId };
     const BackendRegistration &registration = backend->registration;
     const bool isNew = std::find(part.reached.begin(), part.reached.end(), registration.server)
@@ -292,7 +298,13 @@
 void RequestDispatcher::releaseAttempts(Part &part, Duration linger)
 {
     for (const AttemptId attempt : part.openAttempts) {
-        m_attempts.at(attempt).isReleased = true;
+        AttemptRecord &record = m_attempts.at(attempt);
+        record.isReleased = true;
+        // The server takes at least the time that has passed.
+        const Duration age = m_now - record.startedAt;
+        record.isObserved = part.answer || age >= kMinUnansweredTime;
+        if (record.isObserved)
+            m_observations.addAnswer(*record.backend, age);
         m_effects->push_back(ReleaseAttempt { attempt, linger });
     }
     part.openAttempts.clear();
@@ -313,6 +325,28 @@
         m_restarts.addConnectionLoss(*record.backend, m_now);
 }
 
+void RequestDispatcher::recordObservation(const AttemptRecord &record, const AttemptResult &result)
+{
+    const Duration age = m_now - record.startedAt;
+    if (const auto *failure = std::get_if<AttemptFailure>(&result)) {
+        // A connection that this host has closed says nothing about the server.
+        const bool isClosedHere = (*failure == AttemptFailure::NotSent && record.isReleased)
+                || (*failure == AttemptFailure::Expired && age < kMinUnansweredTime);
+        if (!isClosedHere)
+            m_observations.addFailure(*record.backend);
+        return;
+    }
+    const auto &answer = std::get<BackendAnswer>(result);
+    const bool isUnsignedSuccess =
+            answer.status >= 200 && answer.status < 300 && answer.signature.empty();
+    if (answer.notExecuted)
+        m_observations.addRefusal(*record.backend);
+    else if (answer.status >= 500 || isUnsignedSuccess)
+        m_observations.addFailure(*record.backend);
+    else if (!record.isObserved)
+        m_observations.addAnswer(*record.backend, age);
+}
+
 void RequestDispatcher::recordLoad(const AttemptRecord &record, AttemptId attempt,
                                    const AttemptResult &result)
 {
@@ -350,6 +384,7 @@
     const AttemptRecord record = found->second;
     m_attempts.erase(found);
     recordLoad(record, event.attempt, event.result);
+    recordObservation(record, event.result);
     // What the result shows about the request counts even if the request has ended.
     const auto *answer = std::get_if<BackendAnswer>(&event.result);
     const auto *failure = std::get_if<AttemptFailure>(&event.result);
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -36,11 +36,12 @@
 
 RequestDispatcher::RequestDispatcher(BackendSelector &selector, DomainReachability &reachability,
                                      JointServerLimits &limits, RestartDetector &restarts,
-                                     const RepeatLimits &repeats)
+                                     SharedObservations &observations, const RepeatLimits &repeats)
     : m_selector(selector)
     , m_reachability(reachability)
     , m_limits(limits)
     , m_restarts(restarts)
+    , m_observations(observations)
     , m_repeatLimits(repeats)
     , m_lossReportLimit(kMaxLossReports, kLossReportWindow)
 {
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -31,7 +31,7 @@
 public:
     RequestDispatcher(BackendSelector &selector, DomainReachability &reachability,
                       JointServerLimits &limits, RestartDetector &restarts,
-                      const RepeatLimits &repeats);
+                      SharedObservations &observations, const RepeatLimits &repeats);
 
     /** Sets this host's share of the limits on retries and hedges, for each service. */
     void setRepeatLimits(const RepeatLimits &limits);
@@ -105,6 +105,7 @@
         bool isFirstAtServer = true; ///< no earlier attempt of the part went to this server
         std::shared_ptr<RequestLosses> losses; ///< of the attempt's request
         bool isReleased = false;               ///< this host may have closed the connection itself
+        bool isObserved = false; ///< counted in the observations as slower than another server
     };
 
     /** Microseconds since `start` as text, for log lines. */
@@ -156,6 +157,8 @@
     void retryOrSettle(Exchange &exchange, std::size_t index);
     void onRefusal(Exchange &exchange, std::size_t index, const ServerId &server);
     void recordFailure(const AttemptRecord &record, AttemptId attempt, AttemptFailure failure);
+    /** Passes the result of an attempt on to the observations that hosts share. */
+    void recordObservation(const AttemptRecord &record, const AttemptResult &result);
     void recordLoad(const AttemptRecord &record, AttemptId attempt, const AttemptResult &result);
     void onAnswer(Exchange &exchange, std::size_t index, const AttemptRecord &record,
                   BackendAnswer answer);
@@ -194,6 +197,7 @@
     DomainReachability &m_reachability;
     JointServerLimits &m_limits;
     RestartDetector &m_restarts;
+    SharedObservations &m_observations;
     RepeatLimits m_repeatLimits;
     MonotonicTime m_now;
     std::optional<MonotonicTime> m_startedAt; ///< time of the first step
--- a/src/gateway/StoreRoleElection.cpp
+++ b/src/gateway/StoreRoleElection.cpp
@@ -13,6 +13,26 @@
 /** Time for which one batch of changes may occupy the host's link; a request waits no longer. */
 static constexpr std::chrono::duration<double> kMaxLinkTime(0.1);
 
+/** Preference of a host as the publisher of a failure domain; the highest is elected. */
+static auto rankOf(const FailureDomainId &failureDomain, const HostEntry &host)
+{
+    return std::pair(host.linkMbps, rendezvousScore(failureDomain.value, host.host.value));
+}
+
+std::vector<HostEntry> publisherRanking(const FailureDomainId &failureDomain,
+                                        const std::vector<HostEntry> &hosts)
+{
+    std::vector<HostEntry> ranking;
+    for (const HostEntry &host : hosts) {
+        if (host.failureDomain == failureDomain)
+            ranking.push_back(host);
+    }
+    std::sort(ranking.begin(), ranking.end(), [&](const HostEntry &left, const HostEntry &right) {
+        return rankOf(failureDomain, left) > rankOf(failureDomain, right);
+    });
+    return ranking;
+}
+
 StoreRoleElection::StoreRoleElection(HostEntry self)
     : m_self(std::move(self))
 {
@@ -29,10 +49,7 @@
         if (host.failureDomain == m_self.failureDomain)
             m_domainPeers.push_back(host);
     }
-    const auto rank = [this](const HostEntry &host) {
-        return std::pair(host.linkMbps,
-                         rendezvousScore(m_self.failureDomain.value, host.host.value));
-    };
+    const auto rank = [this](const HostEntry &host) { return rankOf(m_self.failureDomain, host); };
     const auto preferredPeers =
             std::count_if(m_domainPeers.begin(), m_domainPeers.end(),
                           [&](const HostEntry &host) { return rank(host) > rank(m_self); });
--- a/src/gateway/StoreRoleElection.h
+++ b/src/gateway/StoreRoleElection.h
@@ -14,6 +14,13 @@
     Subscriber  ///< receives changes from another host; watches the store only if none arrive
 };
 
+/**
+ * The hosts of a failure domain in the order in which StoreRoleElection prefers them: the first is
+ * the publisher, the second the standby.
+ */
+std::vector<HostEntry> publisherRanking(const FailureDomainId &failureDomain,
+                                        const std::vector<HostEntry> &hosts);
+
 /**
  * Elects the host of a failure domain that watches the store for all others, so that the number of
  * calls to the store does not grow with the number of hosts. It chooses among the hosts with the
