--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -173,6 +173,8 @@
         enqueue(QuotaRequested { envelope.sender, envelope.endpoint, *question });
     else if (const auto *quota = std::get_if<QuotaGrant>(&envelope.message))
         enqueue(QuotaGranted { envelope.sender, *quota });
+    else if (const auto *observations = std::get_if<ServerObservations>(&envelope.message))
+        enqueue(ObservationsReceived { envelope.sender, *observations });
 }
 
 void GatewayServer::answerPermitRequest(const HostId &sender, const PermitRequest &request)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/LostEntryRetention.h"
 #include "gateway/RequestDispatcher.h"
 #include "gateway/RestartDetector.h"
+#include "gateway/observations/SharedObservations.h"
 #include "gateway/quota/TenantQuotas.h"
 
 #include <boost/json/object.hpp>
@@ -72,6 +73,7 @@
     void on(const QuotaRequested &event);
     void on(const QuotaGranted &event);
     void on(const HostLost &event);
+    void on(const ObservationsReceived &event);
     void on(const ConnectionAttemptEnded &event);
     void on(const LastConnectionLost &event);
     void on(const OptionsChanged &event);
@@ -99,6 +101,7 @@
     DomainReachability m_reachability;
     JointServerLimits m_serverLimits;
     TenantQuotas m_quotas;
+    SharedObservations m_observations;
     RestartDetector m_restarts;
     BackendSelector m_selector;
     ConnectionWarmer m_warmer;
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -127,6 +127,13 @@
     bool isRefused = false; ///< the process there has ended
 };
 
+/** Another entry host reports results of its requests to servers, or a summary of such reports. */
+struct ObservationsReceived
+{
+    HostId sender;
+    ServerObservations message;
+};
+
 /** An attempt to open a connection has ended; the result of OpenConnection. */
 struct ConnectionAttemptEnded
 {
@@ -163,7 +170,7 @@
                      EvacuationsRead, RegistrationsRead, RegistrationWritten, RegistrationRemoved,
                      StoreCaughtUp, HostsRead, ServerLossReported, UnreachableDomainReported,
                      PermitsRequested, PermitsGranted, QuotaRequested, QuotaGranted, HostLost,
-                     ConnectionAttemptEnded, LastConnectionLost, OptionsChanged,
-                     GatewayStopRequested, TimeAdvanced>;
+                     ObservationsReceived, ConnectionAttemptEnded, LastConnectionLost,
+                     OptionsChanged, GatewayStopRequested, TimeAdvanced>;
 
 } // namespace greengagestair
