Add the pace of a returning server

Cause: a server that has started or recovered gets its full load at once, or almost nothing. Change: ServerPace holds one server's share, which rounds of results raise and lower.

--- a/src/gateway/BackendDirectory.h
+++ b/src/gateway/BackendDirectory.h
@@ -3,6 +3,7 @@
 #include "gateway/BackendLoad.h"
 #include "gateway/PermitHolder.h"
 #include "gateway/ServerNeeds.h"
+#include "gateway/pace/ServerPace.h"
 #include "greengagestair/Types.h"
 
 #include <cstdint>
@@ -40,6 +41,7 @@
     std::optional<MonotonicTime> removeAt; ///< set once the registration has disappeared
     BackendLoad load;
     ServerNeeds needs;
+    ServerPace pace;                  ///< share of requests after a return; see ReturnPacing
     PermitHolder permits;             ///< used while the server names a request limit
     bool mayHaveRestarted = false;    ///< by another process; set by RestartDetector
     bool hasInvalidStatement = false; ///< a field of a response could not be read; logged once
