Pace returning servers in the choice of servers

Cause: BackendSelector did not know that a server has just returned. Change: with pacesReturningServers, a request skips a returning server without credit, unless there is no other. Processes that are read after the first list, results and lost connections reach ReturnPacing. State page, metrics and log lines show the pace. The effect under load is not measured yet.

--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -14,6 +14,11 @@
 static constexpr Duration kNotPreferredPenalty = std::chrono::milliseconds(8);
 /** A cold server is chosen only if the others are expected to be slower by this time. */
 static constexpr Duration kColdPenalty = std::chrono::milliseconds(15);
+/**
+ * Advantage of a returning server of the own failure domain that has got no request for some time.
+ * It outweighs a new connection and the cold penalty, but no recent failure or refusal.
+ */
+static constexpr Duration kProbeAdvantage = std::chrono::milliseconds(25);
 /** Penalty for a server whose registration has disappeared, since it has probably stopped. */
 static constexpr Duration kUnregisteredCost = std::chrono::milliseconds(40);
 /**
@@ -43,6 +48,7 @@
     , m_reachability(reachability)
     , m_limits(limits)
     , m_connections(m_options, directory)
+    , m_pacing(m_options, directory)
 {
 }
 
@@ -56,6 +62,7 @@
 {
     m_hostCount = hosts.all;
     m_connections.setHosts(hosts);
+    m_pacing.setHostCount(hosts.all);
 }
 
 IdleConnectionLimits BackendSelector::idleLimitsFor(const BackendService &service,
@@ -107,6 +114,8 @@
         cost += kColdPenalty;
     if (backend.removeAt)
         cost += kUnregisteredCost;
+    if (isOwnDomain(backend) && m_pacing.isProbeDue(backend, now))
+        cost -= kProbeAdvantage;
     return cost;
 }
 
@@ -135,14 +144,42 @@
     return best;
 }
 
+void BackendSelector::addPacedDemand(const BackendService &service, MonotonicTime now)
+{
+    if (!m_pacing.isEnabled())
+        return;
+    std::vector<Backend *> usable;
+    for (const auto &backend : m_directory.serversOf(service.name)) {
+        if (isUsable(*backend))
+            usable.push_back(backend.get());
+    }
+    m_pacing.addDemand(usable, now);
+}
+
 std::shared_ptr<Backend> BackendSelector::choose(const BackendService &service, Duration typical,
                                                  const ServerFilter &filter, MonotonicTime now)
 {
     // A different start index each time spreads requests over servers of equal cost.
     ++m_rotation;
     bool isNewDemand = !filter.isWaiting;
-    std::vector<const Backend *> denied;
-    while (auto backend = cheapest(service, typical, filter, denied, now)) {
+    if (isNewDemand)
+        addPacedDemand(service, now);
+    std::vector<const Backend *> denied;  // by limits that the servers name
+    std::vector<const Backend *> skipped; // those, and the servers beyond their pace
+    bool isPaced = true;
+    while (true) {
+        const auto backend = cheapest(service, typical, filter, skipped, now);
+        if (!backend && skipped.size() > denied.size()) {
+            skipped = denied;
+            isPaced = false;
+            continue;
+        }
+        if (!backend)
+            return nullptr;
+        if (isPaced && !m_pacing.admits(*backend, now)) {
+            skipped.push_back(backend.get());
+            continue;
+        }
         const bool needsPermit = m_limits.permission(*backend) == Permission::Pending;
         m_limits.addDemand(*backend, std::exchange(isNewDemand, false), needsPermit);
         // If this host issues the permits itself, it has got one by now.
@@ -152,8 +189,8 @@
         if (permission == Permission::Pending && filter.mayWait)
             return nullptr;
         denied.push_back(backend.get());
+        skipped.push_back(backend.get());
     }
-    return nullptr;
 }
 
 bool BackendSelector::hasCandidate(const BackendService &service, const ServerFilter &filter,
--- a/src/gateway/BackendSelector.h
+++ b/src/gateway/BackendSelector.h
@@ -6,6 +6,7 @@
 #include "gateway/GatewayOptions.h"
 #include "gateway/JointServerLimits.h"
 #include "gateway/RoutingConfiguration.h"
+#include "gateway/pace/ReturnPacing.h"
 
 #include <memory>
 #include <vector>
@@ -46,10 +47,15 @@
     /** Sets the number of entry hosts among which joint limits are divided. */
     void setHostCount(const HostCount &hosts);
 
+    /** The pace of returning servers, which needs to know what is sent and how it ends. */
+    ReturnPacing &pacing() { return m_pacing; }
+    const ReturnPacing &pacing() const { return m_pacing; }
+
     /**
      * The server with the lowest expected cost among those that are in service and reachable, have
      * capacity and pass the filter; null if there is none, or if a permit of that server is due in
-     * a moment and the part may wait for it. `typical` is the usual time of such a request, which
+     * a moment and the part may wait for it. A returning server beyond its pace is chosen only if
+     * there is no other. `typical` is the usual time of such a request, which
      * is assumed for servers without recent responses.
      */
     std::shared_ptr<Backend> choose(const BackendService &service, Duration typical,
@@ -72,6 +78,8 @@
     }
 
 private:
+    /** Divides a new request for the service over its servers by their pace. */
+    void addPacedDemand(const BackendService &service, MonotonicTime now);
     /** The server with the lowest cost, without regard to request limits; null if there is none. */
     std::shared_ptr<Backend> cheapest(const BackendService &service, Duration typical,
                                       const ServerFilter &filter,
@@ -89,6 +97,7 @@
     const DomainReachability &m_reachability;
     JointServerLimits &m_limits;
     ConnectionPlan m_connections;
+    ReturnPacing m_pacing;
     std::size_t m_hostCount = 0; ///< 0 until it is known
     MonotonicTime m_startedAt;
     std::size_t m_rotation = 0;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -24,6 +24,7 @@
     , m_dispatcher(m_selector, m_reachability, m_serverLimits, m_restarts, repeatShare())
     , m_ownDomain(options.selector.failureDomain)
 {
+    m_selector.pacing().setEnabled(options.pacesReturningServers);
 }
 
 RepeatLimits Gateway::repeatShare() const
@@ -47,6 +48,7 @@
     m_dispatcher.beginStep(m_now, m_effects);
     std::visit([&](const auto &typed) { on(typed); }, event);
     updateCutOff();
+    m_selector.pacing().takeLogRecords(m_effects);
     return std::move(m_effects);
 }
 
@@ -120,6 +122,7 @@
         if (isNew && isRouted(registration.service))
             newServers.push_back(registration.server);
     }
+    m_areServersKnown = true;
     m_directory.forgetDisplacedExcept(listed);
     // The copy of a store that has gone back says nothing about when a registration disappeared.
     if (event.hasStoreGoneBack)
@@ -137,10 +140,19 @@
 void Gateway::putListed(const BackendRegistration &registration, bool hasStoreGoneBack)
 {
     if (!hasStoreGoneBack)
-        return m_directory.put(registration, m_now);
+        return putServer(registration, !m_areServersKnown);
     const auto known = m_directory.find(registration.server);
     if (const auto believed = m_retention.reconcile(registration, known.get()))
-        m_directory.put(*believed, m_now);
+        putServer(*believed, !m_areServersKnown);
+}
+
+void Gateway::putServer(const BackendRegistration &registration, bool isFirstList)
+{
+    const auto former = m_directory.find(registration.server);
+    m_directory.put(registration, m_now);
+    const auto current = m_directory.find(registration.server);
+    if (current && current != former && !isFirstList)
+        m_selector.pacing().addProcess(*current, m_now);
 }
 
 void Gateway::on(const RegistrationWritten &event)
@@ -150,7 +162,7 @@
     const bool isNew = !m_directory.find(event.registration.server);
     m_directory.forgetDisplaced(event.registration.server);
     displaceOthers(event.registration);
-    m_directory.put(event.registration, m_now);
+    putServer(event.registration, false);
     // A server without a route is warmed up, too: the configuration with its route may not have
     // been read yet.
     if (isNew)
@@ -321,6 +333,8 @@
         m_restarts.addContact(*backend, m_now);
     else if (backend)
         m_restarts.addConnectionLoss(*backend, m_now);
+    if (backend && !event.isConnected)
+        m_selector.pacing().addConnectionLoss(*backend, m_now);
     m_dispatcher.retryWaiting();
 }
 
@@ -365,6 +379,7 @@
     m_ownDomain = event.options.selector.failureDomain;
     m_reachability.setOwnDomain(m_ownDomain);
     m_selector.setOptions(event.options.selector);
+    m_selector.pacing().setEnabled(event.options.pacesReturningServers);
     m_jointRepeatLimits = event.options.repeats;
     m_dispatcher.setRepeatLimits(repeatShare());
 }
@@ -406,6 +421,7 @@
     std::vector<Counter> counters = m_dispatcher.counters().all();
     for (Counter &counter : m_serverLimits.counters().all())
         counters.push_back(std::move(counter));
+    m_selector.pacing().appendCounters(counters);
     counters.push_back({ "configuration_version", m_configuration ? m_configuration->version : 0 });
     counters.push_back({ "registered_servers", m_directory.size() });
     counters.push_back({ "requests_in_progress", m_dispatcher.exchanges() });
@@ -447,6 +463,7 @@
                   { "registered", !backend->removeAt.has_value() },
                   { "leaving", backend->needs.isLeaving() },
                   { "paused", now < backend->needs.pausedUntil() },
+                  { "pace", backend->pace.share() },
                   { "requestLimit", limit ? boost::json::value(*limit) : nullptr },
                   { "inFlight", backend->load.inFlight() },
                   { "expectedMicros",
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -88,6 +88,8 @@
     void displaceOthers(const BackendRegistration &registered);
     void logRegistration(const BackendRegistration &registration);
     void removeDueServers();
+    /** Adds or updates a server; a process that is new to this host is paced. */
+    void putServer(const BackendRegistration &registration, bool isFirstList);
     void putListed(const BackendRegistration &registration, bool hasStoreGoneBack);
 
     BackendDirectory m_directory;
@@ -99,7 +101,8 @@
     ConnectionWarmer m_warmer;
     RepeatLimits m_jointRepeatLimits; ///< for all entry hosts together
     HostCount m_hostCount;
-    bool m_areHostsKnown = false; ///< a host list has been read
+    bool m_areServersKnown = false; ///< a list of registrations has been read
+    bool m_areHostsKnown = false;   ///< a host list has been read
     RequestDispatcher m_dispatcher;
     std::shared_ptr<const RoutingConfiguration> m_configuration;
     FailureDomainId m_ownDomain;
--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -133,6 +133,7 @@
         part.reached.push_back(registration.server);
     part.excluded.push_back(registration.server);
     part.openAttempts.push_back(attempt);
+    m_selector.pacing().addStart(*backend, m_now);
     backend->load.addStart(attempt, m_now);
     m_limits.take(*backend);
     m_reachability.addStart(registration);
@@ -311,6 +312,20 @@
         load.addFailure(attempt, m_now);
     if (failure == AttemptFailure::Lost || (isUnsent && !record.isReleased))
         m_restarts.addConnectionLoss(*record.backend, m_now);
+    ReturnPacing &pacing = m_selector.pacing();
+    if (failure == AttemptFailure::Expired || record.isReleased)
+        pacing.addAbandoned(*record.backend, record.startedAt, m_now);
+    else if (failure == AttemptFailure::Corrupt)
+        pacing.addResult(*record.backend, PaceResult::Failure, record.startedAt, m_now);
+    else
+        pacing.addResult(*record.backend, PaceResult::Unreachable, record.startedAt, m_now);
+}
+
+static PaceResult paceResultOf(const BackendAnswer &answer)
+{
+    if (answer.notExecuted)
+        return PaceResult::Refusal;
+    return answer.status >= 500 ? PaceResult::Failure : PaceResult::Answer;
 }
 
 void RequestDispatcher::recordLoad(const AttemptRecord &record, AttemptId attempt,
@@ -333,6 +348,7 @@
         load.addFailure(attempt, m_now);
     else
         load.addAnswer(attempt, m_now);
+    m_selector.pacing().addResult(*record.backend, paceResultOf(*answer), record.startedAt, m_now);
 }
 
 /** True if the response shows that the server has run the request and is still alive. */
