--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -146,10 +146,12 @@
 
 void BackendSelector::addPacedDemand(const BackendService &service, MonotonicTime now)
 {
-    if (!m_pacing.isEnabled())
+    const auto &servers = m_directory.serversOf(service.name);
+    const auto isReturning = [](const auto &backend) { return backend->pace.isReturning(); };
+    if (std::none_of(servers.begin(), servers.end(), isReturning))
         return;
     std::vector<Backend *> usable;
-    for (const auto &backend : m_directory.serversOf(service.name)) {
+    for (const auto &backend : servers) {
         if (isUsable(*backend))
             usable.push_back(backend.get());
     }
@@ -168,7 +170,7 @@
     std::vector<const Backend *> skipped; // those, and the servers beyond their pace
     bool isPaced = true;
     while (true) {
-        const auto backend = cheapest(service, typical, filter, skipped, now);
+        auto backend = cheapest(service, typical, filter, skipped, now);
         if (!backend && skipped.size() > denied.size()) {
             skipped = denied;
             isPaced = false;
--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -318,7 +318,8 @@
     else if (failure == AttemptFailure::Corrupt)
         pacing.addResult(*record.backend, PaceResult::Failure, record.startedAt, m_now);
     else
-        pacing.addResult(*record.backend, PaceResult::Unreachable, record.startedAt, m_now);
+        pacing.addResult(*record.backend, isUnsent ? PaceResult::Unreachable : PaceResult::Lost,
+                         record.startedAt, m_now);
 }
 
 static PaceResult paceResultOf(const BackendAnswer &answer)
--- a/src/gateway/pace/ReturnPacing.cpp
+++ b/src/gateway/pace/ReturnPacing.cpp
@@ -172,10 +172,7 @@
 
 void ReturnPacing::addDemand(const std::vector<Backend *> &usable, MonotonicTime now)
 {
-    if (!m_isEnabled)
-        return;
-    const auto isReturning = [](const Backend *backend) { return backend->pace.isReturning(); };
-    if (std::none_of(usable.begin(), usable.end(), isReturning))
+    if (!m_isEnabled || usable.empty())
         return;
     const auto isOwn = [this](const Backend *backend) {
         return backend->registration.failureDomain == m_options.failureDomain;
@@ -194,7 +191,7 @@
     // Relative to the mean, so that the shares add up to the demand if all servers are returning.
     const double meanShare = totalShare / static_cast<double>(usable.size());
     for (Backend *backend : usable) {
-        if (!isReturning(backend))
+        if (!backend->pace.isReturning())
             continue;
         backend->pace.addCredit(weight(backend) / totalWeight * backend->pace.share() / meanShare);
         applyShared(*backend, now);
--- a/src/gateway/pace/ReturnPacing.h
+++ b/src/gateway/pace/ReturnPacing.h
@@ -27,7 +27,6 @@
 
     /** Turns the pacing on or off. While it is off, all servers count as steady. */
     void setEnabled(bool isEnabled);
-    bool isEnabled() const { return m_isEnabled; }
     /** Sets the number of entry hosts, whose probes of a server add up. */
     void setHostCount(std::size_t hosts) { m_hostCount = std::max<std::size_t>(hosts, 1); }
     /** Sets the results of all hosts, or null: own results only. The source has to stay valid. */
--- a/src/gateway/pace/ServerPace.cpp
+++ b/src/gateway/pace/ServerPace.cpp
@@ -9,7 +9,7 @@
 using Seconds = std::chrono::duration<double>;
 
 /** Share of a server that has just returned. */
-static constexpr double kStartShare = 0.05;
+static constexpr double kStartShare = 0.1;
 /** Lower bound of the share of a server that refuses or fails. */
 static constexpr double kMinShare = 0.02;
 /**
@@ -21,13 +21,13 @@
  * Time in which the share doubles while results are good. Growth by elapsed time and not by the
  * number of rounds gives busy and rarely used servers the same pace.
  */
-static constexpr Seconds kDoublingTime(0.8);
+static constexpr Seconds kDoublingTime(0.6);
 /** Growth is slower by this factor near the share at which results were bad before. */
-static constexpr double kCautiousFactor = 4;
+static constexpr double kCautiousFactor = 2.5;
 /** Growth becomes slower from this multiple of the share at which results were bad... */
 static constexpr double kCautiousFrom = 0.7;
 /** ...and normal again from this multiple, where the server evidently bears more than before. */
-static constexpr double kCautiousUntil = 1.5;
+static constexpr double kCautiousUntil = 1.3;
 /** Bounds of the factor by which refusals and failures lower the share. */
 static constexpr double kMaxCut = 0.3;
 static constexpr double kMinCut = 0.7;
@@ -56,11 +56,11 @@
 /** Statements of other hosts cover the last second or two. */
 static constexpr Duration kSharedRoundTime = std::chrono::seconds(1);
 
-/** Weight of one result in the shares of refusals and failures: six in a row exceed one half. */
-static constexpr double kResultWeight = 0.12;
+/** Weight of one result in the shares of refusals and failures: four in a row exceed one half. */
+static constexpr double kResultWeight = 0.2;
 /** A server is returning if more than this share of its results is bad. */
 static constexpr double kBadMajority = 0.5;
-/** A single lost connection may have been closed for other reasons. */
+/** A single lost connection may have been closed for other reasons; a refused one may not. */
 static constexpr int kMaxLossesInRow = 2;
 
 /** Weight of one response time in the usual time. */
@@ -157,21 +157,35 @@
     const bool isAnswer = result == PaceResult::Answer;
     m_refusalShare += ((isRefusal ? 1 : 0) - m_refusalShare) * kResultWeight;
     m_failureShare += ((!isRefusal && !isAnswer ? 1 : 0) - m_failureShare) * kResultWeight;
-    m_lossesInRow = result == PaceResult::Unreachable ? m_lossesInRow + 1 : 0;
+    if (result == PaceResult::Unreachable)
+        m_lossesInRow += kMaxLossesInRow;
+    else
+        m_lossesInRow = result == PaceResult::Lost ? m_lossesInRow + 1 : 0;
     if (isAnswer)
         addTime(now - sentAt, now);
     if (!isReturning())
         return reasonToReturn();
+    addToRound(result, sentAt, now);
+    return std::nullopt;
+}
+
+void ServerPace::addToRound(PaceResult result, MonotonicTime sentAt, MonotonicTime now)
+{
+    if (result == PaceResult::Unreachable) {
+        // A server that is down says nothing about the load that it will bear.
+        m_share = kStartShare;
+        m_badShareOfLoad = std::numeric_limits<double>::infinity();
+        return beginRound(now);
+    }
     // Results of earlier requests say nothing about the present share.
     if (sentAt < m_roundBeganAt)
-        return std::nullopt;
-    if (isAnswer) {
+        return;
+    if (result == PaceResult::Answer) {
         m_round.answers += 1;
         m_round.totalTime += now - sentAt;
     } else {
-        (isRefusal ? m_round.refusals : m_round.failures) += 1;
+        (result == PaceResult::Refusal ? m_round.refusals : m_round.failures) += 1;
     }
-    return std::nullopt;
 }
 
 void ServerPace::addAbandoned(MonotonicTime sentAt, MonotonicTime now)
--- a/src/gateway/pace/ServerPace.h
+++ b/src/gateway/pace/ServerPace.h
@@ -21,7 +21,8 @@
     Answer,
     Refusal,    ///< the server states that it did not run the request
     Failure,    ///< an error or an invalid response
-    Unreachable ///< the connection was lost or could not be established
+    Lost,       ///< the connection ended after bytes of the request may have arrived
+    Unreachable ///< no connection could be established
 };
 
 /** What a round of results says about the share of a returning server. */
@@ -81,6 +82,7 @@
 private:
     void addTime(Duration time, MonotonicTime now);
     std::optional<ReturnReason> reasonToReturn() const;
+    void addToRound(PaceResult result, MonotonicTime sentAt, MonotonicTime now);
     void apply(PaceVerdict verdict, const ServerEvidence &results, MonotonicTime now);
     void raise(MonotonicTime now);
     void lowerSlow(const ServerEvidence &results, MonotonicTime now);
@@ -101,7 +103,7 @@
 
     double m_refusalShare = 0; ///< moving average over results, 0 to 1
     double m_failureShare = 0; ///< moving average over results, 0 to 1
-    int m_lossesInRow = 0;
+    int m_lossesInRow = 0;     ///< lost connections; one that was refused counts as two
     Duration m_usualTime {};
     std::optional<MonotonicTime> m_timeUpdatedAt;
 };
