--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -19,6 +19,11 @@
  * fails, the part has used up another repeat or all of its attempts.
  */
 static constexpr int kRepeatLossFactor = 2;
+/**
+ * Advantage of a returning server of the own failure domain that has got no request for some time.
+ * It outweighs a new connection and the cold penalty, but no recent failure or refusal.
+ */
+static constexpr Duration kProbeAdvantage = std::chrono::milliseconds(25);
 /** Penalty for a server whose registration has disappeared, since it has probably stopped. */
 static constexpr Duration kUnregisteredCost = std::chrono::milliseconds(40);
 /**
@@ -50,6 +55,7 @@
     , m_limits(limits)
     , m_observations(observations)
     , m_connections(m_options, directory)
+    , m_pacing(m_options, directory)
 {
 }
 
@@ -63,6 +69,7 @@
 {
     m_hostCount = hosts.all;
     m_connections.setHosts(hosts);
+    m_pacing.setHostCount(hosts.all);
 }
 
 IdleConnectionLimits BackendSelector::idleLimitsFor(const BackendService &service,
@@ -116,6 +123,8 @@
         cost += kUnregisteredCost;
     const Duration extra = m_observations.extraTime(backend, typical, now);
     cost += isRepeat ? extra * kRepeatLossFactor : extra;
+    if (isOwnDomain(backend) && m_pacing.isProbeDue(backend, now))
+        cost -= kProbeAdvantage;
     return cost;
 }
 
@@ -148,14 +157,44 @@
     return best;
 }
 
+void BackendSelector::addPacedDemand(const BackendService &service, MonotonicTime now)
+{
+    const auto &servers = m_directory.serversOf(service.name);
+    const auto isReturning = [](const auto &backend) { return backend->pace.isReturning(); };
+    if (std::none_of(servers.begin(), servers.end(), isReturning))
+        return;
+    std::vector<Backend *> usable;
+    for (const auto &backend : servers) {
+        if (isUsable(*backend))
+            usable.push_back(backend.get());
+    }
+    m_pacing.addDemand(usable, now);
+}
+
 std::shared_ptr<Backend> BackendSelector::choose(const BackendService &service, Duration typical,
                                                  const ServerFilter &filter, MonotonicTime now)
 {
     // A different start index each time spreads requests over servers of equal cost.
     ++m_rotation;
     bool isNewDemand = !filter.isWaiting;
-    std::vector<const Backend *> denied;
-    while (auto backend = cheapest(service, typical, filter, denied, now)) {
+    if (isNewDemand)
+        addPacedDemand(service, now);
+    std::vector<const Backend *> denied;  // by limits that the servers name
+    std::vector<const Backend *> skipped; // those, and the servers beyond their pace
+    bool isPaced = true;
+    while (true) {
+        auto backend = cheapest(service, typical, filter, skipped, now);
+        if (!backend && skipped.size() > denied.size()) {
+            skipped = denied;
+            isPaced = false;
+            continue;
+        }
+        if (!backend)
+            return nullptr;
+        if (isPaced && !m_pacing.admits(*backend, now)) {
+            skipped.push_back(backend.get());
+            continue;
+        }
         const bool needsPermit = m_limits.permission(*backend) == Permission::Pending;
         m_limits.addDemand(*backend, std::exchange(isNewDemand, false), needsPermit);
         // If this host issues the permits itself, it has got one by now.
@@ -165,8 +204,8 @@
         if (permission == Permission::Pending && filter.mayWait)
             return nullptr;
         denied.push_back(backend.get());
+        skipped.push_back(backend.get());
     }
-    return nullptr;
 }
 
 bool BackendSelector::hasCandidate(const BackendService &service, const ServerFilter &filter,
