Keep gateways within the memory of their machine

Cause: a gateway held the bodies of all incomplete requests, 8 KB of read buffer for each connection, up to 72 KB of pipelined requests, and without any bound the answers that a pipelining caller did not read. Change: HttpServer reports to a CallerAccount with limits from memoryMb and maxDescriptors, or else from the operating system. Large incomplete requests pause while memory is short; those without progress get 503 and end. A new connection takes the place of the one with the least progress. Metrics and the log line callersEnded tell of it.

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -47,7 +47,8 @@
     , m_frontEnd(
               names, [this](GatewayEvent event) { enqueue(std::move(event)); },
               [this] { return lateness(); })
-    , m_callers(context, m_frontEnd)
+    , m_callerAccount(callerMemoryLimitsWithin(m_settings.memoryBytes, m_settings.maxDescriptors))
+    , m_callers(context, m_frontEnd, &m_callerAccount)
     , m_readinessPages([this](std::string_view) { return readinessPage(); },
                        [this](ExchangeId exchange, const HttpServerResponse &response) {
                            m_readiness.reply(exchange, response);
@@ -96,6 +97,8 @@
 boost::leaf::result<void> GatewayServer::start()
 {
     std::signal(SIGPIPE, SIG_IGN);
+    m_readiness.setOperatorLimits();
+    m_admin.setOperatorLimits();
     BOOST_LEAF_CHECK(m_readiness.listen(m_settings.readinessEndpoint));
     BOOST_LEAF_CHECK(m_admin.listen(m_settings.adminEndpoint));
     BOOST_LEAF_CHECK(m_callers.listen(m_settings.callerEndpoint));
@@ -319,6 +322,10 @@
                 BOOST_LEAF_AUTO(settings, readGatewaySettings(m_settingsFile));
                 m_settings.stopTimeout = settings.stopTimeout;
                 m_settings.options = settings.options;
+                m_settings.memoryBytes = settings.memoryBytes;
+                m_settings.maxDescriptors = settings.maxDescriptors;
+                m_callerAccount.setLimits(
+                        callerMemoryLimitsWithin(settings.memoryBytes, settings.maxDescriptors));
                 enqueue(OptionsChanged { settings.options });
                 log({ LogPriority::State, "reloaded", { { "file", m_settingsFile } } });
                 return {};
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -74,6 +74,8 @@
     std::string metricsText() const;
     std::vector<Counter> counters() const;
     void logCountersLater();
+    void logEndedCallers();
+    void addCallerCounters(std::vector<Counter> &counters) const;
 
     boost::asio::io_context &m_context;
     GatewaySettings m_settings;
@@ -81,6 +83,7 @@
     JsonLineLog m_log;
     Gateway m_gateway;
     GatewayFrontEnd m_frontEnd;
+    CallerAccount m_callerAccount;
     HttpServer m_callers;
     PageHandler m_readinessPages;
     HttpServer m_readiness;
@@ -97,6 +100,7 @@
     boost::asio::steady_timer m_stopTimer;
     boost::asio::steady_timer m_countersTimer;
     std::optional<MonotonicTime> m_timerAt;
+    std::uint64_t m_loggedEndedCallers = 0; ///< of the last line on ended connections
     std::deque<GatewayEvent> m_events;
     bool m_isDraining = false;
     bool m_isStopping = false;
--- a/src/app/GatewayServerPages.cpp
+++ b/src/app/GatewayServerPages.cpp
@@ -47,12 +47,35 @@
     counters.push_back({ "stray_responses_total", backends.strayResponses });
     counters.push_back({ "bad_requests_total", m_frontEnd.badRequests() });
     counters.push_back({ "caller_connections", m_callers.connections() });
+    addCallerCounters(counters);
     counters.push_back({ "log_lines_total", log.written });
     counters.push_back({ "log_lines_dropped_total{reason=\"rate\"}", log.overRate });
     counters.push_back({ "log_lines_dropped_total{reason=\"overflow\"}", log.overflow });
     return counters;
 }
 
+void GatewayServer::addCallerCounters(std::vector<Counter> &counters) const
+{
+    const CallerAccount &account = m_callerAccount;
+    const auto held = [&](const std::string &kind, HeldKind index) {
+        counters.push_back(
+                { "caller_held_bytes{kind=\"" + kind + "\"}", account.heldBytes(index) });
+    };
+    held("connection", HeldKind::Connection);
+    held("incomplete", HeldKind::Incomplete);
+    held("inProgress", HeldKind::InProgress);
+    held("unsent", HeldKind::Unsent);
+    const auto ended = [&](const std::string &reason, ShortageReason index) {
+        counters.push_back(
+                { "callers_ended_total{reason=\"" + reason + "\"}", account.ended(index) });
+    };
+    ended("stalled", ShortageReason::Stalled);
+    ended("memory", ShortageReason::Memory);
+    ended("connections", ShortageReason::Connections);
+    counters.push_back({ "caller_accepts_delayed_total", account.refusedConnections() });
+    counters.push_back({ "caller_requests_refused_total", m_callers.refusedRequests() });
+}
+
 std::string GatewayServer::metricsText() const
 {
     std::string text = LatencyHistogram::heading();
@@ -73,8 +96,32 @@
         for (const Counter &counter : all)
             line.fields.emplace_back(counter.name, std::to_string(counter.value));
         log(line);
+        logEndedCallers();
         logCountersLater();
     });
 }
 
+/** Called every kCountersInterval, which bounds the rate of the line. */
+void GatewayServer::logEndedCallers()
+{
+    const CallerAccount &account = m_callerAccount;
+    const std::uint64_t stalled = account.ended(ShortageReason::Stalled);
+    const std::uint64_t memory = account.ended(ShortageReason::Memory);
+    const std::uint64_t connections = account.ended(ShortageReason::Connections);
+    const std::uint64_t refused = m_callers.refusedRequests();
+    const std::uint64_t total = stalled + memory + connections + refused;
+    if (total == m_loggedEndedCallers)
+        return;
+    log({ LogPriority::State,
+          "callersEnded",
+          { { "ended", std::to_string(total - m_loggedEndedCallers) },
+            { "stalledTotal", std::to_string(stalled) },
+            { "memoryTotal", std::to_string(memory) },
+            { "connectionsTotal", std::to_string(connections) },
+            { "refusedTotal", std::to_string(refused) },
+            { "heldBytes", std::to_string(account.heldBytes()) },
+            { "connections", std::to_string(account.connections()) } } });
+    m_loggedEndedCallers = total;
+}
+
 } // namespace greengagestair
--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -30,6 +30,8 @@
 static constexpr std::size_t kMaxBufferedBytes = 33'554'432;
 /** A response up to this size is received even if the others have reached their joint bound. */
 static constexpr std::size_t kGuaranteedResponseBytes = 65'536;
+/** Larger bodies are shared by all attempts of a request; for smaller ones a copy costs less. */
+static constexpr std::size_t kSharedBodyBytes = 16'384;
 /** Idle timeout of a connection that has not carried a request yet. */
 static constexpr std::chrono::seconds kUnusedConnectionTimeout(5);
 /** Share of the idle timeout in the Keep-Alive field after which a connection is closed. */
@@ -124,6 +126,11 @@
     return equalsIgnoringCase(name, kAuthorizationField) || equalsIgnoringCase(name, names.tenant);
 }
 
+static bool sharesBody(const GatewayRequest &request)
+{
+    return request.body.size() > kSharedBodyBytes;
+}
+
 std::string BackendConnection::serialize(const StartAttempt &attempt) const
 {
     const GatewayRequest &request = *attempt.request;
@@ -131,7 +138,7 @@
     const auto remainingMs =
             std::chrono::floor<std::chrono::milliseconds>(attempt.remaining).count();
     std::string text;
-    text.reserve(512 + request.body.size());
+    text.reserve(512 + (sharesBody(request) ? 0 : request.body.size()));
     text += request.method + " " + request.target + " HTTP/1.1\r\n";
     for (const HeaderField &field : request.headers) {
         if (!attempt.caller || !isIdentityField(field.name, names))
@@ -146,7 +153,8 @@
     if (!request.body.empty() || !mayOmitContentLength)
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     text += "\r\n";
-    text += request.body;
+    if (!sharesBody(request))
+        text += request.body;
     return text;
 }
 
@@ -157,7 +165,10 @@
     m_sentAt = Clock::now();
     resetReceived();
     resetParser();
-    if (m_stream->write(serialize(attempt)))
+    std::shared_ptr<const std::string> body;
+    if (sharesBody(*attempt.request))
+        body = { attempt.request, &attempt.request->body };
+    if (m_stream->write(serialize(attempt), std::move(body)))
         return;
     const std::weak_ptr<BackendConnection> self = weak_from_this();
     asio::post(m_pool.m_context, [self] {
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -18,8 +18,16 @@
 
 /** Interval at which connections are checked for timeouts. */
 static constexpr std::chrono::milliseconds kTimeoutCheckInterval(500);
-/** Delay after a failed accept, which usually means that file descriptors have run out. */
+/** Interval at which the account is relieved while memory is short. */
+static constexpr std::chrono::milliseconds kReliefInterval(100);
+/** Delay after a failed accept, or when there is no room for a connection; callers wait in the
+ * kernel's backlog meanwhile. */
 static constexpr std::chrono::milliseconds kAcceptRetryDelay(50);
+/** Of a server of pages. Other gateways, a scraper and the platform's checks use one connection
+ * each; the smallest reserve of descriptors (CallerAccount.cpp) holds the connections of two such
+ * servers. */
+static constexpr std::size_t kMaxOperatorConnections = 12;
+static constexpr std::size_t kMaxOperatorRequestBytes = 8192;
 /** Maximum number of connections waiting for accept(); after a failover many callers reconnect. */
 static constexpr int kListenBacklog = 1024;
 
@@ -28,12 +36,15 @@
     return fieldValue(headers, name);
 }
 
-HttpServer::HttpServer(asio::io_context &context, HttpServerHandler &handler)
+HttpServer::HttpServer(asio::io_context &context, HttpServerHandler &handler,
+                       CallerAccount *account)
     : m_context(context)
     , m_handler(handler)
+    , m_account(account ? *account : m_ownAccount)
     , m_acceptor(context)
     , m_timeoutTimer(context)
     , m_acceptRetryTimer(context)
+    , m_reliefTimer(context)
 {
 }
 
@@ -59,6 +70,13 @@
     return {};
 }
 
+void HttpServer::setOperatorLimits()
+{
+    m_limits.maxHeaderBytes = kMaxOperatorRequestBytes;
+    m_limits.maxBodyBytes = kMaxOperatorRequestBytes;
+    m_ownAccount.setLimits({ CallerMemoryLimits {}.bytes, kMaxOperatorConnections });
+}
+
 Endpoint HttpServer::endpoint() const
 {
     const auto local = m_acceptor.local_endpoint();
@@ -70,16 +88,46 @@
     m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
         if (error == asio::error::operation_aborted || !m_acceptor.is_open())
             return;
-        if (error) {
-            m_acceptRetryTimer.expires_after(kAcceptRetryDelay);
-            m_acceptRetryTimer.async_wait([this](const error_code &timerError) {
-                if (!timerError)
-                    accept();
-            });
-            return;
-        }
+        if (error)
+            return acceptLater();
         addConnection(std::move(socket));
+        acceptWithRoom();
+    });
+}
+
+void HttpServer::acceptWithRoom()
+{
+    // Checked before the next connection comes, so that one place is always free for it.
+    if (m_account.makeRoomForConnection(std::chrono::steady_clock::now()))
         accept();
+    else
+        acceptLater();
+}
+
+void HttpServer::acceptLater()
+{
+    m_acceptRetryTimer.expires_after(kAcceptRetryDelay);
+    m_acceptRetryTimer.async_wait([this](const error_code &error) {
+        if (!error && m_acceptor.is_open())
+            acceptWithRoom();
+    });
+}
+
+void HttpServer::relieveIfShort(CallerAccount::Time now)
+{
+    if (m_account.needsRelief())
+        m_account.relieve(now);
+    if (m_isReliefScheduled || (!m_account.isShort() && !m_account.hasPaused()))
+        return;
+    m_isReliefScheduled = true;
+    m_reliefTimer.expires_after(kReliefInterval);
+    m_reliefTimer.async_wait([this](const error_code &error) {
+        if (error)
+            return;
+        m_isReliefScheduled = false;
+        const auto time = std::chrono::steady_clock::now();
+        m_account.relieve(time);
+        relieveIfShort(time);
     });
 }
 
@@ -96,7 +144,7 @@
 {
     error_code error;
     m_acceptor.non_blocking(true, error);
-    while (!error) {
+    while (!error && m_account.makeRoomForConnection(std::chrono::steady_clock::now())) {
         tcp::socket socket(m_context);
         m_acceptor.accept(socket, error);
         if (!error)
@@ -135,8 +183,10 @@
         return;
     const auto connection = found->second.lock();
     m_exchanges.erase(found);
-    if (connection)
-        connection->reply(response);
+    if (!connection)
+        return;
+    connection->reply(response);
+    relieveIfShort(std::chrono::steady_clock::now());
 }
 
 void HttpServer::closeListenerAndIdleConnections()
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -3,6 +3,7 @@
 #include "gateway/HttpMessage.h"
 #include "gateway/RoutingConfiguration.h"
 #include "greengagestair/Types.h"
+#include "http/CallerAccount.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -62,14 +63,18 @@
 /**
  * An HTTP/1.1 server on the event loop that accepts the connections of callers. Requests of one
  * connection are handled one after the other. A malformed request, or one that exceeds a limit, is
- * answered with status 400, 408, 413 or 431, and its connection is closed.
+ * answered with status 400, 408, 413 or 431, and its connection is closed. When the CallerAccount
+ * runs short, incomplete requests are answered with 503, and connections are closed.
  */
 class HttpServer
 {
 public:
-    /** Creates a server that does not listen yet. `context` and `handler` must outlive the server.
+    /**
+     * Creates a server that does not listen yet. `context`, `handler` and `account` must outlive
+     * the server. Without an account the server has one of its own, without limits.
      */
-    HttpServer(boost::asio::io_context &context, HttpServerHandler &handler);
+    HttpServer(boost::asio::io_context &context, HttpServerHandler &handler,
+               CallerAccount *account = nullptr);
     ~HttpServer();
 
     /** Starts to accept connections. Port 0 selects a free port. Error: HttpListenFailed. */
@@ -79,6 +84,12 @@
      * and to open ones only after their next request.
      */
     void setLimits(const CallerLimits &limits) { m_limits = limits; }
+    /**
+     * Sets limits for a server of pages, whose callers send small requests only: few connections,
+     * so that they cannot take the descriptors that callers' servers and the store need. Applies to
+     * the server's own account.
+     */
+    void setOperatorLimits();
     /** The limits that setLimits() set last, or the defaults. */
     const CallerLimits &limits() const { return m_limits; }
 
@@ -97,6 +108,8 @@
      * yet, are kept.
      */
     void closeListenerAndIdleConnections();
+    /** Requests that were complete and refused because the account was used up. */
+    std::uint64_t refusedRequests() const { return m_refusedRequests; }
     /** Number of open connections. */
     std::size_t connections() const { return m_connections.size(); }
     /** The address and port on which the server listens; call it after listen(). */
@@ -106,20 +119,30 @@
     friend class HttpServerConnection;
 
     void accept();
+    /** Accepts the next connection, as soon as the account has room for it. */
+    void acceptWithRoom();
+    void acceptLater();
     /** Accepts the connections that wait in the kernel; closing the listener would reset them. */
     void acceptPending();
     void addConnection(boost::asio::ip::tcp::socket socket);
     void closeIdleConnections();
     void scheduleTimeoutCheck();
+    /** Ends connections if the account is used up, and sees to it later while it runs short. */
+    void relieveIfShort(CallerAccount::Time now);
     ExchangeId beginExchange(const std::shared_ptr<HttpServerConnection> &connection);
     void remove(std::uint64_t connection);
 
     boost::asio::io_context &m_context;
     HttpServerHandler &m_handler;
+    CallerAccount m_ownAccount;
+    CallerAccount &m_account;
     CallerLimits m_limits;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_timeoutTimer;
     boost::asio::steady_timer m_acceptRetryTimer;
+    boost::asio::steady_timer m_reliefTimer;
+    bool m_isReliefScheduled = false;
+    std::uint64_t m_refusedRequests = 0;
     std::unordered_map<std::uint64_t, std::shared_ptr<HttpServerConnection>> m_connections;
     std::unordered_map<ExchangeId, std::weak_ptr<HttpServerConnection>> m_exchanges;
     std::uint64_t m_lastConnectionId = 0;
--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include <algorithm>
+
 namespace greengagestair {
 
 namespace http = boost::beast::http;
@@ -13,8 +15,19 @@
 
 /** Time that a caller has to close its side after the last response of a connection. */
 static constexpr std::chrono::seconds kLingerTimeout(1);
-/** Maximum number of bytes of later requests that are buffered while one is in progress. */
-static constexpr std::size_t kMaxReadAheadBytes = 65'536;
+/**
+ * Reading stops beyond this number of bytes of later requests while one is in progress. Together
+ * with one read of 8 KB, 3,000 connections hold 36 MB in this way; with the former 64 KB it were
+ * 220 MB.
+ */
+static constexpr std::size_t kMaxReadAheadBytes = 4096;
+/**
+ * Receive buffer of a connection whose reading is paused, in bytes; the kernel doubles it. Without
+ * it the kernel would go on taking up to several megabytes from each paused caller.
+ */
+static constexpr int kPausedReceiveBuffer = 8192;
+/** Receive buffer of a connection that continues; fits 64 KB of window after the doubling. */
+static constexpr int kResumedReceiveBuffer = 65'536;
 /** Maximum number of header fields of one request. */
 static constexpr std::size_t kMaxHeaderFields = 128;
 
@@ -25,6 +38,7 @@
     , m_stream(std::make_shared<TcpStream>(std::move(socket)))
     , m_stateSince(steady_clock::now())
 {
+    m_share.emplace(server.m_account, static_cast<AccountedCaller &>(*this), m_stateSince);
     resetParser();
 }
 
@@ -39,6 +53,10 @@
             [self](StreamEnd) {
                 if (const auto connection = self.lock())
                     connection->onEnd();
+            },
+            [self] {
+                if (const auto connection = self.lock())
+                    connection->onDrained();
             });
 }
 
@@ -49,6 +67,8 @@
     m_parser->header_limit(static_cast<std::uint32_t>(m_server.limits().maxHeaderBytes));
     m_parser->body_limit(m_server.limits().maxBodyBytes);
     m_continueSent = false;
+    m_headerBytes = 0;
+    m_bodyBytes = 0;
 }
 
 void HttpServerConnection::onBytes(std::string_view bytes)
@@ -57,15 +77,44 @@
     // the connection and the caller could lose the response.
     if (m_isClosing)
         return;
-    if (m_unparsed.empty() && !m_exchange && !m_parser->got_some())
-        m_stateSince = steady_clock::now();
+    const auto now = steady_clock::now();
+    if (!m_exchange && !isReceiving())
+        m_stateSince = now;
+    if (mayParse())
+        parse(bytes);
+    else
+        readAhead(bytes);
+    updateShare(now);
+    m_server.relieveIfShort(now);
+}
+
+void HttpServerConnection::readAhead(std::string_view bytes)
+{
     m_unparsed += bytes;
-    if (m_exchange) {
-        if (m_unparsed.size() > kMaxReadAheadBytes)
-            m_stream->setReading(false);
+    if (m_unparsed.size() > kMaxReadAheadBytes)
+        m_stream->setReading(false);
+}
+
+/** Parses the next request of the bytes that were read ahead, and reads on. */
+void HttpServerConnection::parseReadAhead()
+{
+    if (!m_unparsed.empty())
+        parse({});
+    // While the next request is in progress, the bytes behind it must not grow with each answer.
+    if (mayParse() || m_unparsed.size() <= kMaxReadAheadBytes)
+        m_stream->setReading(true);
+}
+
+/** The caller has taken all answers: the next request may follow. */
+void HttpServerConnection::onDrained()
+{
+    if (m_isClosing || m_exchange)
         return;
-    }
-    parse();
+    const auto now = steady_clock::now();
+    m_stateSince = now;
+    parseReadAhead();
+    updateShare(now);
+    m_server.relieveIfShort(now);
 }
 
 static int statusOf(const boost::system::error_code &error)
@@ -77,24 +126,50 @@
     return 400;
 }
 
-void HttpServerConnection::parse()
+/**
+ * Passes bytes to the parser and removes those that it consumes. Returns the status with which the
+ * request is to be rejected, or 0.
+ */
+int HttpServerConnection::feed(std::string_view &bytes)
 {
-    while (!m_unparsed.empty() && !m_parser->is_done()) {
+    while (!bytes.empty() && !m_parser->is_done()) {
         boost::system::error_code error;
-        const std::size_t used = m_parser->put(boost::asio::buffer(m_unparsed), error);
-        m_unparsed.erase(0, used);
+        const bool isHeader = !m_parser->is_header_done();
+        const std::size_t used =
+                m_parser->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+        bytes.remove_prefix(used);
+        if (isHeader)
+            m_headerBytes += used;
         if (error == http::error::need_more) {
             // What the parser does not consume is a line without its end: of the header, of a chunk
             // or of the trailer.
-            if (m_unparsed.size() > m_server.limits().maxHeaderBytes)
-                return rejectRequest(m_parser->is_header_done() ? 400 : 431);
+            if (bytes.size() > m_server.limits().maxHeaderBytes)
+                return m_parser->is_header_done() ? 400 : 431;
             break;
         }
         if (error)
-            return rejectRequest(statusOf(error));
+            return statusOf(error);
+    }
+    return m_parser->is_header_done() && hasAmbiguousFraming() ? 400 : 0;
+}
+
+/** Parses what was left over together with `bytes`. */
+void HttpServerConnection::parse(std::string_view bytes)
+{
+    int status = 0;
+    if (m_unparsed.empty()) {
+        status = feed(bytes);
+        m_unparsed = bytes;
+    } else {
+        m_unparsed += bytes;
+        std::string_view rest = m_unparsed;
+        status = feed(rest);
+        m_unparsed.erase(0, m_unparsed.size() - rest.size());
+        if (m_unparsed.empty())
+            std::string().swap(m_unparsed);
     }
-    if (m_parser->is_header_done() && hasAmbiguousFraming())
-        return rejectRequest(400);
+    if (status != 0)
+        return rejectRequest(status);
     if (m_parser->is_done())
         return dispatchRequest();
     if (m_parser->is_header_done() && !m_continueSent) {
@@ -122,6 +197,12 @@
 
 void HttpServerConnection::dispatchRequest()
 {
+    if (m_server.m_account.isFull()) {
+        ++m_server.m_refusedRequests;
+        return refuse(503);
+    }
+    m_requestBytes = incompleteBytes();
+    m_hasServed = true;
     auto message = m_parser->release();
     m_keepAlive = message.keep_alive();
     m_isHeadRequest = message.method() == http::verb::head;
@@ -135,12 +216,14 @@
     m_stateSince = steady_clock::now();
     const auto self = shared_from_this();
     m_exchange = m_server.beginExchange(self);
+    updateShare(m_stateSince);
     m_server.m_handler.onRequest(*m_exchange, std::move(request));
 }
 
 void HttpServerConnection::reply(const HttpServerResponse &response)
 {
     m_exchange.reset();
+    m_requestBytes = 0;
     m_stateSince = steady_clock::now();
     const bool closesConnection = !m_keepAlive || m_server.closesAfterResponse();
     std::string text = "HTTP/1.1 " + std::to_string(response.status) + " ";
@@ -162,16 +245,23 @@
     const bool isSent = m_stream->write(std::move(text));
     if (!isSent)
         return close();
-    if (closesConnection)
-        return closeGracefully();
-    m_stream->setReading(true);
-    if (!m_unparsed.empty())
-        parse();
+    if (closesConnection) {
+        closeGracefully();
+    } else if (mayParse()) {
+        parseReadAhead();
+    }
+    updateShare(m_stateSince);
 }
 
 void HttpServerConnection::rejectRequest(int status)
 {
     m_server.m_handler.onBadRequest(status);
+    refuse(status);
+}
+
+/** Answers a request that was not passed on, and closes the connection. */
+void HttpServerConnection::refuse(int status)
+{
     m_keepAlive = false;
     m_isHeadRequest = false;
     HttpServerResponse response;
@@ -182,11 +272,68 @@
 void HttpServerConnection::closeGracefully()
 {
     m_isClosing = true;
-    m_unparsed.clear();
+    std::string().swap(m_unparsed);
+    resetParser();
     m_stream->finishWriting();
     m_stream->setReading(true);
 }
 
+void HttpServerConnection::endForShortage(ShortageReason reason)
+{
+    const auto self = shared_from_this();
+    if (!isReceiving() || m_exchange || m_stream->hasUnsentBytes())
+        return close();
+    refuse(503);
+    // The place of the connection is needed at once.
+    if (reason == ShortageReason::Connections)
+        close();
+}
+
+void HttpServerConnection::resumeReading()
+{
+    m_stream->setReceiveBuffer(kResumedReceiveBuffer);
+    m_stream->setReading(true);
+}
+
+/** What the incomplete request holds. Parsed headers take about twice their size. */
+std::size_t HttpServerConnection::incompleteBytes() const
+{
+    const std::size_t body = m_parser->is_header_done() ? m_parser->get().body().capacity() : 0;
+    return (m_unparsed.empty() ? 0 : m_unparsed.capacity()) + 2 * m_headerBytes + body;
+}
+
+CallerStage HttpServerConnection::stage() const
+{
+    if (m_exchange)
+        return CallerStage::InProgress;
+    if (m_stream->hasUnsentBytes())
+        return CallerStage::Sending;
+    if (m_isClosing)
+        return CallerStage::InProgress;
+    if (isReceiving())
+        return CallerStage::Receiving;
+    return m_hasServed ? CallerStage::Idle : CallerStage::New;
+}
+
+/** Tells the account what the connection holds now, and stops reading if it must. */
+void HttpServerConnection::updateShare(Time now)
+{
+    if (!m_share)
+        return;
+    m_share->setStage(stage(), now);
+    m_share->hold(HeldKind::Unsent, m_stream->bufferedBytes(), now);
+    m_share->hold(HeldKind::InProgress, m_requestBytes, now);
+    m_share->hold(HeldKind::Incomplete, incompleteBytes(), now);
+    const std::size_t bodyBytes = m_parser->is_header_done() ? m_parser->get().body().size() : 0;
+    m_share->addProgress(bodyBytes - std::min(bodyBytes, m_bodyBytes), now);
+    m_bodyBytes = bodyBytes;
+    if (!m_isClosing && m_share->mustPause()) {
+        m_share->pause();
+        m_stream->setReceiveBuffer(kPausedReceiveBuffer);
+        m_stream->setReading(false);
+    }
+}
+
 bool HttpServerConnection::isIdle() const
 {
     return !m_exchange && m_unparsed.empty() && !m_stream->hasUnsentBytes()
@@ -202,6 +349,7 @@
 {
     const auto self = shared_from_this();
     m_stream->close();
+    m_share.reset();
     if (m_exchange) {
         m_server.m_exchanges.erase(*m_exchange);
         m_server.m_handler.onCallerDisconnected(*m_exchange);
@@ -212,23 +360,25 @@
 
 void HttpServerConnection::checkTimeouts(steady_clock::time_point now)
 {
-    if (m_exchange)
+    if (m_exchange || !m_share)
         return;
     const std::size_t unsentBytes = m_stream->unsentBytes();
-    if (unsentBytes < m_unsentBytes)
+    if (unsentBytes < m_unsentBytes) {
         m_stateSince = now;
+        m_share->addProgress(m_unsentBytes - unsentBytes, now);
+    }
     m_unsentBytes = unsentBytes;
+    m_share->hold(HeldKind::Unsent, m_stream->bufferedBytes(), now);
     const auto age = now - m_stateSince;
     if (unsentBytes > 0) {
         if (age > m_server.limits().idleTimeout)
             close();
         return;
     }
-    const bool isReading = !m_unparsed.empty() || m_parser->got_some();
     if (m_isClosing) {
         if (age > kLingerTimeout)
             close();
-    } else if (isReading) {
+    } else if (isReceiving()) {
         const Duration limit = m_parser->is_header_done() ? m_server.limits().idleTimeout
                                                           : m_server.limits().headerTimeout;
         if (age > limit)
--- a/src/http/HttpServerConnection.h
+++ b/src/http/HttpServerConnection.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "http/CallerAccount.h"
+#include "http/GrowingBody.h"
 #include "http/HttpServer.h"
 #include "http/TcpStream.h"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
 #include <memory>
@@ -15,9 +16,11 @@
 
 /**
  * One connection of a caller to an HttpServer, which owns it. Parses requests, passes them to the
- * handler one at a time and writes the responses. Rejects requests with ambiguous framing.
+ * handler one at a time and writes the responses. Rejects requests with ambiguous framing. Keeps
+ * the server's CallerAccount informed of what it holds.
  */
-class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>
+class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>,
+                             private AccountedCaller
 {
 public:
     /** Takes over an accepted socket. `id` identifies the connection within `server`. */
@@ -43,22 +46,40 @@
     void checkTimeouts(std::chrono::steady_clock::time_point now);
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<GrowingBody>;
+    using Time = CallerAccount::Time;
 
+    void endForShortage(ShortageReason reason) override;
+    void resumeReading() override;
     void resetParser();
     void onBytes(std::string_view bytes);
     void onEnd();
-    void parse();
+    void onDrained();
+    void readAhead(std::string_view bytes);
+    void parseReadAhead();
+    void parse(std::string_view bytes);
+    int feed(std::string_view &bytes);
     void dispatchRequest();
     void rejectRequest(int status);
+    void refuse(int status);
+    bool mayParse() const { return !m_exchange && !m_stream->hasUnsentBytes(); }
+    bool isReceiving() const { return !m_unparsed.empty() || m_parser->got_some(); }
+    std::size_t incompleteBytes() const;
+    CallerStage stage() const;
+    void updateShare(Time now);
     void closeGracefully();
     bool hasAmbiguousFraming() const;
 
     std::uint64_t m_id;
     HttpServer &m_server;
     std::shared_ptr<TcpStream> m_stream;
+    std::optional<CallerShare> m_share; ///< none once the connection is closed
     std::optional<Parser> m_parser;
     std::string m_unparsed;
+    std::size_t m_headerBytes = 0;  ///< of the request that is being received, once parsed
+    std::size_t m_bodyBytes = 0;    ///< of the request that is being received, at the last update
+    std::size_t m_requestBytes = 0; ///< of the request in progress
+    bool m_hasServed = false;       ///< a request of this connection was passed on
     std::optional<ExchangeId> m_exchange;
     bool m_isHeadRequest = false;
     bool m_keepAlive = true;
