Keep entry hosts within the memory of their machine

Cause: serve held up to 80 KB for each of 4,096 connections, whatever the machine has, and did not know the keys memoryMb and maxDescriptors. In gateways, a paused upload waited in vain while the memory held lay between the limits of pausing and of continuing. Change: HttpFrontEnd reports to a CallerAccount; the body without progress gets 503 and its connection ends when memory is short, and a new connection takes the place of the one with the least progress. Pistache cannot stop reading from single connections, so nothing is paused here. HttpFrontEnd.cpp gives three parts to files of their own. Stalled requests are ended down to the lower limit while others are paused.

--- a/src/app/Serve.cpp
+++ b/src/app/Serve.cpp
@@ -36,6 +36,7 @@
     options.requestIdPrefix = settings.host.value + "-" + std::to_string(incarnation.value);
     options.threads = settings.httpThreads;
     options.limits.maxBodyBytes = settings.maxBodyBytes;
+    options.memory = callerMemoryLimitsWithin(settings.memoryBytes, settings.maxDescriptors);
     return options;
 }
 
--- a/src/app/Settings.cpp
+++ b/src/app/Settings.cpp
@@ -19,14 +19,20 @@
 
 static constexpr std::size_t kMaxNameLength = 128;
 static constexpr std::int64_t kMaxHttpThreads = 64;
+static constexpr std::int64_t kMinMemoryMb = 16;
+static constexpr std::int64_t kMaxMemoryMb = 1'000'000;
+static constexpr std::int64_t kBytesPerMb = 1'048'576;
+static constexpr std::int64_t kMinDescriptors = 64;
+static constexpr std::int64_t kMaxDescriptors = 1'048'576;
 /** Callers' bodies are at most this long (design section 9). */
 static constexpr std::int64_t kMaxBodyBytesLimit = 65'536;
 static constexpr std::chrono::milliseconds kMinStopTimeout(100);
 static constexpr std::chrono::milliseconds kMaxStopTimeout(600'000);
 
-static constexpr std::array<std::string_view, 11> kKnownKeys = {
-    "host",        "failureDomain", "callerEndpoint", "peerEndpoint", "platform", "seeds",
-    "httpThreads", "maxBodyBytes",  "stopTimeoutMs",  "logLevel",     "traceFile"
+static constexpr std::array<std::string_view, 13> kKnownKeys = {
+    "host",      "failureDomain", "callerEndpoint", "peerEndpoint",  "platform",
+    "seeds",     "httpThreads",   "maxBodyBytes",   "stopTimeoutMs", "logLevel",
+    "traceFile", "memoryMb",      "maxDescriptors"
 };
 
 namespace {
@@ -295,6 +301,16 @@
                                         kMaxStopTimeout.count(), "milliseconds", stopTimeoutMs));
     BOOST_LEAF_CHECK(reader.readLogLevel("logLevel", settings.logLevel));
     BOOST_LEAF_CHECK(reader.readText("traceFile", settings.traceFile));
+    std::int64_t memoryMb = 0;
+    std::int64_t maxDescriptors = 0;
+    BOOST_LEAF_CHECK(
+            reader.readInteger("memoryMb", kMinMemoryMb, kMaxMemoryMb, "megabytes", memoryMb));
+    BOOST_LEAF_CHECK(reader.readInteger("maxDescriptors", kMinDescriptors, kMaxDescriptors,
+                                        "descriptors", maxDescriptors));
+    if (memoryMb > 0)
+        settings.memoryBytes = static_cast<std::uint64_t>(memoryMb * kBytesPerMb);
+    if (maxDescriptors > 0)
+        settings.maxDescriptors = static_cast<std::size_t>(maxDescriptors);
     settings.httpThreads = static_cast<int>(httpThreads);
     settings.maxBodyBytes = static_cast<std::size_t>(maxBodyBytes);
     settings.stopTimeout = std::chrono::milliseconds(stopTimeoutMs);
--- a/src/app/Settings.h
+++ b/src/app/Settings.h
@@ -6,6 +6,8 @@
 #include <boost/json/value.hpp>
 #include <boost/leaf/result.hpp>
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,7 +27,9 @@
     std::size_t maxBodyBytes = 65'536;
     Duration stopTimeout = std::chrono::seconds(10);
     LogLevel logLevel = LogLevel::Info;
-    std::string traceFile; ///< no trace is written if empty
+    std::optional<std::uint64_t> memoryBytes;  ///< that the process may use, if stated
+    std::optional<std::size_t> maxDescriptors; ///< that the process may open, if stated
+    std::string traceFile;                     ///< no trace is written if empty
 };
 
 /** Where a settings file is wrong; loaded together with one of the kinds below. */
--- a/src/http/CallerAccount.cpp
+++ b/src/http/CallerAccount.cpp
@@ -120,7 +120,8 @@
 
 void CallerAccount::relieve(Time now)
 {
-    while (isShort()) {
+    // Paused connections wait for the lower limit, so stalled ones are ended down to it.
+    while (isShort() || (m_paused > 0 && m_heldBytes > resumeLimit())) {
         CallerShare *victim = firstOlderThan({ &m_large, &m_sending }, now - kStallTime);
         if (!victim)
             break;
--- a/src/http/GrowingBody.h
+++ b/src/http/GrowingBody.h
@@ -22,7 +22,7 @@
     static std::uint64_t size(const value_type &body) { return body.size(); }
 
     /** See BodyReader in the documentation of Boost.Beast. */
-    class reader
+    class reader // NOLINT(readability-identifier-naming): Boost.Beast looks for this name
     {
     public:
         template <bool isRequest, class Fields>
--- a/src/net/HttpFrontEnd.cpp
+++ b/src/net/HttpFrontEnd.cpp
@@ -1,6 +1,9 @@
 #include "net/HttpFrontEnd.h"
 
 #include "net/CallerAnswerJson.h"
+#include "net/CallerConnection.h"
+#include "net/HttpAnswer.h"
+#include "net/PistacheHandler.h"
 
 #include <boost/leaf/error.hpp>
 #include <pistache/endpoint.h>
@@ -17,7 +20,6 @@
 
 namespace greengagestair {
 
-using PeerPointer = std::shared_ptr<Pistache::Tcp::Peer>;
 using SteadyClock = std::chrono::steady_clock;
 
 /** Interval at which connections are checked for expired timeouts. */
@@ -35,25 +37,12 @@
  * for an answer. */
 static constexpr std::chrono::hours kLibraryTimeout(24);
 static constexpr int kBacklog = 1024;
+/** Copies of a request that is handled: as received, as parsed and as passed to the reducer. */
+static constexpr std::size_t kRequestCopies = 3;
 
 namespace {
 
-/** A caller's connection. Guarded by Server::m_mutex, except writesInProgress, which is atomic. */
-struct Connection
-{
-    std::weak_ptr<Pistache::Tcp::Peer> peer;
-    Pistache::Tcp::Transport *transport = nullptr;
-    std::string received;               ///< bytes of the request that is being received
-    SteadyClock::time_point stateSince; ///< start of the interval to which a timeout applies
-    CallerId caller;                    ///< of the request in progress
-    bool hasPendingRequest = false;     ///< a request was received and not answered yet
-    bool sentContinue = false;          ///< "100 Continue" was sent for this request
-    bool closesAfterAnswer = false;     ///< the next answer is the last one
-    bool isClosing = false;             ///< no request is accepted any more; input is ignored
-    std::atomic<int> writesInProgress = 0;
-};
-
-using ConnectionPointer = std::shared_ptr<Connection>;
+using ConnectionPointer = std::shared_ptr<CallerConnection>;
 
 /** A request that was accepted and not answered yet. */
 struct PendingRequest
@@ -62,56 +51,8 @@
     SteadyClock::time_point receivedAt;
 };
 
-/** Status, content type and body of an HTTP response. */
-struct HttpAnswer
-{
-    int status = 200;
-    std::string contentType = "application/json";
-    std::string body;
-};
-
 } // namespace
 
-static HttpAnswer toAnswer(CallerResponse response)
-{
-    return { response.status, "application/json", std::move(response.body) };
-}
-
-static HttpAnswer toAnswer(const HttpRefusal &refusal)
-{
-    return toAnswer(renderRefusal(refusal.status, refusal.reason, refusal.detail));
-}
-
-static HttpRefusal refusalFor(FramingStatus status)
-{
-    switch (status) {
-    case FramingStatus::HeaderTooLarge:
-        return { 431, QueryReason::BadRequest, "request line and headers are too large" };
-    case FramingStatus::BodyTooLarge:
-        return { 413, QueryReason::BadRequest, "body is too large" };
-    default:
-        return { 400, QueryReason::BadRequest, "malformed request" };
-    }
-}
-
-static std::string renderResponse(const HttpAnswer &answer, bool closeAfterwards)
-{
-    const auto code = static_cast<Pistache::Http::Code>(answer.status);
-    std::string bytes = "HTTP/1.1 " + std::to_string(answer.status) + " ";
-    bytes += Pistache::Http::codeString(code);
-    bytes += "\r\nContent-Type: " + answer.contentType;
-    bytes += closeAfterwards ? "\r\nConnection: close" : "\r\nConnection: keep-alive";
-    bytes += "\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
-    bytes += answer.body;
-    return bytes;
-}
-
-static void shutDown(const Connection &connection, int how)
-{
-    if (const auto peer = connection.peer.lock())
-        ::shutdown(peer->fd(), how);
-}
-
 /** Implementation of HttpFrontEnd. Used by Pistache's threads, the event loop and the thread that
  * closes overdue connections. */
 class HttpFrontEnd::Server : public std::enable_shared_from_this<Server>
@@ -119,6 +60,9 @@
 public:
     Server(const HttpFrontEndOptions &options, EventQueue &events, OperatorPageProvider &pages,
            AnswerObserver &observer);
+    ~Server();
+    Server(const Server &) = delete;
+    Server &operator=(const Server &) = delete;
 
     boost::leaf::result<void> start();
     void stop();
@@ -147,6 +91,10 @@
     void send(const ConnectionPointer &connection, const HttpAnswer &answer);
     void closeOverdueUntilStopped();
     void closeOverdue(SteadyClock::time_point now);
+    void closeIfOverdue(const ConnectionPointer &connection, SteadyClock::time_point now);
+    void endForShortage(const ConnectionPointer &connection);
+    /** Updates the account for a connection, and ends others if the account is used up. */
+    void updateAccount(const ConnectionPointer &connection);
     bool hasWrites() const;
     void flushWrites();
     void closeConnections();
@@ -165,6 +113,7 @@
      */
     mutable std::mutex m_mutex;
     std::condition_variable m_stopRequested;
+    CallerAccount m_account;
     std::unordered_map<std::size_t, ConnectionPointer> m_connections;
     std::unordered_map<CallerId, PendingRequest> m_requests;
     std::uint64_t m_lastCallerId = 0;
@@ -175,59 +124,22 @@
     std::thread m_timeoutThread;
 };
 
-namespace {
-
-/** Forwards Pistache's callbacks to the server. Each of Pistache's threads has its own copy. */
-class RequestHandler : public Pistache::Http::Handler
-{
-public:
-    HTTP_PROTOTYPE(RequestHandler)
-
-    explicit RequestHandler(
-            std::function<void(const PeerPointer &, Pistache::Tcp::Transport *)> connected,
-            std::function<void(std::string_view, const PeerPointer &)> received,
-            std::function<void(const PeerPointer &)> disconnected)
-        : m_connected(std::move(connected))
-        , m_received(std::move(received))
-        , m_disconnected(std::move(disconnected))
-    {
-    }
-
-    void onRequest(const Pistache::Http::Request & /*request*/,
-                   Pistache::Http::ResponseWriter /*response*/) override
-    {
-        // Not used: requests are extracted in onInput, so that each refusal has a reason.
-    }
-
-    void onDisconnection(const PeerPointer &peer) override { m_disconnected(peer); }
-
-private:
-    void onConnection(const PeerPointer &peer) override
-    {
-        peer->putData(ParserData,
-                      std::make_shared<Pistache::Http::RequestParser>(getMaxRequestSize()));
-        m_connected(peer, transport());
-    }
-
-    void onInput(const char *buffer, std::size_t length, const PeerPointer &peer) override
-    {
-        m_received({ buffer, length }, peer);
-    }
-
-    std::function<void(const PeerPointer &, Pistache::Tcp::Transport *)> m_connected;
-    std::function<void(std::string_view, const PeerPointer &)> m_received;
-    std::function<void(const PeerPointer &)> m_disconnected;
-};
-
-} // namespace
-
 HttpFrontEnd::Server::Server(const HttpFrontEndOptions &options, EventQueue &events,
                              OperatorPageProvider &pages, AnswerObserver &observer)
     : m_options(options)
     , m_events(events)
     , m_pageProvider(pages)
     , m_observer(observer)
+    , m_account({ options.memory.bytes,
+                  std::min(options.memory.connections, options.maxConnections) })
+{
+}
+
+HttpFrontEnd::Server::~Server()
 {
+    // Writes that Pistache still holds may keep connections beyond the account.
+    for (const auto &[id, connection] : m_connections)
+        connection->leave();
 }
 
 boost::leaf::result<void> HttpFrontEnd::Server::start()
@@ -279,21 +191,56 @@
     return { { "http_connections", m_connections.size() },
              { "http_requests_in_progress", m_requests.size() },
              { "http_requests_total", m_lastCallerId },
-             { "http_refusals_total", m_refusals } };
+             { "http_refusals_total", m_refusals },
+             { "http_held_bytes", m_account.heldBytes() },
+             { "http_callers_ended_total{reason=\"stalled\"}",
+               m_account.ended(ShortageReason::Stalled) },
+             { "http_callers_ended_total{reason=\"memory\"}",
+               m_account.ended(ShortageReason::Memory) },
+             { "http_callers_ended_total{reason=\"connections\"}",
+               m_account.ended(ShortageReason::Connections) } };
 }
 
 void HttpFrontEnd::Server::onConnected(const PeerPointer &peer, Pistache::Tcp::Transport *transport)
 {
     const Lock lock(m_mutex);
-    auto connection = std::make_shared<Connection>();
-    connection->peer = peer;
-    connection->transport = transport;
-    connection->stateSince = SteadyClock::now();
+    const auto now = SteadyClock::now();
+    const auto connection = std::make_shared<CallerConnection>(peer, transport, now);
     m_connections.emplace(peer->getID(), connection);
     if (m_isStopping)
-        refuse(connection, { 503, QueryReason::Stopping, "the host is stopping" }, true);
-    else if (m_connections.size() > m_options.maxConnections)
-        refuse(connection, { 429, QueryReason::Overloaded, "too many connections" }, true);
+        return refuse(connection, { 503, QueryReason::Stopping, "the host is stopping" }, true);
+    if (!m_account.makeRoomForConnection(now)) {
+        connection->closesAtOnce = true;
+        return refuse(connection, { 429, QueryReason::Overloaded, "too many connections" }, true);
+    }
+    const std::weak_ptr<CallerConnection> weak = connection;
+    connection->join(
+            m_account,
+            [this, weak] {
+                if (const auto ended = weak.lock())
+                    endForShortage(ended);
+            },
+            now);
+}
+
+void HttpFrontEnd::Server::endForShortage(const ConnectionPointer &connection)
+{
+    const bool isReceiving = !connection->received.empty();
+    std::string().swap(connection->received);
+    // The memory and the descriptor are needed at once, so nothing more is read.
+    connection->closesAtOnce = true;
+    if (isReceiving && connection->writesInProgress == 0)
+        return refuse(connection, { 503, QueryReason::Overloaded, "too many callers" }, true);
+    connection->isClosing = true;
+    connection->shutDown(SHUT_RDWR);
+}
+
+void HttpFrontEnd::Server::updateAccount(const ConnectionPointer &connection)
+{
+    const auto now = SteadyClock::now();
+    connection->updateShare(now);
+    if (m_account.needsRelief())
+        m_account.relieve(now);
 }
 
 void HttpFrontEnd::Server::onDisconnected(const PeerPointer &peer)
@@ -306,6 +253,7 @@
             return;
         if (found->second->hasPendingRequest && m_requests.erase(found->second->caller) > 0)
             disconnectedCaller = found->second->caller;
+        found->second->leave();
         m_connections.erase(found);
     }
     if (disconnectedCaller.value != 0)
@@ -329,6 +277,7 @@
             return;
         }
         request = extractRequest(connection, peer, bytes);
+        updateAccount(connection);
     }
     if (!request.empty())
         parseRequest(connection, peer, request);
@@ -358,7 +307,13 @@
         connection->closesAfterAnswer = true;
         request.resize(framing.length);
     }
+    if (m_account.isFull()) {
+        refuse(connection, { 503, QueryReason::Overloaded, "too many callers" }, true);
+        return {};
+    }
+    connection->requestBytes = kRequestCopies * request.size();
     connection->hasPendingRequest = true;
+    connection->hasServed = true;
     return request;
 }
 
@@ -492,14 +447,18 @@
     const auto peer = connection->peer.lock();
     if (!peer)
         return;
-    const auto finished = [connection, closeAfterwards] {
+    std::string bytes = renderResponse(answer, closeAfterwards);
+    const std::size_t length = bytes.size();
+    const int direction = connection->closesAtOnce ? SHUT_RDWR : SHUT_WR;
+    const auto finished = [connection, closeAfterwards, length, direction] {
+        connection->unsentBytes -= length;
         --connection->writesInProgress;
         if (closeAfterwards)
-            shutDown(*connection, SHUT_WR);
+            connection->shutDown(direction);
     };
-    std::string bytes = renderResponse(answer, closeAfterwards);
-    const std::size_t length = bytes.size();
     ++connection->writesInProgress;
+    connection->unsentBytes += length;
+    connection->updateShare(connection->stateSince);
     // Pistache's ResponseWriter has a data race: it returns a chained promise, which Pistache
     // resolves without the promise's lock while this thread attaches the continuation.
     connection->transport->asyncWrite(peer->fd(), Pistache::RawBuffer(std::move(bytes), length))
@@ -522,21 +481,29 @@
 void HttpFrontEnd::Server::closeOverdue(SteadyClock::time_point now)
 {
     for (const auto &[id, connection] : m_connections) {
-        const auto age = now - connection->stateSince;
-        if (connection->hasPendingRequest)
-            continue;
-        if (connection->isClosing) {
-            if (age > kLingerTimeout)
-                shutDown(*connection, SHUT_RDWR);
-        } else if (!connection->received.empty()) {
-            if (age > m_options.receiveTimeout) {
-                refuse(connection, { 408, QueryReason::BadRequest, "request took too long" }, true);
-                connection->received = {};
-            }
-        } else if (age > m_options.idleTimeout) {
-            connection->isClosing = true;
-            shutDown(*connection, SHUT_RDWR);
+        connection->updateShare(now);
+        closeIfOverdue(connection, now);
+    }
+    m_account.relieve(now);
+}
+
+void HttpFrontEnd::Server::closeIfOverdue(const ConnectionPointer &connection,
+                                          SteadyClock::time_point now)
+{
+    const auto age = now - connection->stateSince;
+    if (connection->hasPendingRequest)
+        return;
+    if (connection->isClosing) {
+        if (age > kLingerTimeout)
+            connection->shutDown(SHUT_RDWR);
+    } else if (!connection->received.empty()) {
+        if (age > m_options.receiveTimeout) {
+            connection->received = {};
+            refuse(connection, { 408, QueryReason::BadRequest, "request took too long" }, true);
         }
+    } else if (age > m_options.idleTimeout) {
+        connection->isClosing = true;
+        connection->shutDown(SHUT_RDWR);
     }
 }
 
@@ -560,7 +527,7 @@
     {
         const Lock lock(m_mutex);
         for (const auto &[id, connection] : m_connections)
-            shutDown(*connection, SHUT_RDWR);
+            connection->shutDown(SHUT_RDWR);
     }
     // Callers that connect from now on are refused until the listening socket is closed.
     while (SteadyClock::now() < deadline) {
--- a/src/net/HttpFrontEnd.h
+++ b/src/net/HttpFrontEnd.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "greengagestair/Reducer.h"
+#include "http/CallerAccount.h"
 #include "net/Adapters.h"
 #include "net/CallerRequestParser.h"
 #include "net/HttpFraming.h"
@@ -18,12 +19,14 @@
 /** Listening address, limits and timeouts of HttpFrontEnd. */
 struct HttpFrontEndOptions
 {
-    Endpoint listen;                   ///< port 0 selects a free port
-    std::string requestIdPrefix;       ///< makes `requestId` unique across hosts and incarnations
-    int threads = 2;                   ///< threads that receive requests
-    HttpLimits limits;                 ///< size limits of each request
-    std::size_t maxConnections = 4096; ///< more are refused with status 429
-    std::size_t maxRequests = 4096;    ///< accepted and not answered yet; more get status 429
+    Endpoint listen;             ///< port 0 selects a free port
+    std::string requestIdPrefix; ///< makes `requestId` unique across hosts and incarnations
+    int threads = 2;             ///< threads that receive requests
+    HttpLimits limits;           ///< size limits of each request
+    /** More are refused with status 429, unless another connection can be ended in their place. */
+    std::size_t maxConnections = 4096;
+    std::size_t maxRequests = 4096; ///< accepted and not answered yet; more get status 429
+    CallerMemoryLimits memory;      ///< for all callers together; see CallerAccount
     Duration receiveTimeout = std::chrono::seconds(10); ///< time limit for receiving a request
     Duration idleTimeout = std::chrono::seconds(60);    ///< time limit between two requests
 };
--- a/tests/app/HttpFrontEndTest.cpp
+++ b/tests/app/HttpFrontEndTest.cpp
@@ -9,8 +9,10 @@
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <memory>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 using namespace greengagestair;
 
@@ -273,6 +275,39 @@
     REQUIRE_THAT(reply, Catch::Contains("\"reason\":\"overloaded\""));
 }
 
+// Guards against memory that incomplete bodies take without bound.
+TEST_CASE("the body without progress is refused with 503 when memory is used up", "[http]")
+{
+    Fixture fixture([](HttpFrontEndOptions &options) { options.memory = { 500'000, 100 }; });
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int index = 0; index < 10; ++index) {
+        callers.push_back(std::make_unique<Caller>(fixture.frontEnd->port()));
+        callers.back()->send("POST /v1/services/s/o HTTP/1.1\r\nContent-Length: 65536\r\n\r\n"
+                             + std::string(60'000, 'x'));
+    }
+    const std::string reply = callers.front()->readUntil("}");
+    CHECK_THAT(reply, Catch::StartsWith("HTTP/1.1 503"));
+    CHECK_THAT(reply, Catch::Contains("\"reason\":\"overloaded\""));
+    CHECK(fixture.counter("http_held_bytes") <= 500'000);
+    Caller ordinary(fixture.frontEnd->port());
+    ordinary.post("ordinary");
+    CHECK(fixture.events.take<CallerRequest>().body == "ordinary");
+}
+
+// Guards against connections that keep out all others by sending nothing.
+TEST_CASE("a new connection takes the place of one that sends nothing, beyond the bound", "[http]")
+{
+    Fixture fixture([](HttpFrontEndOptions &options) { options.maxConnections = 2; });
+    Caller first(fixture.frontEnd->port());
+    Caller second(fixture.frontEnd->port());
+    REQUIRE(fixture.reaches("http_connections", 2));
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    Caller third(fixture.frontEnd->port());
+    third.post("third");
+    CHECK(fixture.events.take<CallerRequest>().body == "third");
+    CHECK(first.readAll() == kClosed);
+}
+
 TEST_CASE("a pipelined request is not answered in the place of another", "[http]")
 {
     Fixture fixture;
--- a/tests/app/SettingsTest.cpp
+++ b/tests/app/SettingsTest.cpp
@@ -51,6 +51,22 @@
     REQUIRE(settings->logLevel == LogLevel::Warning);
     REQUIRE(settings->httpThreads == 2);
     REQUIRE(settings->maxBodyBytes == 65536);
+    REQUIRE_FALSE(settings->memoryBytes);
+    REQUIRE_FALSE(settings->maxDescriptors);
+}
+
+TEST_CASE("the memory and the descriptors of a process can be stated", "[settings]")
+{
+    const std::string text =
+            replaced("\"stopTimeoutMs\": 2500", "\"memoryMb\": 160, \"maxDescriptors\": 4100");
+    const auto settings = parseSettings(text, "host.json");
+    REQUIRE(settings);
+    REQUIRE(settings->memoryBytes == 167'772'160);
+    REQUIRE(settings->maxDescriptors == 4100);
+    const std::string few = replaced("\"stopTimeoutMs\": 2500", "\"maxDescriptors\": 63");
+    REQUIRE(problemPath<SettingsOutOfRange>(few) == "$.maxDescriptors");
+    const std::string little = replaced("\"stopTimeoutMs\": 2500", "\"memoryMb\": 15");
+    REQUIRE(problemPath<SettingsOutOfRange>(little) == "$.memoryMb");
 }
 
 TEST_CASE("each mistake in the settings is refused with its place", "[settings]")
--- a/tests/http/CallerAccountTest.cpp
+++ b/tests/http/CallerAccountTest.cpp
@@ -144,6 +144,29 @@
     CHECK_FALSE(second.isPaused);
 }
 
+// Guards against uploads that wait in vain between the limits of pausing and of continuing.
+TEST_CASE("a paused body continues once a stalled one has given way", "[http]")
+{
+    CallerAccount account({ kMegabyte, 100 });
+    CallerAccount::Time now;
+    FakeCaller stalled(account, now);
+    auto leaving = std::make_unique<FakeCaller>(account, now);
+    FakeCaller paused(account, now);
+    stalled.receive(400'000, now);
+    leaving->receive(30'000, now);
+    now += 100ms;
+    paused.receive(100'000, now);
+    REQUIRE(paused.isPaused);
+    leaving.reset();
+    REQUIRE_FALSE(account.isShort());
+    account.relieve(now);
+    CHECK(paused.isPaused);
+    account.relieve(now + 950ms);
+    CHECK(stalled.endedFor == ShortageReason::Stalled);
+    CHECK_FALSE(paused.isPaused);
+    CHECK_FALSE(paused.endedFor);
+}
+
 // Guards against requests that are cut off although they run at a server.
 TEST_CASE("a request that was passed on is never ended for its memory", "[http]")
 {
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -1,5 +1,6 @@
 #include "RawPeers.h"
 
+#include "http/CallerAccount.h"
 #include "http/HttpServer.h"
 
 #include <boost/leaf/handle_errors.hpp>
@@ -375,3 +376,100 @@
     fixture.context.run_for(2500ms);
     CHECK(fixture.server.connections() == 0);
 }
+
+// Guards against answers that pile up for a caller which sends requests and reads nothing.
+TEST_CASE("a pipelined request waits until the answer before it was taken", "[http]")
+{
+    ServerFixture fixture;
+    RawPeer::Socket socket(fixture.context);
+    socket.connect({ boost::asio::ip::make_address("127.0.0.1"), fixture.server.endpoint().port });
+    const auto peer = std::make_shared<RawPeer>(std::move(socket));
+    peer->write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.awaitRequests(1);
+    constexpr std::size_t kMoreThanSocketsTake = 32'000'000;
+    fixture.reply(0, std::string(kMoreThanSocketsTake, 'x'));
+    fixture.context.restart();
+    fixture.context.run_for(50ms);
+    CHECK(fixture.handler.requests.size() == 1);
+    peer->start();
+    fixture.awaitRequests(2);
+    runUntil(fixture.context, [&] { return peer->received.size() > kMoreThanSocketsTake; });
+}
+
+// Guards against pipelined bytes that grow with each answer.
+TEST_CASE("reading stops while many pipelined requests wait", "[http]")
+{
+    CallerAccount account;
+    boost::asio::io_context context { 1 };
+    RecordingHandler handler;
+    HttpServer server(context, handler, &account);
+    REQUIRE(server.listen({ "127.0.0.1", 0 }));
+    RawPeer::Socket socket(context);
+    socket.connect({ boost::asio::ip::make_address("127.0.0.1"), server.endpoint().port });
+    const auto peer = std::make_shared<RawPeer>(std::move(socket));
+    peer->start();
+    const std::string request = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::size_t answered = 0;
+    writeWithoutEnd(context, *peer, request, 3'000'000, [&] {
+        while (answered < handler.exchanges.size())
+            server.reply(handler.exchanges.at(answered++), {});
+        return answered > 200;
+    });
+    CHECK(answered > 200);
+    CHECK(account.heldBytes(HeldKind::Incomplete) < 32'768);
+}
+
+// Guards against memory that incomplete bodies take without bound.
+TEST_CASE("the body without progress is refused with 503 when memory is used up", "[http]")
+{
+    CallerAccount account({ 400'000, 100 });
+    boost::asio::io_context context { 1 };
+    RecordingHandler handler;
+    HttpServer server(context, handler, &account);
+    REQUIRE(server.listen({ "127.0.0.1", 0 }));
+    std::vector<std::shared_ptr<RawPeer>> peers;
+    for (int index = 0; index < 4; ++index) {
+        RawPeer::Socket socket(context);
+        socket.connect({ boost::asio::ip::make_address("127.0.0.1"), server.endpoint().port });
+        peers.push_back(std::make_shared<RawPeer>(std::move(socket)));
+        peers.back()->start();
+        peers.back()->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n"
+                            + std::string(80'000, 'x'));
+        context.restart();
+        context.run_for(20ms);
+    }
+    runUntil(context, [&] { return peers.front()->isClosed; });
+    CHECK(peers.front()->received.starts_with("HTTP/1.1 503 "));
+    CHECK(account.heldBytes() <= 400'000);
+    CHECK(handler.requests.empty());
+    CHECK(handler.badRequests.empty());
+    // Small requests are served meanwhile.
+    RawPeer::Socket socket(context);
+    socket.connect({ boost::asio::ip::make_address("127.0.0.1"), server.endpoint().port });
+    const auto small = std::make_shared<RawPeer>(std::move(socket));
+    small->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok");
+    runUntil(context, [&] { return handler.requests.size() == 1; });
+}
+
+// Guards against descriptors that run out.
+TEST_CASE("a new connection takes the place of one that sends nothing", "[http]")
+{
+    CallerAccount account({ 1'000'000, 3 });
+    boost::asio::io_context context { 1 };
+    RecordingHandler handler;
+    HttpServer server(context, handler, &account);
+    REQUIRE(server.listen({ "127.0.0.1", 0 }));
+    std::vector<std::shared_ptr<RawPeer>> peers;
+    for (int index = 0; index < 6; ++index) {
+        RawPeer::Socket socket(context);
+        socket.connect({ boost::asio::ip::make_address("127.0.0.1"), server.endpoint().port });
+        peers.push_back(std::make_shared<RawPeer>(std::move(socket)));
+        peers.back()->start();
+    }
+    peers.back()->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil(context, [&] {
+        CHECK(server.connections() <= 3);
+        return handler.requests.size() == 1;
+    });
+    CHECK(peers.front()->isClosed);
+}
--- a/tests/processes/bodies_test.py
+++ b/tests/processes/bodies_test.py
@@ -209,6 +209,23 @@
     def make(self, memory_mb, descriptors):
         return Serve(memory_mb, descriptors)
 
+    # Guards against limits that a caller inside them meets.
+    def test_caller_that_uses_every_limit(self):
+        self.start()
+        fields = b"POST /v1/services/s/find HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n" % SERVE_BODY
+        filler = 16384 - len(fields) - len(b"X-F: \r\n\r\n") - 1
+        head = fields + b"X-F: " + b"f" * filler + b"\r\n\r\n"
+        with socket.create_connection((ADDRESS, self.program.port), timeout=30) as caller:
+            for _ in range(2):
+                caller.sendall(head)
+                for _ in range(8):
+                    time.sleep(1.0)
+                    caller.sendall(b"x" * (SERVE_BODY // 8))
+                received = caller.recv(4096)
+                # Without a configuration the reducer answers that it knows no such service.
+                self.assertRegex(received, rb"^HTTP/1.1 [45]\d\d [^{]*{.*\"requestId\"")
+        self.check_bounds()
+
     def start(self, memory_mb=MEMORY_MB, descriptors=SERVE_DESCRIPTORS, wait=True):
         super().start(memory_mb, descriptors, wait)
 
