--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -138,8 +138,12 @@
         const std::size_t used =
                 m_parser->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
         bytes.remove_prefix(used);
-        if (isHeader)
+        if (isHeader) {
             m_headerBytes += used;
+            // The body has its own time, however long the header took.
+            if (m_parser->is_header_done())
+                m_stateSince = steady_clock::now();
+        }
         if (error == http::error::need_more) {
             // What the parser does not consume is a line without its end: of the header, of a chunk
             // or of the trailer.
--- a/tests/processes/bodies_test.py
+++ b/tests/processes/bodies_test.py
@@ -194,10 +194,11 @@
                 caller.sendall(head[:8000])
                 time.sleep(2.0)
                 caller.sendall(head[8000:])
-                for _ in range(10):
-                    time.sleep(1.0)
-                    caller.sendall(b"x" * (BODY // 10))
-                caller.sendall(b"x" * (BODY - BODY // 10 * 10))
+                # Longer than the limit of the body alone if the header's time counts, too.
+                for _ in range(13):
+                    time.sleep(1.02)
+                    caller.sendall(b"x" * (BODY // 13))
+                caller.sendall(b"x" * (BODY - BODY // 13 * 13))
                 received = caller.recv(4096)
                 self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received[:200])
                 if turn == 0:
--- a/tests/processes/programs.py
+++ b/tests/processes/programs.py
@@ -110,6 +110,7 @@
 
 class _Backend(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
 
     def do_POST(self):
         body = self.rfile.read(int(self.headers.get("Content-Length", "0")))
