Explain where a gateway would send a request

Cause: operators could not ask why a request goes where it goes. Change: 'greengagestair explain' and the admin page /explain give the route, the tenant, the servers of each part in order with cost and exclusions, and what would refuse the request, as text or JSON. BackendSelector::outlook() uses the checks that choose() uses. Reading the requests of the last second, the typical time and the next target of a split changes nothing any more.

--- a/src/app/CommandLine.cpp
+++ b/src/app/CommandLine.cpp
@@ -34,10 +34,14 @@
 
 static result<RawArguments> readArguments(int count, char *const *arguments)
 {
-    static const std::array<option, 7> kOptions = {
+    static const std::array<option, 11> kOptions = {
         { { "settings", required_argument, nullptr, 's' },
           { "platform", required_argument, nullptr, 'p' },
           { "host", required_argument, nullptr, 'o' },
+          { "gateway", required_argument, nullptr, 'g' },
+          { "path", required_argument, nullptr, 'a' },
+          { "tenant", required_argument, nullptr, 't' },
+          { "json", no_argument, nullptr, 'j' },
           { "expect", required_argument, nullptr, 'e' },
           { "help", no_argument, nullptr, 'h' },
           { "version", no_argument, nullptr, 'v' },
@@ -61,7 +65,7 @@
             raw.wantsHelp = true;
         else if (found == 'v')
             raw.wantsVersion = true;
-        else if (!raw.options.emplace(kOptions.at(index).name, optarg).second)
+        else if (!raw.options.emplace(kOptions.at(index).name, optarg ? optarg : "").second)
             return usageError("--" + std::string(kOptions.at(index).name) + " is given twice");
     }
     for (int position = optind; position < count; ++position)
@@ -103,6 +107,9 @@
         return node.empty() ? std::string() : node.mapped();
     }
 
+    /** True if an option without a value is given. */
+    bool takeFlag(const std::string &option) { return m_raw.options.erase(option) > 0; }
+
     result<std::string> take(const std::string &option)
     {
         std::string value = takeOptional(option);
@@ -155,6 +162,15 @@
     return usageError("config needs show, diff or apply");
 }
 
+static result<Command> takeExplainCommand(ArgumentTaker &taker)
+{
+    BOOST_LEAF_AUTO(gateway, taker.takeEndpoint("gateway"));
+    BOOST_LEAF_AUTO(host, taker.take("host"));
+    BOOST_LEAF_AUTO(path, taker.take("path"));
+    const std::string tenant = taker.takeOptional("tenant");
+    return Command(ExplainCommand { gateway, host, path, tenant, taker.takeFlag("json") });
+}
+
 static result<Command> takeCommand(ArgumentTaker &taker)
 {
     const std::string name = taker.takeWord();
@@ -180,6 +196,8 @@
         BOOST_LEAF_AUTO(host, taker.takeEndpoint("host"));
         return Command(DumpCommand { host });
     }
+    if (name == "explain")
+        return takeExplainCommand(taker);
     if (name == "replay") {
         BOOST_LEAF_AUTO(file, taker.takeFile());
         return Command(ReplayCommand { file, taker.takeOptional("expect") });
@@ -212,6 +230,8 @@
   config diff FILE --platform HOST:PORT     compare a declaration with the platform's
   config apply FILE --platform HOST:PORT    check a declaration and put it in force
   dump --host HOST:PORT                     print the state of an entry host (caller endpoint)
+  explain --gateway HOST:PORT --host NAME --path PATH [--tenant NAME] [--json]
+                                            say where a gateway would send a request (admin address)
   replay FILE [--expect FILE]               run a trace again and compare the effects
 
   --help, --version
--- a/src/app/CommandLine.h
+++ b/src/app/CommandLine.h
@@ -60,6 +60,16 @@
     Endpoint host; ///< the caller endpoint of an entry host
 };
 
+/** `explain --gateway HOST:PORT --host NAME --path PATH [--tenant NAME] [--json]` */
+struct ExplainCommand
+{
+    Endpoint gateway; ///< the admin address
+    std::string host;
+    std::string path;
+    std::string tenant; ///< empty: a request without a key
+    bool isJson = false;
+};
+
 /** `replay FILE [--expect FILE]` */
 struct ReplayCommand
 {
@@ -80,7 +90,7 @@
 using Command =
         std::variant<ServeCommand, GatewayCommand, CheckGatewaySettingsCommand,
                      CheckSettingsCommand, ConfigShowCommand, ConfigDiffCommand, ConfigApplyCommand,
-                     DumpCommand, ReplayCommand, HelpCommand, VersionCommand>;
+                     DumpCommand, ExplainCommand, ReplayCommand, HelpCommand, VersionCommand>;
 
 /** The command line cannot be understood. */
 struct UsageError
--- a/src/app/Commands.cpp
+++ b/src/app/Commands.cpp
@@ -102,6 +102,11 @@
     return ExitCode::Success;
 }
 
+static ExitCode run(const ExplainCommand &command)
+{
+    return explainRequest(command);
+}
+
 static ExitCode reportReplay(const ReplayReport &report)
 {
     if (report.endsInPartialLine)
--- a/src/app/GatewayCommands.cpp
+++ b/src/app/GatewayCommands.cpp
@@ -1,11 +1,15 @@
 #include "app/GatewayCommands.h"
 
+#include "app/ExplainPage.h"
 #include "app/GatewayServer.h"
+#include "app/HttpExchange.h"
+#include "app/Settings.h"
 #include "platform/Headers.h"
 #include "platform/StoreClient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
 #include <unistd.h>
@@ -14,6 +18,8 @@
 
 namespace greengagestair {
 
+static constexpr int kHttpOk = 200;
+
 template <typename Function>
 static ExitCode withSettings(const std::string &file, Function function)
 {
@@ -63,4 +69,21 @@
     });
 }
 
+ExitCode explainRequest(const ExplainCommand &command)
+{
+    HttpExchangeRequest request;
+    request.server = command.gateway;
+    request.path = explainTarget({ command.host, command.path, command.tenant });
+    const auto reply = exchange(request);
+    boost::json::error_code error;
+    const boost::json::value explanation =
+            reply ? boost::json::parse(reply->body, error) : boost::json::value();
+    if (!reply || reply->status != kHttpOk || error || !explanation.is_object()) {
+        std::cerr << toText(command.gateway) << " gave no explanation\n";
+        return ExitCode::Failed;
+    }
+    std::cout << (command.isJson ? reply->body : explanationText(explanation.as_object()));
+    return ExitCode::Success;
+}
+
 } // namespace greengagestair
--- a/src/app/GatewayCommands.h
+++ b/src/app/GatewayCommands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "app/CommandLine.h"
 #include "app/ExitCode.h"
 
 #include <string>
@@ -12,4 +13,7 @@
 /** Checks the settings file of a gateway and reports the first fault. */
 ExitCode checkGatewaySettings(const std::string &settingsFile);
 
+/** Asks a running gateway where a request would go, and prints the answer. */
+ExitCode explainRequest(const ExplainCommand &command);
+
 } // namespace greengagestair
--- a/src/app/GatewayServerPages.cpp
+++ b/src/app/GatewayServerPages.cpp
@@ -1,4 +1,5 @@
 #include "app/EventLoop.h"
+#include "app/ExplainPage.h"
 #include "app/GatewayServer.h"
 #include "app/Metrics.h"
 
@@ -26,6 +27,11 @@
         response.headers.push_back({ "Content-Type", "application/json" });
         response.body =
                 boost::json::serialize(m_gateway.dump(EventLoop::currentInstant().now)) + "\n";
+    } else if (const auto query = parseExplainTarget(path)) {
+        response.headers.push_back({ "Content-Type", "application/json" });
+        response.body =
+                boost::json::serialize(m_gateway.explain(*query, EventLoop::currentInstant().now))
+                + "\n";
     } else if (const auto snapshot = m_storeWatcher.snapshot(); snapshot && path == "/entries") {
         response.headers.push_back({ "Content-Type", "application/json" });
         response.body = formatSnapshot(*snapshot);
--- a/src/gateway/BackendLoad.cpp
+++ b/src/gateway/BackendLoad.cpp
@@ -165,10 +165,11 @@
         m_recentRequests.pop_front();
 }
 
-std::size_t BackendLoad::requestsInLastSecond(MonotonicTime now)
+std::size_t BackendLoad::requestsInLastSecond(MonotonicTime now) const
 {
-    forgetOldRequests(now);
-    return m_recentRequests.size();
+    const auto first = std::upper_bound(m_recentRequests.begin(), m_recentRequests.end(),
+                                        now - std::chrono::seconds(1));
+    return static_cast<std::size_t>(m_recentRequests.end() - first);
 }
 
 void BackendLoad::takeRecentRequests(const BackendLoad &former)
--- a/src/gateway/BackendLoad.h
+++ b/src/gateway/BackendLoad.h
@@ -47,7 +47,7 @@
     Duration expectedTime(Duration fallback, std::size_t slots, MonotonicTime now) const;
 
     /** Number of attempts sent in the last second, without those recorded by addUnsent(). */
-    std::size_t requestsInLastSecond(MonotonicTime now);
+    std::size_t requestsInLastSecond(MonotonicTime now) const;
     /** Takes over the attempts of the last second that `former` has recorded. */
     void takeRecentRequests(const BackendLoad &former);
 
--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -87,18 +87,27 @@
     return std::floor(allowed / static_cast<double>(m_hostCount));
 }
 
-bool BackendSelector::hasCapacity(const BackendService &service, Backend &backend,
-                                  MonotonicTime now) const
+bool BackendSelector::hasConnection(const BackendService &service, const Backend &backend) const
 {
     const double share = m_connections.share(service, backend);
-    if (static_cast<double>(backend.load.inFlight()) >= std::max(std::floor(share), 1.0))
-        return false;
+    return static_cast<double>(backend.load.inFlight()) < std::max(std::floor(share), 1.0);
+}
+
+bool BackendSelector::isWithinColdLimit(const BackendService &service, const Backend &backend,
+                                        MonotonicTime now) const
+{
     const bool mayBeCold = now < backend.coldUntil || backend.mayHaveRestarted;
     if (!mayBeCold || service.coldRequestsPerSecond <= 0)
         return true;
     return static_cast<double>(backend.load.requestsInLastSecond(now)) < coldShare(service, now);
 }
 
+bool BackendSelector::hasCapacity(const BackendService &service, const Backend &backend,
+                                  MonotonicTime now) const
+{
+    return hasConnection(service, backend) && isWithinColdLimit(service, backend, now);
+}
+
 Duration BackendSelector::cost(const BackendService &service, const Backend &backend,
                                Duration typical, MonotonicTime now) const
 {
--- a/src/gateway/BackendSelector.h
+++ b/src/gateway/BackendSelector.h
@@ -27,6 +27,27 @@
     bool allows(const ServerId &server) const;
 };
 
+/** Why a server gets no request now. Parts can wait for servers that lack only what is listed from
+ * NoCapacity on. */
+enum class ServerExclusion {
+    Draining,     ///< it accepts no new requests, by its registration or its own statement
+    OutOfService, ///< operators have taken its failure domain out of service
+    Unreachable,  ///< no server of its failure domain responds
+    Misdirected,  ///< another server has answered at its address
+    Paused,       ///< it has asked for a pause
+    NoCapacity,   ///< this host has as many requests in progress there as it may
+    ColdLimit,    ///< it may be cold, and this host has used its share of the cold limit
+    Pace          ///< it is returning and has no credit; used if there is no other
+};
+
+/** What BackendSelector knows of a server for the next request. */
+struct ServerOutlook
+{
+    std::shared_ptr<const Backend> backend;
+    Duration cost {};                        ///< the server with the lowest cost is chosen
+    std::vector<ServerExclusion> exclusions; ///< empty: the server can be chosen
+};
+
 /**
  * Chooses the backend server for each attempt, by the expected response time, the limits on
  * connections and cold servers, and what the servers say of themselves. RequestDispatcher calls it.
@@ -60,6 +81,12 @@
      */
     std::shared_ptr<Backend> choose(const BackendService &service, Duration typical,
                                     const ServerFilter &filter, MonotonicTime now);
+    /**
+     * All servers of the service in the order in which they would be chosen, those that are
+     * excluded last. Uses nothing up. Permits of servers that name a limit are not considered.
+     */
+    std::vector<ServerOutlook> outlook(const BackendService &service, Duration typical,
+                                       MonotonicTime now) const;
     /** This host's share of the idle connections that the server accepts from all entry hosts. */
     IdleConnectionLimits idleLimitsFor(const BackendService &service, const Backend &backend) const;
     /**
@@ -88,7 +115,13 @@
     bool isUsable(const Backend &backend) const;
     /** This host's share of the requests that a cold server of the service bears in a second. */
     double coldShare(const BackendService &service, MonotonicTime now) const;
-    bool hasCapacity(const BackendService &service, Backend &backend, MonotonicTime now) const;
+    bool hasConnection(const BackendService &service, const Backend &backend) const;
+    bool isWithinColdLimit(const BackendService &service, const Backend &backend,
+                           MonotonicTime now) const;
+    bool hasCapacity(const BackendService &service, const Backend &backend,
+                     MonotonicTime now) const;
+    std::vector<ServerExclusion> exclusionsOf(const BackendService &service, const Backend &backend,
+                                              MonotonicTime now) const;
     Duration cost(const BackendService &service, const Backend &backend, Duration typical,
                   MonotonicTime now) const;
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/LostEntryRetention.h"
 #include "gateway/RequestDispatcher.h"
 #include "gateway/RestartDetector.h"
+#include "gateway/explain/Explainer.h"
 
 #include <boost/json/object.hpp>
 
@@ -53,6 +54,12 @@
     /** The state as JSON, for operators. */
     boost::json::object dump(MonotonicTime now) const;
 
+    /**
+     * Where a request with this host header and path would go now, and why, as JSON for operators.
+     * `tenant` is empty for a request without a key. Sends nothing and uses nothing up.
+     */
+    boost::json::object explain(const ExplainQuery &query, MonotonicTime now) const;
+
 private:
     void on(const RequestReceived &event);
     void on(const CallerDisconnected &event);
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -119,9 +119,13 @@
     return m_partTimes.try_emplace(route.name, kHedgeQuantile).first->second;
 }
 
-Duration RequestDispatcher::typicalTime(const GatewayRoute &route)
+Duration RequestDispatcher::typicalTime(const GatewayRoute &route) const
 {
-    return partTimesOf(route).typicalPartTime(route.latencyTarget / kInitialPartTimeDivisor);
+    const Duration initial = route.latencyTarget / kInitialPartTimeDivisor;
+    const auto found = m_partTimes.find(route.name);
+    if (found == m_partTimes.end())
+        return PartTimeEstimator(kHedgeQuantile).typicalPartTime(initial);
+    return found->second.typicalPartTime(initial);
 }
 
 std::string RequestDispatcher::microsSince(MonotonicTime start) const
@@ -189,7 +193,7 @@
     const Authentication authentication = authenticate(*configuration, *route, request);
     if (!authentication.isAllowed)
         return refuse(event.exchange, request, RefusalReason::Unauthorized);
-    if (endsBeforeAnswer(*route))
+    if (endsBeforeAnswer(*route, m_now))
         return refuse(event.exchange, request, RefusalReason::Stopping);
     const Signature signature =
             computeSignature({ request.host }, { request.method + request.target }, request.body);
@@ -245,14 +249,14 @@
     }
 }
 
-bool RequestDispatcher::endsBeforeAnswer(const GatewayRoute &route) const
+bool RequestDispatcher::endsBeforeAnswer(const GatewayRoute &route, MonotonicTime now) const
 {
     if (!m_stopAt)
         return false;
     // A request that may have run cannot be sent again by its caller.
     const Duration needed =
             route.repeatable ? route.latencyTarget : kStopTimeFactor * route.latencyTarget;
-    return *m_stopAt - m_now < std::min(needed, route.timeout);
+    return *m_stopAt - now < std::min(needed, route.timeout);
 }
 
 bool RequestDispatcher::refuseIfUnservable(Exchange &exchange)
@@ -281,13 +285,12 @@
     return true;
 }
 
-/** Smooth weighted round robin, so that the weights hold over any run of consecutive requests. */
-const ServiceId &RequestDispatcher::chooseTarget(const GatewayRoute &route)
+/**
+ * Smooth weighted round robin, so that the weights hold over any run of consecutive requests. Adds
+ * the weights to the credits and returns the index of the target with the highest.
+ */
+static std::size_t advanceSplit(const GatewayRoute &route, std::vector<double> &credits)
 {
-    GREENGAGESTAIR_ASSERT(!route.targets.empty());
-    if (route.targets.size() == 1)
-        return route.targets.front().service;
-    std::vector<double> &credits = m_splitCredits[route.name];
     credits.resize(route.targets.size(), 0);
     double total = 0;
     for (std::size_t i = 0; i < credits.size(); ++i) {
@@ -296,7 +299,25 @@
     }
     const auto best = std::max_element(credits.begin(), credits.end());
     *best -= total;
-    return route.targets[static_cast<std::size_t>(best - credits.begin())].service;
+    return static_cast<std::size_t>(best - credits.begin());
+}
+
+const ServiceId &RequestDispatcher::chooseTarget(const GatewayRoute &route)
+{
+    GREENGAGESTAIR_ASSERT(!route.targets.empty());
+    if (route.targets.size() == 1)
+        return route.targets.front().service;
+    return route.targets[advanceSplit(route, m_splitCredits[route.name])].service;
+}
+
+const ServiceId &RequestDispatcher::nextTarget(const GatewayRoute &route) const
+{
+    GREENGAGESTAIR_ASSERT(!route.targets.empty());
+    const auto found = m_splitCredits.find(route.name);
+    std::vector<double> credits;
+    if (found != m_splitCredits.end())
+        credits = found->second;
+    return route.targets[advanceSplit(route, credits)].service;
 }
 
 void RequestDispatcher::onCallerDisconnected(ExchangeId id)
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -64,6 +64,13 @@
     /** Time at which advance() is due; nullopt if no timer is pending. */
     std::optional<MonotonicTime> nextWakeUp() const;
 
+    /** The service that the next request on a route without gathering goes to. */
+    const ServiceId &nextTarget(const GatewayRoute &route) const;
+    /** True if the process probably ends before a new request on this route can be answered. */
+    bool endsBeforeAnswer(const GatewayRoute &route, MonotonicTime now) const;
+    /** Usual time of one part of a request on the route. */
+    Duration typicalTime(const GatewayRoute &route) const;
+
     /** True if no request is in progress. */
     bool isIdle() const { return m_exchanges.empty(); }
     /** Number of requests in progress. */
@@ -121,8 +128,6 @@
         Hopeless ///< no server is left that could answer it in time
     };
 
-    /** True if the process probably ends before a new request on this route can be answered. */
-    bool endsBeforeAnswer(const GatewayRoute &route) const;
     bool addPart(Exchange &exchange, const ServiceId &service);
     /**
      * Refuses a request before any part is sent, if too many of its services have no server that
@@ -187,7 +192,6 @@
     Exchange *find(ExchangeId exchange);
     RepeatBudget &budgetOf(const ServiceId &service);
     PartTimeEstimator &partTimesOf(const GatewayRoute &route);
-    Duration typicalTime(const GatewayRoute &route);
     Duration hedgeDelay(const GatewayRoute &route);
 
     BackendSelector &m_selector;
--- a/tests/app/CommandLineTest.cpp
+++ b/tests/app/CommandLineTest.cpp
@@ -34,6 +34,12 @@
     const auto apply = parse({ "config", "--platform=127.0.0.1:7500", "apply", "f" });
     REQUIRE(std::get<ConfigApplyCommand>(*apply).declarationFile == "f");
     REQUIRE(std::get<ConfigApplyCommand>(*apply).platform == Endpoint { "127.0.0.1", 7500 });
+    const auto explain = parse(
+            { "explain", "--gateway", "127.0.0.1:1", "--host", "h", "--path", "/a", "--json" });
+    REQUIRE(std::get<ExplainCommand>(*explain).host == "h");
+    REQUIRE(std::get<ExplainCommand>(*explain).path == "/a");
+    REQUIRE(std::get<ExplainCommand>(*explain).isJson);
+    REQUIRE_FALSE(parse({ "explain", "--gateway", "127.0.0.1:1", "--host", "h" }));
     const auto replay = parse({ "replay", "t", "--expect", "e" });
     REQUIRE(std::get<ReplayCommand>(*replay).expectedFile == "e");
     REQUIRE(std::holds_alternative<HelpCommand>(*parse({ "serve", "--help" })));
--- a/tests/app/GatewayServerTest.cpp
+++ b/tests/app/GatewayServerTest.cpp
@@ -247,4 +247,7 @@
     const auto state = fixture.connect(fixture.server->adminEndpoint());
     state->write("GET /state HTTP/1.1\r\nHost: h\r\n\r\n");
     fixture.await(*state, "\"server\":\"i-1\"");
+    const auto explanation = fixture.connect(fixture.server->adminEndpoint());
+    explanation->write("GET /explain?host=h&path=%2Fo%2F7 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.await(*explanation, "\"next\":\"i-1\"");
 }
