Run the gateway's random faults with the pace, too

Cause: the guarantees under random faults were checked without the pace only. Change: each seed runs with and without pacesReturningServers.

--- a/tests/gateway/GatewayRandomTest.cpp
+++ b/tests/gateway/GatewayRandomTest.cpp
@@ -43,9 +43,12 @@
 class RandomRun
 {
 public:
-    explicit RandomRun(std::uint64_t seed)
+    RandomRun(std::uint64_t seed, bool isPaced)
         : m_random(seed)
     {
+        GatewayOptions options = GatewayFixture::options(120);
+        options.pacesReturningServers = isPaced;
+        m_fixture.send(OptionsChanged { options });
         m_fixture.start();
         for (const auto &[name, service] : m_fixture.configuration.services) {
             for (const char *domain : { "shubra", "bulaq" })
@@ -318,7 +321,9 @@
     const std::uint64_t seed = first ? std::strtoull(first, nullptr, 10) : 1;
     const std::uint64_t count = runs ? std::strtoull(runs, nullptr, 10) : 5;
     for (std::uint64_t i = 0; i < count; ++i) {
-        INFO("seed " << seed + i);
-        RandomRun(seed + i).run();
+        for (const bool isPaced : { false, true }) {
+            INFO("seed " << seed + i << (isPaced ? ", returning servers paced" : ""));
+            RandomRun(seed + i, isPaced).run();
+        }
     }
 }
