--- a/src/gateway/BackendSelector.h
+++ b/src/gateway/BackendSelector.h
@@ -8,6 +8,7 @@
 #include "gateway/RoutingConfiguration.h"
 #include "gateway/observations/SharedObservations.h"
 #include "gateway/pace/ReturnPacing.h"
+#include "gateway/rollout/VersionFilter.h"
 
 #include <memory>
 #include <vector>
@@ -21,13 +22,14 @@
     const std::vector<ServerId> *only = nullptr; ///< if set, no other servers may be chosen
     /** Servers that have asked for a pause until after this time are no candidates. */
     MonotonicTime usableBy {};
-    bool mayWait = false;   ///< the part may wait for a permit of a server with a request limit
-    bool isWaiting = false; ///< the part waits already, so its demand has been counted
-    bool mayTry = false;    ///< a server that others have found in a bad state may be chosen
-    bool isRepeat = false;  ///< the attempt is a retry or a hedge
+    bool mayWait = false;      ///< the part may wait for a permit of a server with a request limit
+    bool isWaiting = false;    ///< the part waits already, so its demand has been counted
+    bool mayTry = false;       ///< a server that others have found in a bad state may be chosen
+    bool isRepeat = false;     ///< the attempt is a retry or a hedge
+    VersionFilter versions {}; ///< by the roll-out of the service
 
     /** True if the server may be chosen. */
-    bool allows(const ServerId &server) const;
+    bool allows(const BackendRegistration &registration) const;
 };
 
 /** Why a server gets no request now. Parts can wait for servers that lack only what is listed from
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -22,14 +22,16 @@
                      options.randomSeed)
     , m_restarts(m_directory)
     , m_selector(options.selector, m_directory, m_reachability, m_serverLimits, m_observations)
+    , m_rollouts(options.selector.host, options.rollout, m_directory, m_reachability)
     , m_warmer(m_directory, options.randomSeed)
     , m_jointRepeatLimits(options.repeats)
     , m_dispatcher(m_selector, m_reachability, m_serverLimits, m_quotas, m_restarts, m_observations,
-                   repeatShare())
+                   m_rollouts, repeatShare())
     , m_ownDomain(options.selector.failureDomain)
 {
     m_observations.setEnabled(options.sharesObservations);
     m_selector.pacing().setEnabled(options.pacesReturningServers);
+    m_selector.pacing().setEvidenceSource(&m_observations);
 }
 
 RepeatLimits Gateway::repeatShare() const
@@ -52,6 +54,7 @@
     m_serverLimits.beginStep(m_now, m_effects);
     m_quotas.beginStep(m_now, m_effects);
     m_observations.beginStep(m_now, m_effects);
+    m_rollouts.beginStep(m_now, m_effects);
     m_dispatcher.beginStep(m_now, m_effects);
     std::visit([&](const auto &typed) { on(typed); }, event);
     m_dispatcher.applyQuotaDecisions();
@@ -66,8 +69,7 @@
     for (const auto &other :
          { m_directory.nextRemoval(), m_reachability.nextWakeUp(), m_warmer.nextWakeUp(),
            m_restarts.nextWakeUp(), m_quotas.nextWakeUp(), m_retention.nextExpiry(),
-           m_observations.nextWakeUp(),
-           m_lowerCountValidAt }) {
+           m_observations.nextWakeUp(), m_rollouts.nextWakeUp(), m_lowerCountValidAt }) {
         if (other && (!next || *other < *next))
             next = other;
     }
@@ -150,6 +152,7 @@
 
 void Gateway::putListed(const BackendRegistration &registration, bool hasStoreGoneBack)
 {
+    m_rollouts.addServer(registration);
     if (!hasStoreGoneBack)
         return putServer(registration, !m_areServersKnown);
     const auto known = m_directory.find(registration.server);
@@ -172,6 +175,7 @@
     m_retention.addWritten(event.registration.server);
     const bool isNew = !m_directory.find(event.registration.server);
     m_directory.forgetDisplaced(event.registration.server);
+    m_rollouts.addServer(event.registration);
     displaceOthers(event.registration);
     putServer(event.registration, false);
     // A server without a route is warmed up, too: the configuration with its route may not have
@@ -271,6 +275,7 @@
 void Gateway::on(const StoreCaughtUp & /*event*/)
 {
     m_caughtUpAt = m_now;
+    m_rollouts.addStoreNews();
     m_restarts.addStoreNews(m_now);
     m_quotas.addStoreContact();
 }
@@ -281,6 +286,7 @@
             std::make_shared<const std::vector<HostEntry>>(m_retention.hostsAfter(event, m_now));
     m_serverLimits.setHosts(hosts);
     m_quotas.setHosts(hosts);
+    m_rollouts.setHosts(hosts);
     m_lastHostCount = {};
     for (const HostEntry &host : *hosts)
         ++m_lastHostCount.byDomain[host.failureDomain];
@@ -417,6 +423,7 @@
     m_observations.setEnabled(event.options.sharesObservations);
     m_selector.setOptions(event.options.selector);
     m_selector.pacing().setEnabled(event.options.pacesReturningServers);
+    m_rollouts.setOptions(event.options.rollout);
     m_jointRepeatLimits = event.options.repeats;
     m_dispatcher.setRepeatLimits(repeatShare());
     m_quotas.setOptions(event.options.quota);
@@ -444,6 +451,7 @@
     m_warmer.advance(m_now, m_effects);
     m_quotas.advance();
     m_observations.advance();
+    m_rollouts.advance();
     m_dispatcher.advance();
 }
 
@@ -467,6 +475,8 @@
     for (Counter &counter : m_observations.counters())
         counters.push_back(std::move(counter));
     m_selector.pacing().appendCounters(counters);
+    for (Counter &counter : m_rollouts.counters())
+        counters.push_back(std::move(counter));
     counters.push_back({ "configuration_version", m_configuration ? m_configuration->version : 0 });
     counters.push_back({ "registered_servers", m_directory.size() });
     counters.push_back({ "requests_in_progress", m_dispatcher.exchanges() });
@@ -501,6 +511,7 @@
                 { { "server", server.value },
                   { "service", registration.service.value },
                   { "failureDomain", registration.failureDomain.value },
+                  { "version", registration.softwareVersion },
                   { "inService", m_directory.isInService(*backend) },
                   { "reachable", m_reachability.isReachable(registration.failureDomain) },
                   { "cold", now < backend->coldUntil },
@@ -525,6 +536,7 @@
              { "attemptsInProgress", m_dispatcher.attempts() },
              { "entryHosts", m_hostCount.all },
              { "outOfService", outOfService },
+             { "rollouts", m_rollouts.dump() },
              { "servers", servers } };
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/explain/Explainer.h"
 #include "gateway/observations/SharedObservations.h"
 #include "gateway/quota/TenantQuotas.h"
+#include "gateway/rollout/Rollouts.h"
 
 #include <boost/json/object.hpp>
 
@@ -81,6 +82,10 @@
     void on(const QuotaGranted &event);
     void on(const HostLost &event);
     void on(const ObservationsReceived &event);
+    void on(const RolloutsRead &event);
+    void on(const RolloutReported &event);
+    void on(const RolloutNoticed &event);
+    void on(const RolloutWriteEnded &event);
     void on(const ConnectionAttemptEnded &event);
     void on(const LastConnectionLost &event);
     void on(const OptionsChanged &event);
@@ -113,6 +118,7 @@
     SharedObservations m_observations;
     RestartDetector m_restarts;
     BackendSelector m_selector;
+    Rollouts m_rollouts;
     ConnectionWarmer m_warmer;
     RepeatLimits m_jointRepeatLimits; ///< for all entry hosts together
     HostCount m_hostCount;
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -37,13 +37,14 @@
 RequestDispatcher::RequestDispatcher(BackendSelector &selector, DomainReachability &reachability,
                                      JointServerLimits &limits, TenantQuotas &quotas,
                                      RestartDetector &restarts, SharedObservations &observations,
-                                     const RepeatLimits &repeats)
+                                     Rollouts &rollouts, const RepeatLimits &repeats)
     : m_selector(selector)
     , m_reachability(reachability)
     , m_limits(limits)
     , m_quotas(quotas)
     , m_restarts(restarts)
     , m_observations(observations)
+    , m_rollouts(rollouts)
     , m_repeatLimits(repeats)
     , m_lossReportLimit(kMaxLossReports, kLossReportWindow)
 {
@@ -316,6 +317,7 @@
         return false;
     }
     part.service = &found->second;
+    part.isForTargetVersion = m_rollouts.takeTurn(service);
     budgetOf(service).addRequest(m_now);
     return true;
 }
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -13,6 +13,7 @@
 #include "gateway/RequestQuarantine.h"
 #include "gateway/RestartDetector.h"
 #include "gateway/quota/TenantQuotas.h"
+#include "gateway/rollout/Rollouts.h"
 
 #include <map>
 #include <memory>
@@ -32,7 +33,8 @@
 public:
     RequestDispatcher(BackendSelector &selector, DomainReachability &reachability,
                       JointServerLimits &limits, TenantQuotas &quotas, RestartDetector &restarts,
-                      SharedObservations &observations, const RepeatLimits &repeats);
+                      SharedObservations &observations, Rollouts &rollouts,
+                      const RepeatLimits &repeats);
 
     /** Sets this host's share of the limits on retries and hedges, for each service. */
     void setRepeatLimits(const RepeatLimits &limits);
@@ -116,6 +118,7 @@
         std::shared_ptr<RequestLosses> losses; ///< of the attempt's request
         bool isReleased = false;               ///< this host may have closed the connection itself
         bool isObserved = false; ///< counted in the observations as slower than another server
+        std::string judgedRoute; ///< set if the result counts for a roll-out of the service
     };
 
     /** Microseconds since `start` as text, for log lines. */
@@ -172,6 +175,8 @@
     void recordFailure(const AttemptRecord &record, AttemptId attempt, AttemptFailure failure);
     /** Passes the result of an attempt on to the observations that hosts share. */
     void recordObservation(const AttemptRecord &record, const AttemptResult &result);
+    /** Counts the result for the roll-out of the server's service. */
+    void recordVersionResult(const AttemptRecord &record, const AttemptResult &result);
     void recordLoad(const AttemptRecord &record, AttemptId attempt, const AttemptResult &result);
     void onAnswer(Exchange &exchange, std::size_t index, const AttemptRecord &record,
                   BackendAnswer answer);
@@ -211,6 +216,7 @@
     TenantQuotas &m_quotas;
     RestartDetector &m_restarts;
     SharedObservations &m_observations;
+    Rollouts &m_rollouts;
     RepeatLimits m_repeatLimits;
     MonotonicTime m_now;
     std::optional<MonotonicTime> m_startedAt; ///< time of the first step
--- a/src/gateway/observations/SharedObservations.cpp
+++ b/src/gateway/observations/SharedObservations.cpp
@@ -380,6 +380,16 @@
     return evidence;
 }
 
+std::optional<ServerEvidence> SharedObservations::evidenceOf(const ServerId &server,
+                                                             std::uint64_t startedAt,
+                                                             MonotonicTime now) const
+{
+    const auto backend = m_directory.find(server);
+    if (!backend || backend->registration.startedAt != startedAt)
+        return std::nullopt;
+    return evidenceOfOthers(*backend, now);
+}
+
 Duration SharedObservations::extraTime(const Backend &backend, Duration typical,
                                        MonotonicTime now) const
 {
--- a/src/gateway/observations/SharedObservations.h
+++ b/src/gateway/observations/SharedObservations.h
@@ -6,6 +6,7 @@
 #include "gateway/StoreRoleElection.h"
 #include "gateway/observations/ObservationCollector.h"
 #include "gateway/observations/ObservationTimes.h"
+#include "gateway/pace/EvidenceSource.h"
 
 #include <optional>
 #include <string_view>
@@ -25,7 +26,7 @@
  *
  * Gateway passes the time and the list of effects with beginStep(). Does nothing until enabled.
  */
-class SharedObservations
+class SharedObservations : public EvidenceSource
 {
 public:
     SharedObservations(HostId self, FailureDomainId ownDomain, const BackendDirectory &directory,
@@ -63,6 +64,9 @@
      * statement is older than 3 s.
      */
     std::optional<ServerEvidence> evidenceOfOthers(const Backend &backend, MonotonicTime now) const;
+    /** evidenceOfOthers() of a server, if that process of it is the registered one. */
+    std::optional<ServerEvidence> evidenceOf(const ServerId &server, std::uint64_t startedAt,
+                                             MonotonicTime now) const override;
     /**
      * Time that a request to the server is expected to lose beyond what this host has seen itself.
      * This host's own recent results outweigh those of the others. `typical` is the usual time of
