--- a/src/gateway/explain/ServerOutlook.cpp
+++ b/src/gateway/explain/ServerOutlook.cpp
@@ -34,7 +34,7 @@
     for (std::size_t offset = 0; offset < servers.size(); ++offset) {
         // The order of equal costs that choose() will use next.
         const auto &backend = servers[(offset + m_rotation + 1) % servers.size()];
-        outlooks.push_back({ backend, cost(service, *backend, typical, now),
+        outlooks.push_back({ backend, cost(service, *backend, typical, false, now),
                              exclusionsOf(service, *backend, now) });
     }
     // Servers that only the pace excludes are chosen if there is no other.
