Test the pace while servers refuse most requests

Cause: probes of servers that refuse cost repeats, and no test bounded them. Change: queries over shards at three rates with the pace, bounded by the joint limit on repeats.

--- a/tests/gateway/ReturningServerTest.cpp
+++ b/tests/gateway/ReturningServerTest.cpp
@@ -1,3 +1,4 @@
+#include "LoadSimulation.h"
 #include "PaceFleet.h"
 
 namespace greengagestair {
@@ -242,4 +243,35 @@
     CHECK(hadShareBy(comparison.paced, 6));
 }
 
+/** Queries over shards with the pace; LoadPatternTest plays them without. */
+static LoadOutcome playQueries(LoadPattern pattern)
+{
+    LoadSimulation simulation(std::move(pattern), 20261204);
+    GatewayOptions options = GatewayFixture::options(54);
+    options.pacesReturningServers = true;
+    simulation.fixture().send(OptionsChanged { options });
+    return simulation.run();
+}
+
+// Load: two of three servers of each shard refuse 60 % of their requests. Guards against a pace
+// that sends queries to servers that refuse, or overloads the third.
+TEST_CASE("queries are answered while paced servers refuse most requests", "[gateway][pace][load]")
+{
+    LoadPattern pattern;
+    pattern.refusalProbability = [](const ServerId &server) {
+        return server.value.ends_with("-helwan") ? 0.0 : 0.6;
+    };
+    for (const double rate : { 1.5, 25.0, 60.0 }) {
+        pattern.queriesPerSecond = rate;
+        pattern.length = rate < 10 ? 60s : 10s;
+        const LoadOutcome outcome = playQueries(pattern);
+        INFO("queries per second " << rate << ", repeats " << outcome.repeats);
+        CHECK(outcome.answeredShare() >= 0.99);
+        // The joint limit is 20 % and the slack; a part of the slack belongs to other hosts.
+        const double limit = 0.2 * static_cast<double>(outcome.queries * pattern.shards)
+                + pattern.slack * static_cast<double>(pattern.shards);
+        CHECK(static_cast<double>(outcome.repeats) <= limit);
+    }
+}
+
 } // namespace greengagestair
