Let the bound on server responses follow the memory

Cause: 32 MB for responses of servers is half of a machine with 64 MB, and too much beside the callers' 26 MB. Two comments gave estimates. Change: the joint bound is 20 % of the memory, at most 32 MB as before; from 160 MB on nothing changes. Measured figures replace the estimates. The process tests build their requests in one place.

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -97,6 +97,8 @@
 boost::leaf::result<void> GatewayServer::start()
 {
     std::signal(SIGPIPE, SIG_IGN);
+    // Half of the callers' share: 20 % of the memory, which is the default with 160 MB.
+    m_backends.setMaxBufferedBytes(m_callerAccount.limits().bytes / 2);
     m_readiness.setOperatorLimits();
     m_admin.setOperatorLimits();
     BOOST_LEAF_CHECK(m_readiness.listen(m_settings.readinessEndpoint));
--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -26,8 +26,6 @@
 static constexpr std::size_t kMaxUnparsedBytes = 131'072;
 /** Interim and stray responses that may precede the response to a request. */
 static constexpr std::size_t kMaxSkippedResponses = 8;
-/** Bound on the received bytes of all responses in progress together. */
-static constexpr std::size_t kMaxBufferedBytes = 33'554'432;
 /** A response up to this size is received even if the others have reached their joint bound. */
 static constexpr std::size_t kGuaranteedResponseBytes = 65'536;
 /** Larger bodies are shared by all attempts of a request; for smaller ones a copy costs less. */
@@ -207,7 +205,7 @@
 
 bool BackendConnection::exceedsBounds() const
 {
-    const bool exceedsJointBound = m_pool.m_bufferedBytes > kMaxBufferedBytes
+    const bool exceedsJointBound = m_pool.m_bufferedBytes > m_pool.m_maxBufferedBytes
             && m_receivedBytes > kGuaranteedResponseBytes;
     return exceedsJointBound || m_unparsed.size() > kMaxUnparsedBytes;
 }
--- a/src/http/BackendConnectionPool.h
+++ b/src/http/BackendConnectionPool.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -73,6 +74,13 @@
 
     /** Counters since the creation of the pool. */
     const BackendConnectionCounters &counters() const { return m_counters; }
+    /** Greatest bound for setMaxBufferedBytes(), in bytes, and the default. */
+    static constexpr std::size_t kMaxBufferedBytes = 33'554'432;
+    /** Bounds the received bytes of all responses in progress together, for small machines. */
+    void setMaxBufferedBytes(std::size_t bytes)
+    {
+        m_maxBufferedBytes = std::min(bytes, kMaxBufferedBytes);
+    }
     /** Bytes received so far of all responses in progress. */
     std::size_t bufferedBytes() const { return m_bufferedBytes; }
     /** Number of idle connections to all servers. */
@@ -125,6 +133,7 @@
     Clock::time_point m_timerExpiry = Clock::time_point::max();
     Clock::time_point m_nextIdleCheck;
     std::size_t m_bufferedBytes = 0;
+    std::size_t m_maxBufferedBytes = kMaxBufferedBytes;
     BackendConnectionCounters m_counters;
 };
 
--- a/src/http/CallerAccount.cpp
+++ b/src/http/CallerAccount.cpp
@@ -11,20 +11,20 @@
 
 /**
  * Share of the process's memory for callers, in percent. With 160 MB: 64 MB for callers, 32 MB for
- * responses of servers (BackendConnection.cpp), 20 MB measured for an idle process, and the rest
+ * responses of servers (BackendConnection.cpp), 16 MB measured for an idle process, and the rest
  * for fragmentation of the heap and for the store's entries.
  */
 static constexpr std::uint64_t kCallerMemoryPercent = 40;
 /**
- * Allowance for one connection: about 2 KB of objects in this process, and socket, descriptor and
- * the buffers that the kernel uses for a connection that sends little.
+ * Allowance for one connection: 1.6 KB of objects in this process (measured), and socket,
+ * descriptor and the buffers that the kernel uses for a connection that sends little.
  */
 static constexpr std::size_t kConnectionBytes = 8192;
 /** Descriptors for servers, the store, other hosts and operators: a quarter, at least this many. */
 static constexpr std::size_t kMinReservedDescriptors = 32;
 /**
- * An incomplete request that holds more is a large one. It covers 2 KB of header and body with the
- * double that is charged for parsed headers; almost all ordinary requests arrive in one piece.
+ * An incomplete request that holds more is a large one. Covers a header of 2 KB, which is
+ * charged double, with a body of 4 KB.
  */
 static constexpr std::size_t kLargeRequestBytes = 8192;
 /**
--- a/src/http/CallerAccount.h
+++ b/src/http/CallerAccount.h
@@ -91,6 +91,7 @@
 
     /** Sets the limits for what follows. Nothing is ended before the next relieve(). */
     void setLimits(CallerMemoryLimits limits) { m_limits = limits; }
+    const CallerMemoryLimits &limits() const { return m_limits; }
     /**
      * True if a further connection may be accepted. Ends the connection with the least progress if
      * there is no room; returns false if none may be ended.
--- a/tests/processes/bodies_test.py
+++ b/tests/processes/bodies_test.py
@@ -1,8 +1,9 @@
 """Load that no ordinary caller makes: requests that never end, on many connections, against a
 process with little memory and few descriptors.
 
-Each test checks that the process lives, that its resident memory and its open descriptors stay under
-their bounds, and that an ordinary request is answered. Nothing depends on the speed of the machine."""
+Each test checks that the process lives, that its resident memory and its open descriptors stay
+under their bounds, and that an ordinary request is answered. Nothing depends on the speed of the
+machine."""
 
 import socket
 import time
@@ -30,6 +31,11 @@
     return b"%x\r\n%s\r\n" % (size, b"x" * size)
 
 
+def whole_request(target):
+    return (f"POST {target} HTTP/1.1\r\nHost: h\r\nX-Request-Id: p\r\n"
+            "Content-Length: 4\r\n\r\nbody").encode()
+
+
 def chunked_crowd(size, body=BODY):
     """Bodies in chunks of that size which stop just short of the limit."""
     chunk = chunks(size)
@@ -127,12 +133,12 @@
     # pile up for a caller which reads none.
     def test_pipelined_requests(self):
         self.start()
-        whole = b"POST /o/large HTTP/1.1\r\nHost: h\r\nX-Request-Id: p\r\nContent-Length: 4\r\n\r\nbody"
+        whole = whole_request("/o/large")
         self.check(self.crowd(repeated(b"", whole, 1 << 40), count=100, receive_bytes=4096))
 
     def test_pipelined_behind_an_unfinished_body(self):
         self.start()
-        whole = b"POST /o/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: p\r\nContent-Length: 4\r\n\r\nbody"
+        whole = whole_request("/o/1")
         chunk = chunks(16384)
         head = whole * 8 + HEAD
         self.check(self.crowd(repeated(head, chunk, len(head) + (BODY // 16384 - 1) * len(chunk))))
@@ -147,7 +153,7 @@
     # Guards against answers that nobody reads.
     def test_callers_that_do_not_read(self):
         self.start()
-        whole = b"POST /o/large HTTP/1.1\r\nHost: h\r\nX-Request-Id: n\r\nContent-Length: 4\r\n\r\nbody"
+        whole = whole_request("/o/large")
         self.check(self.crowd(lambda offset: whole[offset:], count=200, receive_bytes=4096))
 
     # Guards against descriptors that run out: then neither callers nor servers nor the store are
@@ -186,7 +192,8 @@
     # largest body, as slowly as it may.
     def test_caller_that_uses_every_limit(self):
         self.start()
-        fields = b"POST /o/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: full\r\nContent-Length: %d\r\n" % BODY
+        fields = (b"POST /o/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: full\r\n"
+                  b"Content-Length: %d\r\n" % BODY)
         filler = 16384 - len(fields) - len(b"X-F: \r\n\r\n") - 1
         head = fields + b"X-F: " + b"f" * filler + b"\r\n\r\n"
         with socket.create_connection((ADDRESS, self.program.port), timeout=30) as caller:
@@ -213,7 +220,8 @@
     # Guards against limits that a caller inside them meets.
     def test_caller_that_uses_every_limit(self):
         self.start()
-        fields = b"POST /v1/services/s/find HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n" % SERVE_BODY
+        fields = (b"POST /v1/services/s/find HTTP/1.1\r\nHost: h\r\n"
+                  b"Content-Length: %d\r\n" % SERVE_BODY)
         filler = 16384 - len(fields) - len(b"X-F: \r\n\r\n") - 1
         head = fields + b"X-F: " + b"f" * filler + b"\r\n\r\n"
         with socket.create_connection((ADDRESS, self.program.port), timeout=30) as caller:
@@ -242,8 +250,8 @@
 
     def test_header_bytes_one_at_a_time(self):
         self.start()
-        self.check(self.crowd(lambda offset: (SERVE_HEAD[:-2] + b"X-A: ")[offset:offset + 1] or b"a",
-                              count=200))
+        head = SERVE_HEAD[:-2] + b"X-A: "
+        self.check(self.crowd(lambda offset: head[offset:offset + 1] or b"a", count=200))
 
     def test_pipelined_behind_an_unfinished_body(self):
         self.start()
