Compare servers with the better half of their service; rank retries

Cause: a server that refuses half was hidden behind one that refuses everything, and retries were spent on requests that had enough parts. Change: deviation is measured against the better half of the other servers; while hosts share observations, retries that a request can do without leave a part of the limit to the others.

--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -143,6 +143,17 @@
     static MonotonicTime firstSendLimit(const Exchange &exchange);
     /** Sends a part to the best server that may get it now. */
     SendResult trySend(Exchange &exchange, std::size_t index);
+    /**
+     * Takes a retry from the limit on repeats; false if it does not allow one. While hosts share
+     * observations, a part of the limit is left to retries without which a request would lack
+     * parts; the others only make an answer more complete.
+     */
+    bool takeRetry(const Exchange &exchange, std::size_t index);
+    /**
+     * True if the request has too few parts without this one, if all other parts whose attempts are
+     * not late are answered.
+     */
+    bool isNeeded(const Exchange &exchange, std::size_t index);
     void send(Exchange &exchange, std::size_t index, const std::shared_ptr<Backend> &backend);
     /** Sends a part that has no attempt in progress, queues it or settles it. */
     void sendOrQueue(Exchange &exchange, std::size_t index);
--- a/src/gateway/observations/ObservationCollector.cpp
+++ b/src/gateway/observations/ObservationCollector.cpp
@@ -133,20 +133,55 @@
     return rows;
 }
 
-Duration ObservationCollector::deviation(const Row &row, const ServiceSums &sums) const
+std::unordered_map<ServiceId, ObservationCollector::ServiceState>
+ObservationCollector::statesOf(const std::vector<Row> &rows) const
+{
+    std::unordered_map<ServiceId, ServiceState> states;
+    for (const Row &row : rows) {
+        ServiceState &service = states[row.backend->registration.service];
+        service.losses.push_back(expectedLoss(row.evidence));
+        if (row.evidence.answers > 0)
+            service.times.push_back(meanTime(row.evidence));
+    }
+    for (auto &[name, service] : states) {
+        // Servers without results are assumed to be sound.
+        service.losses.resize(std::max(service.losses.size(), m_directory.serversOf(name).size()));
+        std::sort(service.losses.begin(), service.losses.end());
+        std::sort(service.times.begin(), service.times.end());
+    }
+    return states;
+}
+
+/**
+ * Mean of the better half of `sorted` without one element `own`; nullopt if it has no others. The
+ * mean of all would hide servers that are bad, but not as bad as the worst.
+ */
+static std::optional<Duration> meanOfBetterHalf(const std::vector<Duration> &sorted, Duration own)
+{
+    if (sorted.size() < 2)
+        return std::nullopt;
+    const auto half =
+            std::max<std::ptrdiff_t>(static_cast<std::ptrdiff_t>(sorted.size() - 1) / 2, 1);
+    const auto position = std::lower_bound(sorted.begin(), sorted.end(), own) - sorted.begin();
+    Duration sum = position < half ? -own : Duration(0);
+    const auto end = sorted.begin() + half + (position < half ? 1 : 0);
+    for (auto value = sorted.begin(); value != end; ++value)
+        sum += *value;
+    return sum / half;
+}
+
+Duration ObservationCollector::deviation(const Row &row, const ServiceState &service)
 {
-    const auto &servers = m_directory.serversOf(row.backend->registration.service);
-    const auto others = static_cast<Duration::rep>(servers.size()) - 1;
     const Duration loss = expectedLoss(row.evidence);
-    // Others without results are assumed to be sound.
-    Duration deviation = others > 0 ? loss - (sums.loss - loss) / others : Duration(0);
+    const auto usualLoss = meanOfBetterHalf(service.losses, loss);
+    Duration deviation = usualLoss ? loss - *usualLoss : Duration(0);
+    if (row.evidence.answers <= 0)
+        return deviation;
     const Duration time = meanTime(row.evidence);
-    const int timedOthers = sums.timedServers - (row.evidence.answers > 0 ? 1 : 0);
-    if (row.evidence.answers > 0 && timedOthers > 0) {
-        const Duration usual = (sums.time - time) / timedOthers;
-        if (static_cast<double>(time.count()) > kMinSlowness * static_cast<double>(usual.count()))
-            deviation += time - usual;
-    }
+    const auto usual = meanOfBetterHalf(service.times, time);
+    if (usual
+        && static_cast<double>(time.count()) > kMinSlowness * static_cast<double>(usual->count()))
+        deviation += time - *usual;
     return deviation;
 }
 
@@ -154,16 +189,10 @@
                                                              MonotonicTime now)
 {
     std::vector<Row> all = rows(isJoint, now);
-    std::unordered_map<ServiceId, ServiceSums> sums;
-    for (const Row &row : all) {
-        ServiceSums &service = sums[row.backend->registration.service];
-        service.loss += expectedLoss(row.evidence);
-        service.time += meanTime(row.evidence);
-        service.timedServers += row.evidence.answers > 0 ? 1 : 0;
-    }
+    const auto services = statesOf(all);
     std::vector<Row> listed;
     for (Row &row : all) {
-        row.deviation = deviation(row, sums[row.backend->registration.service]);
+        row.deviation = deviation(row, services.at(row.backend->registration.service));
         if (row.deviation >= kMinDeviation)
             row.record->listedUntil = now + kListedTime;
         if (now < row.record->listedUntil)
--- a/src/gateway/observations/ObservationCollector.h
+++ b/src/gateway/observations/ObservationCollector.h
@@ -71,12 +71,11 @@
         ServerEvidence evidence;
         Duration deviation;
     };
-    /** Sums over the servers of a service. */
-    struct ServiceSums
+    /** What the servers of a service are compared with; both lists are sorted. */
+    struct ServiceState
     {
-        Duration loss {};
-        Duration time {};
-        int timedServers = 0;
+        std::vector<Duration> losses; ///< of all servers; zero without results
+        std::vector<Duration> times;  ///< mean times of the servers with answers
     };
 
     /** The record of the server's present process; null if the observation is of another one. */
@@ -85,7 +84,8 @@
     ServerEvidence jointEvidence(const Record &record, const Backend &backend,
                                  MonotonicTime now) const;
     std::vector<Row> rows(bool isJoint, MonotonicTime now);
-    Duration deviation(const Row &row, const ServiceSums &sums) const;
+    std::unordered_map<ServiceId, ServiceState> statesOf(const std::vector<Row> &rows) const;
+    static Duration deviation(const Row &row, const ServiceState &service);
     std::vector<ServerObservation> summary(bool isJoint, std::size_t limit, MonotonicTime now);
 
     const BackendDirectory &m_directory;
--- a/src/gateway/observations/SharedObservations.cpp
+++ b/src/gateway/observations/SharedObservations.cpp
@@ -273,11 +273,23 @@
     *m_nextRound = std::max(*m_nextRound + kRoundInterval, m_now + kRoundInterval / 2);
     if (m_domains.contains(m_ownDomain))
         report();
-    if (isCollector())
+    logRole();
+    if (m_wasCollector)
         summarise();
     forgetOld();
 }
 
+void SharedObservations::logRole()
+{
+    if (isCollector() == m_wasCollector)
+        return;
+    m_wasCollector = !m_wasCollector;
+    m_effects->push_back(
+            LogRecord { LogPriority::State,
+                        m_wasCollector ? "observationsCollected" : "observationsNotCollected",
+                        {} });
+}
+
 std::vector<ServerObservation> SharedObservations::takeReport()
 {
     std::vector<std::pair<ServerId, OwnRecord *>> due;
--- a/src/gateway/observations/SharedObservations.h
+++ b/src/gateway/observations/SharedObservations.h
@@ -126,6 +126,8 @@
     std::vector<ServerObservation> takeReport();
     void report();
     void summarise();
+    /** Logs when this host begins or ends to collect. */
+    void logRole();
     void applySummary(const std::vector<ServerObservation> &observations);
     void send(const HostEntry &host, const ServerObservations &message, std::string_view counter);
     void forgetOld();
@@ -148,6 +150,7 @@
     std::unordered_map<ServerId, Statement> m_statements;
     std::unordered_map<ServerId, Doubt> m_doubts;
     std::unordered_map<ServerId, MonotonicTime> m_trialTimes; ///< of the next trials
+    bool m_wasCollector = false;                              ///< isCollector() at the last round
     double m_trials = 0; ///< trials that this host may send now
     CounterSet m_counters;
 };
--- /dev/null
+++ b/tests/codec/ObservationSizeTest.cpp
@@ -0,0 +1,43 @@
+#include "codec/FrameCodec.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace greengagestair;
+
+/** Size of the frame with observations of this number of servers, whose names have 16 letters. */
+static std::size_t frameSize(std::size_t servers)
+{
+    PeerEnvelope envelope { { "gateway-104" }, { 1 }, { "10.20.30.40", 7000 }, {} };
+    ServerObservations message { true, {} };
+    for (std::size_t index = 0; index < servers; ++index) {
+        message.observations.push_back({ { "lookup-12-b-" + std::to_string(1000 + index) },
+                                         1700000000000,
+                                         7.5,
+                                         1.25,
+                                         0.5,
+                                         std::chrono::milliseconds(90),
+                                         std::chrono::milliseconds(250) });
+    }
+    envelope.message = message;
+    return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::size_t> {
+                BOOST_LEAF_AUTO(frame, FrameCodec::encode(envelope));
+                return frame.size();
+            },
+            [] { return std::size_t(0); });
+}
+
+// Guards against control traffic beyond 10 KB/s for a host of a failure domain with 400 hosts,
+// which sends reports of 32 servers and gets summaries of 20, each twice a second.
+TEST_CASE("reports and summaries stay within the bound on control traffic", "[codec]")
+{
+    const double bytesPerEntry = static_cast<double>(frameSize(200) - frameSize(0)) / 200;
+    INFO("bytes for each entry: " << bytesPerEntry << ", empty: " << frameSize(0) << ", report: "
+                                  << frameSize(32) << ", summary of 200: " << frameSize(200));
+    CHECK(frameSize(0) > 0);
+    CHECK(bytesPerEntry <= 100);
+    CHECK(2 * (frameSize(32) + frameSize(20)) <= 10'000);
+}
