--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -113,7 +113,7 @@
     const SendResult blocked = isWaitAllowed ? SendResult::Wait : SendResult::Hopeless;
     if (!backend)
         return blocked;
-    if (isRepeat && !budgetOf(part.service->name).takeRepeat(m_now)) {
+    if (isRepeat && !takeRetry(exchange, index)) {
         m_counters.add("retries_refused_total");
         return blocked;
     }
