--- a/src/gateway/quota/QuotaHolder.cpp
+++ b/src/gateway/quota/QuotaHolder.cpp
@@ -75,7 +75,7 @@
 
 QuotaQuestion QuotaHolder::endQuestion(bool isAnswered)
 {
-    const QuotaQuestion ended = *std::exchange(m_question, std::nullopt);
+    QuotaQuestion ended = *std::exchange(m_question, std::nullopt);
     if (!isAnswered)
         m_unreported += ended.used;
     return ended;
