Let the second coordinator roll back after 0.3 s

Change: the second coordinator begins a roll-back that is due for 0.3 s; all other decisions keep 1.5 s.

--- a/src/gateway/rollout/Rollouts.cpp
+++ b/src/gateway/rollout/Rollouts.cpp
@@ -26,6 +26,8 @@
 static constexpr Duration kDecisionInterval = milliseconds(100);
 /** The second in the ranking acts if the state is not advanced this long after it was due. */
 static constexpr Duration kTakeoverTime = milliseconds(1500);
+/** A roll-back is safe whoever begins it, and each second of delay is exposure. */
+static constexpr Duration kRollbackTakeoverTime = milliseconds(300);
 /** Delay of the next write after one that failed or whose effect is unknown. */
 static constexpr Duration kWriteRetryDelay = milliseconds(500);
 /** A notice may be lost, so it is repeated until the state has ended. */
@@ -330,7 +332,9 @@
     }
     if (!entry.dueSince)
         entry.dueSince = m_now;
-    if (isFirst || m_now - *entry.dueSince >= kTakeoverTime)
+    const bool isRollback = next->phase == RolloutPhase::RolledBack;
+    const Duration headStart = isRollback ? kRollbackTakeoverTime : kTakeoverTime;
+    if (isFirst || m_now - *entry.dueSince >= headStart)
         carryOut(entry, *next);
 }
 
