Use a tenant's quota in each window; treat resets of a cut as silence

And a cut that resets connections looked like the end of the issuer's process. Change: the issuer's share beyond the burst goes into the rate. A refused connection proves nothing while the host's failure domain cannot be reached.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -32,6 +32,7 @@
     m_observations.setEnabled(options.sharesObservations);
     m_selector.pacing().setEnabled(options.pacesReturningServers);
     m_selector.pacing().setEvidenceSource(&m_observations);
+    m_quotas.setReachability(&m_reachability);
 }
 
 RepeatLimits Gateway::repeatShare() const
--- a/src/gateway/quota/QuotaLimits.h
+++ b/src/gateway/quota/QuotaLimits.h
@@ -31,8 +31,12 @@
     {
         const std::chrono::duration<double> window = options.window;
         QuotaLimits limits;
-        limits.rate = perSecond * (1 + 0.25 * options.overage);
-        limits.capacity = burst * (1 + 0.25 * options.overage) + 0.25 * options.slack;
+        // A token bucket grants its capacity once, whereas the limit holds in each window. What the
+        // burst leaves of the issuer's share therefore goes into the rate.
+        const double issued = (perSecond * window.count() + burst) * (1 + 0.25 * options.overage)
+                + 0.25 * options.slack;
+        limits.capacity = std::max(burst, 0.25 * options.slack);
+        limits.rate = (issued - limits.capacity) / window.count();
         limits.initial = 0.1 * options.slack;
         limits.reduced = 0.7 * options.overage * perSecond * window.count() + 0.6 * options.slack;
         limits.freeHosts = 0.5 * limits.reduced;
--- a/src/gateway/quota/TenantQuotas.cpp
+++ b/src/gateway/quota/TenantQuotas.cpp
@@ -60,7 +60,13 @@
 bool TenantQuotas::isGone(const HostId &host) const
 {
     const auto found = m_contacts.find(host);
-    return found != m_contacts.end() && m_now < found->second.goneUntil;
+    return found != m_contacts.end() && m_now < found->second.goneUntil && !mayBeCutOff(host);
+}
+
+bool TenantQuotas::mayBeCutOff(const HostId &host) const
+{
+    const HostEntry *entry = m_election.find(host);
+    return m_reachability && entry && !m_reachability->isReachable(entry->failureDomain);
 }
 
 bool TenantQuotas::isSilent(const HostId &host, bool isStandby) const
@@ -368,10 +374,11 @@
     arm(grant.tenant, holder);
 }
 
-void TenantQuotas::onPeerLost(const HostId &host, bool isRefused)
+void TenantQuotas::onPeerLost(const HostId &host, bool isConnectionRefused)
 {
     if (!m_options)
         return;
+    const bool isRefused = isConnectionRefused && !mayBeCutOff(host);
     const bool isNewlyGone = isRefused && !isGone(host);
     if (isNewlyGone)
         log("quotaHostGone", host);
--- a/src/gateway/quota/TenantQuotas.h
+++ b/src/gateway/quota/TenantQuotas.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/CounterSet.h"
+#include "gateway/DomainReachability.h"
 #include "gateway/GatewayEffect.h"
 #include "gateway/IssuerElection.h"
 #include "gateway/quota/QuotaHolder.h"
@@ -56,6 +57,11 @@
     void setTenants(const std::vector<Tenant> &tenants);
     /** Replaces the list of live hosts. */
     void setHosts(std::shared_ptr<const std::vector<HostEntry>> hosts);
+    /**
+     * Sets what is known of unreachable failure domains; it has to stay valid. Without it, every
+     * refused connection counts as the end of a process.
+     */
+    void setReachability(const DomainReachability *reachability) { m_reachability = reachability; }
     /** Sets the number of hosts among which the fallback is divided. */
     void setHostCount(std::size_t hosts) { m_hostCount = hosts; }
     /** Records that all changes of the store up to now were read. */
@@ -74,8 +80,8 @@
     void onRequest(const QuotaPeer &sender, const QuotaRequest &request);
     /** Handles an answer or a notice. */
     void onGrant(const HostId &sender, const QuotaGrant &grant);
-    /** `isRefused`: the host's machine answers, but no process listens there any more. */
-    void onPeerLost(const HostId &host, bool isRefused);
+    /** `isConnectionRefused`: the host's machine answers, but no process listens there any more. */
+    void onPeerLost(const HostId &host, bool isConnectionRefused);
     /** Handles all timers that are due. */
     void advance();
     /** Time at which advance() is due; nullopt if no timer is pending. */
@@ -103,6 +109,8 @@
 
     bool isSilent(const HostId &host, bool isStandby) const;
     bool isGone(const HostId &host) const;
+    /** True if the host's failure domain may be cut off; a cut can reset connections, too. */
+    bool mayBeCutOff(const HostId &host) const;
     Target targetOf(const TenantId &tenant, const QuotaHolder &holder) const;
     /** Tries an issuer again that is not asked now. */
     void probeIssuer(const TenantId &tenant, QuotaHolder &holder, const Target &target);
@@ -123,6 +131,7 @@
     void log(std::string_view event, const HostId &host);
     void send(const HostEntry &host, const QuotaRequest &request);
 
+    const DomainReachability *m_reachability = nullptr;
     std::optional<QuotaOptions> m_options;
     RandomSource m_random;
     IssuerElection m_election; ///< keys are the names of tenants
