--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -88,6 +88,8 @@
     const RepeatLimits &repeatLimits() const { return m_repeatLimits; }
 
 private:
+    /** A request that ends unanswered counts as a failure of the server after this time. */
+    static constexpr Duration kMinUnansweredTime = std::chrono::milliseconds(250);
     /**
      * Part of the caller's waiting time that this host cannot measure: a new connection, the round
      * trip and queueing.
