--- a/src/gateway/RequestReplies.cpp
+++ b/src/gateway/RequestReplies.cpp
@@ -154,6 +154,8 @@
                     { "outcome", outcome },
                     { "configuration", std::to_string(exchange.configuration->version) },
                     { "micros", std::to_string(elapsed.count()) } };
+    if (exchange.tenant)
+        line.fields.emplace_back("tenant", exchange.tenant->name.value);
     if (const auto *forwarded = std::get_if<ForwardedReply>(&reply))
         line.fields.emplace_back("status", std::to_string(forwarded->answer.status));
     if (!isServed)
