--- a/include/greengagestair/Configuration.h
+++ b/include/greengagestair/Configuration.h
@@ -82,7 +82,7 @@
     std::string to;
     GroupId group;
 
-    /** Whether the key lies in [from, to). */
+    /** True if the key belongs to this range; `to` itself does not. */
     bool contains(const std::string &key) const;
     auto operator<=>(const KeyRange &) const = default;
 };
--- a/src/codec/PayloadReader.cpp
+++ b/src/codec/PayloadReader.cpp
@@ -174,7 +174,7 @@
 {
     return RolloutNotice { reader.name<ServiceId>(wire.service()),
                            { wire.order_revision() },
-                           reader.boundedString(wire.target_version()) };
+                           reader.boundedString(wire.software_version()) };
 }
 
 /** A count of results; one that is no number of results counts as none. */
--- a/src/codec/Peer_generated.h
+++ b/src/codec/Peer_generated.h
@@ -2302,7 +2302,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVICE = 4,
     VT_ORDER_REVISION = 6,
-    VT_TARGET_VERSION = 8
+    VT_SOFTWARE_VERSION = 8
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -2310,16 +2310,16 @@
   uint64_t order_revision() const {
     return GetField<uint64_t>(VT_ORDER_REVISION, 0);
   }
-  const flatbuffers::String *target_version() const {
-    return GetPointer<const flatbuffers::String *>(VT_TARGET_VERSION);
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
            VerifyField<uint64_t>(verifier, VT_ORDER_REVISION, 8) &&
-           VerifyOffset(verifier, VT_TARGET_VERSION) &&
-           verifier.VerifyString(target_version()) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
            verifier.EndTable();
   }
 };
@@ -2334,8 +2334,8 @@
   void add_order_revision(uint64_t order_revision) {
     fbb_.AddElement<uint64_t>(RolloutNotice::VT_ORDER_REVISION, order_revision, 0);
   }
-  void add_target_version(flatbuffers::Offset<flatbuffers::String> target_version) {
-    fbb_.AddOffset(RolloutNotice::VT_TARGET_VERSION, target_version);
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(RolloutNotice::VT_SOFTWARE_VERSION, software_version);
   }
   explicit RolloutNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2352,10 +2352,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> service = 0,
     uint64_t order_revision = 0,
-    flatbuffers::Offset<flatbuffers::String> target_version = 0) {
+    flatbuffers::Offset<flatbuffers::String> software_version = 0) {
   RolloutNoticeBuilder builder_(_fbb);
   builder_.add_order_revision(order_revision);
-  builder_.add_target_version(target_version);
+  builder_.add_software_version(software_version);
   builder_.add_service(service);
   return builder_.Finish();
 }
@@ -2364,14 +2364,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *service = nullptr,
     uint64_t order_revision = 0,
-    const char *target_version = nullptr) {
+    const char *software_version = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
-  auto target_version__ = target_version ? _fbb.CreateString(target_version) : 0;
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
   return greengagestair::wire::CreateRolloutNotice(
       _fbb,
       service__,
       order_revision,
-      target_version__);
+      software_version__);
 }
 
 struct ServerObservation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/core/quarantine/QuarantineUpdate.h
+++ b/src/core/quarantine/QuarantineUpdate.h
@@ -28,7 +28,7 @@
     std::vector<Signature> cleared; ///< suspects to remove; quarantined ones stay
     WallTime time;                  ///< of the change, for new and changed entries
 
-    /** Whether there is nothing to write. */
+    /** True if the update leaves the quarantine document as it is, so no write is needed. */
     bool empty() const { return losses.empty() && cleared.empty(); }
     /**
      * Returns the document with this update applied; nothing if the update does not change it.
--- a/src/core/quarantine/RecentSet.h
+++ b/src/core/quarantine/RecentSet.h
@@ -19,7 +19,7 @@
     void add(std::uint64_t hash);
     /** Removes a hash; does nothing if it is not contained. */
     void remove(std::uint64_t hash);
-    /** Whether the hash is stored. */
+    /** True if the hash was added and has not been dropped since. */
     bool contains(std::uint64_t hash) const;
     /** Number of stored hashes; one that is in both generations counts twice. */
     std::size_t size() const { return m_current.size() + m_previous.size(); }
--- a/src/core/sending/BackendScheduler.h
+++ b/src/core/sending/BackendScheduler.h
@@ -57,7 +57,7 @@
     /** Refuses new parts from now on. Queued parts still run, so that a planned stop loses none. */
     void requestStop() { m_stopping = true; }
 
-    /** Whether no part is queued or in flight. */
+    /** True if no part waits in a queue and none is in progress on a server. */
     bool idle() const;
     /** Whether no request is in flight on any backend server. */
     bool nothingInFlight() const { return m_sends.empty(); }
