Check the head of each response of a backend server

Callers saw: a backend server in trouble answered with status 000, and the gateway passed that on as an answer.

Cause: the gateway accepted whatever its HTTP parser (Boost.Beast) accepts. The parser takes any three digits for a status, joins folded lines to the field before them, and takes any transfer coding as long as the last one is "chunked" or the connection ends. Nothing judged the head afterwards.

Change: parseResponseHead() is the one rule for the head of a response. The gateway applies it to the bytes of each head, interim responses included, before anything of the response is used. A response that it refuses ends its attempt as corrupt: the outcome is unknown, an order is not sent again and gets 502, a repeatable part is repeated within the budget, and the connection is closed. malformed_responses_total and the log line malformedResponse name the reason.

Why it works: the rule says what a head must be (RFC 9112) instead of listing what it must not be, and it sees the bytes rather than what a parser made of them.

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -60,6 +60,14 @@
                        m_admin.reply(exchange, response);
                    })
     , m_admin(context, m_adminPages)
+    , m_responses([this](const MalformedResponse &response) {
+        log({ LogPriority::State,
+              "malformedResponse",
+              { { "source", toText(response.source) },
+                { "sender", response.sender },
+                { "requestId", response.requestId },
+                { "reason", toText(response.defect) } } });
+    })
     , m_backends(
               context, names,
               [this](AttemptId attempt, AttemptResult result) {
@@ -68,7 +76,8 @@
               [this](const ServerId &server, bool isConnected) {
                   enqueue(ConnectionAttemptEnded { server, isConnected });
               },
-              [this](const ServerId &server) { enqueue(LastConnectionLost { server }); })
+              [this](const ServerId &server) { enqueue(LastConnectionLost { server }); },
+              m_responses)
     , m_seeds(
               m_settings.seeds,
               [&context](std::function<void()> function) {
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -5,6 +5,7 @@
 #include "app/JsonLineLog.h"
 #include "app/LatencyHistogram.h"
 #include "app/PageHandler.h"
+#include "app/ResponseMonitor.h"
 #include "app/SeedReader.h"
 #include "gateway/Gateway.h"
 #include "gateway/HostAnnouncer.h"
@@ -91,6 +92,7 @@
     HttpServer m_readiness;
     PageHandler m_adminPages;
     HttpServer m_admin;
+    ResponseMonitor m_responses;
     BackendConnectionPool m_backends;
     SeedReader m_seeds;
     StoreRoleElection m_roleElection;
--- a/src/app/GatewayServerPages.cpp
+++ b/src/app/GatewayServerPages.cpp
@@ -51,6 +51,8 @@
     counters.push_back({ "backend_connections_opened_total", backends.opened });
     counters.push_back({ "backend_connections_reused_total", backends.reused });
     counters.push_back({ "stray_responses_total", backends.strayResponses });
+    for (Counter &counter : m_responses.counters())
+        counters.push_back(std::move(counter));
     counters.push_back({ "bad_requests_total", m_frontEnd.badRequests() });
     counters.push_back({ "caller_connections", m_callers.connections() });
     addCallerCounters(counters);
--- a/src/gateway/HttpMessage.h
+++ b/src/gateway/HttpMessage.h
@@ -1,28 +1,15 @@
 #pragma once
 
 #include "greengagestair/Types.h"
+#include "http/HeaderField.h"
 
 #include <optional>
 #include <string>
-#include <string_view>
 #include <variant>
 #include <vector>
 
 namespace greengagestair {
 
-/** One header field as received. Names are compared with equalsIgnoringCase(). */
-struct HeaderField
-{
-    std::string name;
-    std::string value;
-};
-
-/** Header fields in the order in which they were received. */
-using Headers = std::vector<HeaderField>;
-
-/** Compares text without regard to the case of ASCII letters; for header and host names. */
-bool equalsIgnoringCase(std::string_view left, std::string_view right);
-
 /** A caller's request as it is forwarded to backend servers. */
 struct GatewayRequest
 {
--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace greengagestair {
 
@@ -111,7 +112,7 @@
 void BackendConnection::resetParser()
 {
     m_parser.emplace();
-    m_parser->eager(true);
+    m_headText.clear();
     m_parser->header_limit(kMaxResponseHeaderBytes);
     m_parser->body_limit(kMaxResponseBytes);
     if (m_attempt && m_attempt->request->method == "HEAD")
@@ -186,8 +187,10 @@
     countReceived(bytes.size());
     m_unparsed += bytes;
     parse();
-    if (m_attempt && exceedsBounds())
-        abort(AttemptFailure::Corrupt);
+    if (!m_attempt)
+        return;
+    if (const auto defect = exceededBound())
+        reject(*defect);
 }
 
 void BackendConnection::countReceived(std::size_t bytes)
@@ -203,23 +206,62 @@
     m_skippedResponses = 0;
 }
 
-bool BackendConnection::exceedsBounds() const
+std::optional<ResponseDefect> BackendConnection::exceededBound() const
 {
+    if (m_unparsed.size() > kMaxUnparsedBytes)
+        return ResponseDefect::TooLarge;
     const bool exceedsJointBound = m_pool.m_bufferedBytes > m_pool.m_maxBufferedBytes
             && m_receivedBytes > kGuaranteedResponseBytes;
-    return exceedsJointBound || m_unparsed.size() > kMaxUnparsedBytes;
+    return exceedsJointBound ? std::optional(ResponseDefect::Memory) : std::nullopt;
+}
+
+static ResponseDefect defectOf(const error_code &error)
+{
+    switch (static_cast<http::error>(error.value())) {
+    case http::error::bad_version:
+    case http::error::bad_reason:
+        return ResponseDefect::StatusLine;
+    case http::error::bad_status:
+        return ResponseDefect::Status;
+    case http::error::bad_field:
+        return ResponseDefect::FieldName;
+    case http::error::bad_value:
+    case http::error::bad_line_ending:
+    case http::error::bad_obs_fold:
+        return ResponseDefect::FieldValue;
+    case http::error::bad_content_length:
+    case http::error::multiple_content_length:
+    case http::error::bad_transfer_encoding:
+        return ResponseDefect::Framing;
+    case http::error::header_limit:
+    case http::error::body_limit:
+    case http::error::buffer_overflow:
+        return ResponseDefect::TooLarge;
+    default:
+        return ResponseDefect::Body;
+    }
 }
 
 void BackendConnection::parse()
 {
     while (m_attempt && !m_unparsed.empty()) {
+        const bool isHead = !m_parser->is_header_done();
         error_code error;
         const std::size_t used = m_parser->put(asio::buffer(m_unparsed), error);
+        if (isHead)
+            m_headText.append(m_unparsed, 0, used);
         m_unparsed.erase(0, used);
         if (error == http::error::need_more)
             return;
         if (error)
-            return abort(AttemptFailure::Corrupt);
+            return reject(defectOf(error));
+        if (isHead && m_parser->is_header_done()) {
+            // The parser accepts any three digits as status, folded lines and all codings.
+            const auto head = parseResponseHead(std::exchange(m_headText, {}));
+            if (const auto *defect = std::get_if<ResponseDefect>(&head))
+                return reject(*defect);
+            m_parser->eager(true);
+        }
         if (m_parser->is_done())
             onResponse();
         else if (used == 0)
@@ -227,6 +269,13 @@
     }
 }
 
+void BackendConnection::reject(ResponseDefect defect)
+{
+    m_pool.m_observer.onMalformedResponse({ ResponseSource::BackendServer, m_server.value,
+                                            m_attempt->request->requestId, defect });
+    abort(AttemptFailure::Corrupt);
+}
+
 void BackendConnection::onEnd(StreamEnd end)
 {
     if (!m_attempt) {
@@ -263,7 +312,7 @@
         if (!keepsAlive)
             abort(AttemptFailure::Lost);
         else if (++m_skippedResponses > kMaxSkippedResponses)
-            abort(AttemptFailure::Corrupt);
+            reject(ResponseDefect::Unmatched);
         return;
     }
     readIdleTimeout();
--- a/src/http/BackendConnection.h
+++ b/src/http/BackendConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/BackendConnectionPool.h"
+#include "http/ResponseHead.h"
 #include "http/TcpStream.h"
 
 #include <boost/beast/http/parser.hpp>
@@ -57,12 +58,14 @@
     void onBytes(std::string_view bytes);
     void onEnd(StreamEnd end);
     void parse();
+    /** Ends the attempt as Corrupt and reports the defect to the pool. */
+    void reject(ResponseDefect defect);
     void onResponse();
     /** Adds bytes received for the current attempt to its own count and to that of the pool. */
     void countReceived(std::size_t bytes);
     void resetReceived();
-    /** True if the response, or all responses together, exceed their bounds. */
-    bool exceedsBounds() const;
+    /** The bound that the response, or all responses together, exceed. */
+    std::optional<ResponseDefect> exceededBound() const;
     bool isStray() const;
     void readIdleTimeout();
     BackendAnswer takeAnswer();
@@ -75,6 +78,7 @@
     std::shared_ptr<TcpStream> m_stream;
     std::optional<Parser> m_parser;
     std::string m_unparsed;
+    std::string m_headText; ///< bytes of the head that the parser has consumed
     std::optional<StartAttempt> m_attempt;
     std::size_t m_receivedBytes = 0;    ///< received for the current attempt
     std::size_t m_skippedResponses = 0; ///< interim and stray responses during the current attempt
--- a/src/http/BackendConnectionPool.cpp
+++ b/src/http/BackendConnectionPool.cpp
@@ -14,12 +14,14 @@
 BackendConnectionPool::BackendConnectionPool(boost::asio::io_context &context, HeaderNames names,
                                              OnAttemptEnded onAttemptEnded,
                                              OnConnectionAttemptEnded onConnectionAttemptEnded,
-                                             OnLastConnectionLost onLastConnectionLost)
+                                             OnLastConnectionLost onLastConnectionLost,
+                                             ResponseObserver &observer)
     : m_context(context)
     , m_names(std::move(names))
     , m_onAttemptEnded(std::move(onAttemptEnded))
     , m_onConnectionAttemptEnded(std::move(onConnectionAttemptEnded))
     , m_onLastConnectionLost(std::move(onLastConnectionLost))
+    , m_observer(observer)
     , m_timer(context)
 {
 }
--- a/src/http/BackendConnectionPool.h
+++ b/src/http/BackendConnectionPool.h
@@ -2,6 +2,7 @@
 
 #include "gateway/GatewayEffect.h"
 #include "http/HeaderNames.h"
+#include "http/ResponseObserver.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -44,11 +45,14 @@
     /** Reports that a server has closed the last connection to it, which was idle. */
     using OnLastConnectionLost = std::function<void(const ServerId &server)>;
 
-    /** Opens no connection yet. `names` holds the header fields shared with backend servers. */
+    /**
+     * Opens no connection yet. `names` holds the header fields shared with backend servers;
+     * `observer` has to outlive the pool.
+     */
     BackendConnectionPool(boost::asio::io_context &context, HeaderNames names,
                           OnAttemptEnded onAttemptEnded,
                           OnConnectionAttemptEnded onConnectionAttemptEnded,
-                          OnLastConnectionLost onLastConnectionLost);
+                          OnLastConnectionLost onLastConnectionLost, ResponseObserver &observer);
     ~BackendConnectionPool();
 
     /** Sends a request on the most recently used idle connection to the server, or on a new one. */
@@ -124,6 +128,7 @@
     OnAttemptEnded m_onAttemptEnded;
     OnConnectionAttemptEnded m_onConnectionAttemptEnded;
     OnLastConnectionLost m_onLastConnectionLost;
+    ResponseObserver &m_observer;
     std::unordered_map<ServerId, ServerConnections> m_servers;
     std::unordered_map<AttemptId, std::shared_ptr<BackendConnection>> m_active;
     /** Connections of openIdleConnection() with their connect deadlines, the earliest first. */
--- /dev/null
+++ b/src/http/HeaderField.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace greengagestair {
+
+/** One header field as received. Names are compared with equalsIgnoringCase(). */
+struct HeaderField
+{
+    std::string name;
+    std::string value;
+};
+
+/** Header fields in the order in which they were received. */
+using Headers = std::vector<HeaderField>;
+
+/** Compares text without regard to the case of ASCII letters; for header and host names. */
+bool equalsIgnoringCase(std::string_view left, std::string_view right);
+
+} // namespace greengagestair
--- a/tests/app/GatewayServerTest.cpp
+++ b/tests/app/GatewayServerTest.cpp
@@ -4,11 +4,14 @@
 #include "platform/Headers.h"
 #include "platform/StoreClient.h"
 #include "standins/RegistryStandIn.h"
+#include "tests/BrokenResponses.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include <array>
 #include <thread>
+#include <utility>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -23,7 +26,7 @@
 {
 public:
     ServerFixture()
-        : null(open("/dev/null", O_WRONLY))
+        : log(open("/dev/null", O_WRONLY))
         , standIn(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
         , backend(context)
         , store({ "127.0.0.1", standIn.endpoint().port() }, [this](std::function<void()> function) {
@@ -47,7 +50,7 @@
     {
         server.reset();
         store.stop();
-        close(null);
+        close(log);
     }
 
     void start(std::vector<Endpoint> seeds = {}, Duration stopTimeout = 2s)
@@ -66,7 +69,7 @@
         settings.stopTimeout = stopTimeout;
         settings.seeds = std::move(seeds);
         server = std::make_unique<GatewayServer>(context, settings, "", platform::headerNames(),
-                                                 store, null);
+                                                 store, log);
         boost::leaf::try_handle_all([&] { return server->start(); }, [] { FAIL("cannot start"); });
         runUntil(context, [&] { return server->isReady(); });
     }
@@ -116,7 +119,7 @@
     }
 
     std::optional<RolloutOptions> rollout;
-    int null;
+    int log; ///< descriptor that the process writes its log to
     boost::asio::io_context context { 1 };
     standins::RegistryStandIn standIn;
     RawServer backend;
@@ -301,3 +304,43 @@
     });
     CHECK(second->targetVersion == "v2");
 }
+
+// Guards against a broken response of a server that reaches a caller, that lets an order run twice,
+// or that an operator cannot tell from other failures.
+TEST_CASE("a broken response reaches no caller", "[app][broken]")
+{
+    ServerFixture fixture;
+    std::array<int, 2> pipeEnds {};
+    REQUIRE(pipe(pipeEnds.data()) == 0);
+    close(std::exchange(fixture.log, pipeEnds[1]));
+    fixture.start();
+    const bool isOrder = GENERATE(true, false);
+    const std::string fields = "Host: h\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n";
+    const auto caller = fixture.connect(fixture.server->callerEndpoint());
+    caller->write((isOrder ? "POST /o/7 HTTP/1.1\r\n" : "GET /all/7 HTTP/1.1\r\n") + fields);
+    RawPeer &backend = fixture.backendPeer("r1");
+    backend.write(
+            responseWith("HTTP/1.1 000 OK", "X-Backend-Signature: sig\r\nX-Not-Executed: 1\r\n"));
+    fixture.await(*caller, "failed\n");
+    CHECK(caller->received.starts_with("HTTP/1.1 502 "));
+    for (const char *part : { "000", "abcd", "sig", "Retry-After" })
+        CHECK(caller->received.find(part) == std::string::npos);
+    runUntil(fixture.context, [&] { return backend.isClosed; });
+    std::size_t requests = 0;
+    for (const auto &peer : fixture.backend.peers)
+        requests += peer->received.find("r1") != std::string::npos ? 1 : 0;
+    CHECK(requests == 1);
+    const auto metrics = fixture.connect(fixture.server->adminEndpoint());
+    metrics->write("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.await(*metrics,
+                  "greengagestair_malformed_responses_total"
+                  "{source=\"backendServer\",reason=\"status\"} 1\n");
+    fixture.await(*metrics, "greengagestair_attempts_failed_total{failure=\"corrupt\"} 1\n");
+    std::string log(65'536, '\0');
+    log.resize(static_cast<std::size_t>(read(pipeEnds[0], log.data(), log.size())));
+    const std::size_t line = log.find("\"malformedResponse\"");
+    REQUIRE(line != std::string::npos);
+    CHECK(log.find("\"sender\":\"i-1\"", line) != std::string::npos);
+    CHECK(log.find("\"reason\":\"status\"", line) != std::string::npos);
+    close(pipeEnds[0]);
+}
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -198,6 +198,27 @@
     CHECK_FALSE(provesNotRun(RefusalReason::Failed));
 }
 
+// Guards against a repeatable request that a broken response ends although another server could
+// answer it, and against repeats beyond the budget.
+TEST_CASE("after a broken response a part is sent to another server within the budget", "[gateway]")
+{
+    const bool hasBudget = GENERATE(true, false);
+    GatewayFixture fixture(hasBudget ? 120 : 0);
+    fixture.start();
+    fixture.lookup();
+    const auto attempts = fixture.takeAttempts();
+    for (std::size_t i = 1; i < attempts.size(); ++i)
+        fixture.answer(attempts[i], record('a'));
+    fixture.fail(attempts.front(), AttemptFailure::Corrupt);
+    const auto repeats = fixture.takeAttempts();
+    REQUIRE(repeats.size() == (hasBudget ? 1 : 0));
+    if (hasBudget) {
+        CHECK(repeats.front().server != attempts.front().server);
+        fixture.answer(repeats.front(), record('b'));
+        CHECK(std::get<MergedReply>(fixture.reply()).missingParts == 0);
+    }
+}
+
 TEST_CASE("an order that no server ran is sent to another server", "[gateway]")
 {
     GatewayFixture fixture;
--- a/tests/http/BackendConnectionPoolTest.cpp
+++ b/tests/http/BackendConnectionPoolTest.cpp
@@ -1,6 +1,7 @@
 #include "RawPeers.h"
 
 #include "http/BackendConnectionPool.h"
+#include "tests/BrokenResponses.h"
 
 #include <map>
 
@@ -9,6 +10,18 @@
 
 namespace {
 
+/** Records the responses that were not accepted. */
+class RecordingObserver : public ResponseObserver
+{
+public:
+    void onMalformedResponse(const MalformedResponse &response) override
+    {
+        responses.push_back(response);
+    }
+
+    std::vector<MalformedResponse> responses;
+};
+
 /** A connection pool and a backend server whose responses the test writes. */
 class PoolFixture
 {
@@ -23,7 +36,7 @@
                   [this](const ServerId &server, bool isConnected) {
                       connectionAttempts.emplace_back(server.value, isConnected);
                   },
-                  [this](const ServerId &server) { lostServers.push_back(server.value); })
+                  [this](const ServerId &server) { lostServers.push_back(server.value); }, observer)
     {
     }
 
@@ -99,6 +112,7 @@
     IdleConnectionLimits idleLimits;
     Headers extraFields;
     std::optional<VerifiedCaller> caller;
+    RecordingObserver observer;
     BackendConnectionPool pool;
 };
 
@@ -570,3 +584,70 @@
     runUntil(fixture.context, [&] { return fixture.pool.idleConnections() == 0; });
     CHECK(fixture.lostServers.size() == 1);
 }
+
+// Guards against a broken response that a caller gets as an answer, such as one with status 000,
+// and against another request that is sent on its connection.
+TEST_CASE("a response with a broken head is no answer", "[http][broken]")
+{
+    for (const BrokenResponse &broken : responsesWithBrokenHead()) {
+        INFO(broken.name);
+        PoolFixture fixture;
+        fixture.start(1);
+        fixture.respond(1, broken.bytes);
+        REQUIRE(fixture.failure(1) == AttemptFailure::Corrupt);
+        REQUIRE(fixture.observer.responses.size() == 1);
+        const MalformedResponse &seen = fixture.observer.responses.front();
+        CHECK(seen.sender == "s");
+        CHECK(seen.requestId == "id-1");
+        CHECK(toText(seen.defect) == broken.reason);
+        fixture.start(2);
+        fixture.respond(2, response(2, "b"), 1);
+        CHECK(fixture.answer(2).body == "b");
+    }
+}
+
+// Guards against a body that a server and this host delimit in different ways.
+TEST_CASE("a response with broken chunks is no answer", "[http][broken]")
+{
+    for (const BrokenResponse &broken : responsesWithBrokenBody()) {
+        INFO(broken.name);
+        PoolFixture fixture;
+        fixture.start(1);
+        fixture.respond(1, broken.bytes);
+        CHECK(fixture.failure(1) == AttemptFailure::Corrupt);
+        CHECK(fixture.observer.responses.size() == 1);
+        CHECK(fixture.pool.idleConnections() == 0);
+    }
+}
+
+// Guards against a check that refuses correct responses, and against one whose result depends on
+// how the bytes are split.
+TEST_CASE("unusual but correct responses are answers", "[http][broken]")
+{
+    const std::string text =
+            GENERATE(as<std::string> {}, "HTTP/1.1 599 \r\nContent-Length: 4\r\n\r\nabcd",
+                     "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nabcd",
+                     "HTTP/1.1 200 \xc3\xa9\t!\r\nA:\r\nB!#$%&'*+-.^_`|~9: \t\xe9\tc \t\r\n"
+                     "Content-Length: 4\r\n\r\nabcd",
+                     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"
+                     "4;a=b\r\nabcd\r\n0\r\nC: d\r\n\r\n",
+                     "HTTP/1.1 200 OK\r\nContent-Length: 4, 4\r\n\r\nabcd");
+    PoolFixture fixture;
+    fixture.start(1);
+    fixture.respond(1, "");
+    SECTION("at once")
+    {
+        fixture.peer().write(text);
+    }
+    SECTION("byte by byte")
+    {
+        for (const char byte : text) {
+            fixture.peer().write(std::string(1, byte));
+            fixture.context.restart();
+            fixture.context.poll();
+        }
+    }
+    CHECK(fixture.answer(1).body == "abcd");
+    CHECK(fixture.observer.responses.empty());
+}
