Keep the fields of a trailer out of the gateway's answers

Callers saw: nothing reported.

Cause: the HTTP parser adds the fields of a trailer to those of the head, and the gateway read its message. A trailer must not be merged (RFC 9110, section 6.5.1).

Change: the gateway takes status, reason and fields of an answer from the head that it has checked, and only the body from the parser.

--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -257,9 +257,10 @@
             return reject(defectOf(error));
         if (isHead && m_parser->is_header_done()) {
             // The parser accepts any three digits as status, folded lines and all codings.
-            const auto head = parseResponseHead(std::exchange(m_headText, {}));
+            auto head = parseResponseHead(std::exchange(m_headText, {}));
             if (const auto *defect = std::get_if<ResponseDefect>(&head))
                 return reject(*defect);
+            m_head = std::move(std::get<ResponseHead>(head));
             m_parser->eager(true);
         }
         if (m_parser->is_done())
@@ -296,14 +297,13 @@
 /** True if the response belongs to an earlier request of this connection. */
 bool BackendConnection::isStray() const
 {
-    const std::string_view echoed = m_parser->get()[m_pool.m_names.requestId];
+    const std::string_view echoed = fieldValue(m_head.fields, m_pool.m_names.requestId);
     return !echoed.empty() && echoed != m_attempt->request->requestId;
 }
 
 void BackendConnection::onResponse()
 {
-    const unsigned status = m_parser->get().result_int();
-    const bool isInterim = status >= 100 && status < 200;
+    const bool isInterim = m_head.status < 200;
     if (isInterim || isStray()) {
         if (!isInterim)
             ++m_pool.m_counters.strayResponses;
@@ -323,7 +323,7 @@
 
 void BackendConnection::readIdleTimeout()
 {
-    const std::string_view value = m_parser->get()[http::field::keep_alive];
+    const std::string_view value = fieldValue(m_head.fields, "Keep-Alive");
     const std::size_t at = value.find("timeout=");
     if (at == std::string_view::npos)
         return;
@@ -334,23 +334,24 @@
         m_serverIdleTimeout = std::chrono::seconds(seconds);
 }
 
+/** Takes the fields from the head only: the parser's message also has those of the trailer. */
 BackendAnswer BackendConnection::takeAnswer()
 {
-    auto message = m_parser->release();
     const HeaderNames &names = m_pool.m_names;
+    const Headers &fields = m_head.fields;
     BackendAnswer answer;
-    answer.status = static_cast<int>(message.result_int());
-    answer.reason = std::string(message.reason());
-    answer.signature = std::string(message[names.signature]);
+    answer.status = m_head.status;
+    answer.reason = std::move(m_head.reason);
+    answer.signature = std::string(fieldValue(fields, names.signature));
     constexpr int kMisdirectedRequest = 421;
-    answer.notExecuted =
-            message.count(names.notExecuted) > 0 || answer.status == kMisdirectedRequest;
-    Headers headers;
-    for (const auto &field : message)
-        headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-    answer.statement = readServerStatement(answer.status, headers, names);
-    answer.headers = endToEndFields(headers);
-    answer.body = std::move(message.body());
+    const bool statesNotExecuted =
+            std::any_of(fields.begin(), fields.end(), [&](const HeaderField &field) {
+                return equalsIgnoringCase(field.name, names.notExecuted);
+            });
+    answer.notExecuted = statesNotExecuted || answer.status == kMisdirectedRequest;
+    answer.statement = readServerStatement(answer.status, fields, names);
+    answer.headers = endToEndFields(fields);
+    answer.body = std::move(m_parser->get().body());
     return answer;
 }
 
--- a/src/http/BackendConnection.h
+++ b/src/http/BackendConnection.h
@@ -79,6 +79,7 @@
     std::optional<Parser> m_parser;
     std::string m_unparsed;
     std::string m_headText; ///< bytes of the head that the parser has consumed
+    ResponseHead m_head;    ///< valid once the parser has the whole head
     std::optional<StartAttempt> m_attempt;
     std::size_t m_receivedBytes = 0;    ///< received for the current attempt
     std::size_t m_skippedResponses = 0; ///< interim and stray responses during the current attempt
--- a/tests/http/BackendConnectionPoolTest.cpp
+++ b/tests/http/BackendConnectionPoolTest.cpp
@@ -640,3 +640,27 @@
     CHECK(fixture.answer(1).body == "abcd");
     CHECK(fixture.observer.responses().empty());
 }
+
+// Guards against a trailer that is taken for the head: it could sign an answer, state that the
+// request was not run, or let the answer look like that to another request.
+TEST_CASE("the fields of a trailer are not those of the answer", "[http][broken]")
+{
+    PoolFixture fixture;
+    fixture.start(1);
+    fixture.respond(1,
+                    "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "4\r\nabcd\r\n0\r\nSignature: sig\r\nNot-Executed: 1\r\nLeaving: 1\r\n"
+                    "Request-Limit: 5\r\nOther: a\r\n\r\n");
+    const BackendAnswer &answer = fixture.answer(1);
+    CHECK(answer.body == "abcd");
+    CHECK(answer.signature.empty());
+    CHECK_FALSE(answer.notExecuted);
+    CHECK_FALSE(answer.statement.isLeaving);
+    CHECK_FALSE(answer.statement.requestLimit);
+    CHECK(answer.headers.size() == 1);
+    fixture.start(2);
+    fixture.respond(2,
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "4\r\nabcd\r\n0\r\nRequest-Id: id-1\r\n\r\n");
+    CHECK(fixture.answer(2).body == "abcd");
+}
