Bound what libcurl's responses hold, each and together

In `serve`, and in calls of the platform, of the store and of other hosts, it could happen: a trailer without end was kept until the request's deadline. Heads, lines, chunks and bodies were bounded for one response (libcurl's limits on lines and heads, maxResponseBytes), but nothing bounded all responses together: 60 unfinished responses of 1 MB were all held.

Cause: libcurl stores each field of a trailer and has no limit on their number, and HttpClient had no account of what its responses hold.

Change: HttpTransfer counts the lines of all heads and of the trailer, and ends the response beyond 64 KiB. The reasons are `tooLarge` and `memory`.

Why it works: all that libcurl hands over passes one of two callbacks, and both count before they keep anything.

--- a/src/app/OutboundAdapters.cpp
+++ b/src/app/OutboundAdapters.cpp
@@ -1,5 +1,6 @@
 #include "app/OutboundAdapters.h"
 
+#include "http/CallerAccount.h"
 #include "net/CurlBackendClient.h"
 #include "net/CurlPlatformClient.h"
 #include "net/HttpFrontEnd.h"
@@ -35,7 +36,11 @@
     } catch (const boost::system::system_error &error) {
         return boost::leaf::new_error(ListenError { settings.peerEndpoint, error.what() });
     }
-    adapters.backends = std::make_unique<CurlBackendClient>(events, &observer);
+    auto backends = std::make_unique<CurlBackendClient>(events, &observer);
+    // Half of the callers' share, as in the gateway.
+    backends->setMaxHeldBytes(
+            callerMemoryLimitsWithin(settings.memoryBytes, settings.maxDescriptors).bytes / 2);
+    adapters.backends = std::move(backends);
     adapters.platform = std::make_unique<CurlPlatformClient>(settings.platform, events, &observer);
     return adapters;
 }
--- a/src/net/CurlBackendClient.h
+++ b/src/net/CurlBackendClient.h
@@ -30,6 +30,11 @@
     /** Sends a cancellation. Nothing is posted, and a failure to deliver it is not reported. */
     void cancel(const CancelBackend &request) override;
 
+    /** Lowers the bound on the received bytes of all responses in progress. */
+    void setMaxHeldBytes(std::size_t bytes) { m_client.setMaxHeldBytes(bytes); }
+    /** Received bytes of all responses in progress. */
+    std::size_t heldBytes() const { return m_client.heldBytes(); }
+
     /** Aborts all requests in flight and joins the client's thread. */
     void stop() override;
 
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -57,6 +57,8 @@
         curl_multi_cleanup(m_multi);
     }
 
+    ResponseAccount &account() { return m_account; }
+
     void start(std::unique_ptr<HttpTransfer> transfer)
     {
         {
@@ -152,6 +154,7 @@
             remove(m_active.begin()->first)->abort();
     }
 
+    ResponseAccount m_account; ///< before the transfers, which refer to it
     CURLM *m_multi;
     std::mutex m_mutex;
     std::vector<std::unique_ptr<HttpTransfer>> m_queued;                ///< guarded by m_mutex
@@ -170,7 +173,18 @@
 
 void HttpClient::start(HttpRequest request, HttpCallback callback)
 {
-    m_state->start(std::make_unique<HttpTransfer>(std::move(request), std::move(callback)));
+    m_state->start(std::make_unique<HttpTransfer>(std::move(request), std::move(callback),
+                                                  m_state->account()));
+}
+
+void HttpClient::setMaxHeldBytes(std::size_t bytes)
+{
+    m_state->account().setLimit(bytes);
+}
+
+std::size_t HttpClient::heldBytes() const
+{
+    return m_state->account().bytes();
 }
 
 void HttpClient::stop()
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -93,6 +93,11 @@
      */
     void start(HttpRequest request, HttpCallback callback);
 
+    /** Lowers the bound on the received bytes of all responses in progress. Thread-safe. */
+    void setMaxHeldBytes(std::size_t bytes);
+    /** Received bytes of all responses in progress. Thread-safe. */
+    std::size_t heldBytes() const;
+
     /** Aborts all requests and joins the thread. Must not be called from an HttpCallback. */
     void stop();
 
--- a/src/net/HttpTransfer.cpp
+++ b/src/net/HttpTransfer.cpp
@@ -14,6 +14,11 @@
 /** Idle time and interval of the TCP keep-alive probes, for requests that enable them. */
 static constexpr long kKeepAliveProbeSeconds = 1;
 
+/** Maximum size of all heads and the trailer of one response, in bytes. */
+static constexpr std::size_t kMaxLineBytes = 65'536;
+/** A response up to this size is received even if all together exceed their bound. */
+static constexpr std::size_t kGuaranteedResponseBytes = 65'536;
+
 static long ceilMilliseconds(Duration duration)
 {
     return static_cast<long>(std::chrono::ceil<std::chrono::milliseconds>(duration).count());
@@ -27,10 +32,23 @@
             [](char c) { return static_cast<unsigned char>(c) < 0x20; }, '?');
 }
 
-HttpTransfer::HttpTransfer(HttpRequest request, HttpCallback callback)
+HttpTransfer::HttpTransfer(HttpRequest request, HttpCallback callback, ResponseAccount &account)
     : m_request(std::move(request))
     , m_callback(std::move(callback))
+    , m_account(account)
+{
+}
+
+HttpTransfer::~HttpTransfer()
+{
+    releaseReceived();
+}
+
+void HttpTransfer::releaseReceived()
 {
+    m_account.remove(std::exchange(m_receivedBytes, 0));
+    m_headText = {};
+    m_response.body = {};
 }
 
 bool HttpTransfer::prepare()
@@ -148,6 +166,11 @@
  */
 bool HttpTransfer::acceptLine(std::string_view line)
 {
+    m_lineBytes += line.size();
+    if (m_lineBytes > kMaxLineBytes)
+        return reject(ResponseDefect::TooLarge);
+    if (!countReceived(line.size()))
+        return false;
     if (m_isHeadComplete)
         return acceptTrailerLine(line);
     m_headText += line;
@@ -155,6 +178,15 @@
     return !isLastLine || acceptHead(std::exchange(m_headText, {}));
 }
 
+bool HttpTransfer::countReceived(std::size_t bytes)
+{
+    m_account.add(bytes);
+    m_receivedBytes += bytes;
+    if (m_account.exceedsLimit() && m_receivedBytes > kGuaranteedResponseBytes)
+        return reject(ResponseDefect::Memory);
+    return true;
+}
+
 bool HttpTransfer::acceptHead(std::string_view text)
 {
     auto parsed = parseResponseHead(text);
@@ -189,6 +221,8 @@
 bool HttpTransfer::reject(ResponseDefect defect)
 {
     m_response.defect = defect;
+    // Other responses may need the memory before libcurl has ended this transfer.
+    releaseReceived();
     return false;
 }
 
@@ -201,6 +235,8 @@
         transfer->reject(ResponseDefect::TooLarge);
         return 0;
     }
+    if (!transfer->countReceived(bytes))
+        return 0;
     body.append(data, bytes);
     return bytes;
 }
@@ -250,7 +286,7 @@
     if (m_response.end != HttpCompletion::Answered) {
         m_response.status = 0;
         m_response.headers.clear();
-        m_response.body.clear();
+        releaseReceived();
     }
     m_callback(std::move(m_response));
 }
--- a/src/net/HttpTransfer.h
+++ b/src/net/HttpTransfer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/HttpClient.h"
+#include "net/ResponseAccount.h"
 
 #include <curl/curl.h>
 
@@ -19,7 +20,9 @@
 class HttpTransfer
 {
 public:
-    HttpTransfer(HttpRequest request, HttpCallback callback);
+    /** `account` counts what is received of the response; it must outlive this object. */
+    HttpTransfer(HttpRequest request, HttpCallback callback, ResponseAccount &account);
+    ~HttpTransfer();
     HttpTransfer(const HttpTransfer &) = delete;
     HttpTransfer &operator=(const HttpTransfer &) = delete;
 
@@ -53,6 +56,9 @@
 
     void setHeaders();
     void setTimeouts(Duration remaining);
+    /** Counts received bytes; returns false if the response exceeds the joint bound. */
+    bool countReceived(std::size_t bytes);
+    void releaseReceived();
     /** Takes one line of a head or of the trailer; returns false if it is not accepted. */
     bool acceptLine(std::string_view line);
     bool acceptHead(std::string_view text);
@@ -65,13 +71,16 @@
 
     HttpRequest m_request;
     HttpCallback m_callback;
+    ResponseAccount &m_account;
     HttpResponse m_response;
     std::string m_url;
     std::unique_ptr<curl_slist, ListDeleter> m_headers;
     std::unique_ptr<CURL, HandleDeleter> m_handle;
-    bool m_mayHaveBeenSent = false; ///< whether a byte of the request may have been sent
-    bool m_isHeadComplete = false;  ///< the head of the final response was received
-    std::string m_headText;         ///< lines of the head that is being received
+    bool m_mayHaveBeenSent = false;  ///< whether a byte of the request may have been sent
+    bool m_isHeadComplete = false;   ///< the head of the final response was received
+    std::string m_headText;          ///< lines of the head that is being received
+    std::size_t m_lineBytes = 0;     ///< of all heads and the trailer
+    std::size_t m_receivedBytes = 0; ///< of lines and body
 };
 
 } // namespace greengagestair
--- a/tests/net/CurlBackendClientTest.cpp
+++ b/tests/net/CurlBackendClientTest.cpp
@@ -256,6 +256,72 @@
     CHECK(finished.body == "abcd");
 }
 
+// Guards against a server that sends bytes without end, which this process would keep until the
+// request's deadline.
+TEST_CASE("a response without end is ended at its bound", "[backend][endless]")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const auto [bytes, repeated] = GENERATE_COPY(table<std::string, std::string>({
+            { "", "x" },                              // status line
+            { ok, "A" },                              // name of a field
+            { ok + "A: ", "b" },                      // value of a field
+            { ok, "A: b\r\n" },                       // fields
+            { "", "HTTP/1.1 103 X\r\nA: b\r\n\r\n" }, // interim responses
+            { ok + "\r\n", "b" },                     // body without a length
+            { chunked, "4\r\nabcd\r\n" },             // chunks
+            { chunked, "0" },                         // size of a chunk
+            { chunked + "0\r\n", "A: b\r\n" },        // trailer
+            { chunked + "0\r\nA: ", "b" },            // field of a trailer
+    }));
+    INFO(bytes << "..." << repeated);
+    ScriptedHttpServer server([&, &bytes = bytes, &repeated = repeated](const ScriptedRequest &) {
+        return ScriptedReply { bytes, false, false, repeated };
+    });
+    RecordingEventQueue queue;
+    CurlBackendClient client(queue);
+    SendToBackend request = requestTo(server.endpoint(), 1);
+    request.deadline = seconds(60);
+    CHECK(sendAndWait(client, queue, request).value().status == BackendStatus::Unexpected);
+    // The bound of the body and what the buffers of two sockets may hold.
+    CHECK(server.repeatedBytes() < kMaxBackendAnswerBytes + 16'000'000);
+}
+
+// Guards against many servers that send long responses and do not end them: each stays below its
+// bound, but together they would take more memory than a small host has.
+TEST_CASE("responses in progress share a bound on their memory", "[backend][endless]")
+{
+    constexpr std::uint64_t kResponses = 60;
+    constexpr std::size_t kBytesEach = 1'000'000;
+    constexpr std::size_t kLimit = 16'000'000;
+    ScriptedHttpServer server([&](const ScriptedRequest &request) {
+        if (requestId(request) == "99")
+            return echoReply(request);
+        return ScriptedReply { "HTTP/1.1 200 OK\r\nContent-Length: 1000001\r\n\r\n"
+                               + std::string(kBytesEach, 'b') };
+    });
+    RecordingEventQueue queue;
+    CurlBackendClient client(queue);
+    client.setMaxHeldBytes(kLimit);
+    std::size_t ended = 0;
+    for (std::uint64_t send = 1; send <= kResponses; ++send) {
+        SendToBackend request = requestTo(server.endpoint(), send);
+        request.deadline = seconds(60);
+        client.send(request);
+        // Beyond the bound each response ends early; up to it each is held.
+        if (kBytesEach * (send - ended) > kLimit) {
+            const auto finished = queue.take<BackendFinished>();
+            REQUIRE(finished);
+            CHECK(finished->status == BackendStatus::Unexpected);
+            ++ended;
+        }
+        CHECK(client.heldBytes() < kLimit + 200'000);
+    }
+    // A short answer is still taken.
+    CHECK(sendAndWait(client, queue, requestTo(server.endpoint(), 99)).value().body
+          == "re:body-99");
+}
+
 // Guards against header injection by a service or group name, and against overflows in deadline
 // arithmetic.
 TEST_CASE("special characters in names and maximum deadlines are handled", "[backend]")
--- a/tests/net/ScriptedHttpServer.cpp
+++ b/tests/net/ScriptedHttpServer.cpp
@@ -66,6 +66,20 @@
     return at == std::string::npos ? 0 : std::stoul(head.substr(at + 16));
 }
 
+/** Bound on the bytes of one reply, so that a client that takes them all ends the test. */
+static constexpr std::size_t kMaxRepeatedBytes = 128'000'000;
+
+void ScriptedHttpServer::repeat(Socket &socket, const std::string &pattern)
+{
+    constexpr std::size_t kBlockBytes = 65'536;
+    std::string block;
+    while (block.size() < kBlockBytes)
+        block += pattern;
+    error_code error;
+    for (std::size_t sent = 0; !error && sent < kMaxRepeatedBytes; sent += block.size())
+        m_repeatedBytes += asio::write(socket, asio::buffer(block), error);
+}
+
 void ScriptedHttpServer::serve(Socket &socket)
 {
     std::string received;
@@ -87,6 +101,8 @@
         ++m_requests;
         const ScriptedReply reply = m_script(request);
         asio::write(socket, asio::buffer(reply.bytes), error);
+        if (!reply.repeated.empty())
+            return repeat(socket, reply.repeated);
         if (!reply.close && !reply.reset)
             continue;
         const std::lock_guard lock(m_mutex);
--- a/tests/net/ScriptedHttpServer.h
+++ b/tests/net/ScriptedHttpServer.h
@@ -25,9 +25,10 @@
 /** How ScriptedHttpServer responds to a request. */
 struct ScriptedReply
 {
-    std::string bytes;  ///< sent as they are; nothing is sent if empty
-    bool close = false; ///< close the connection after `bytes`
-    bool reset = false; ///< close the connection with a TCP reset after `bytes`
+    std::string bytes;       ///< sent as they are; nothing is sent if empty
+    bool close = false;      ///< close the connection after `bytes`
+    bool reset = false;      ///< close the connection with a TCP reset after `bytes`
+    std::string repeated {}; ///< sent again and again after `bytes`, until the client closes
 };
 
 /**
@@ -55,6 +56,8 @@
     Endpoint endpoint() const { return m_endpoint; }
     /** Number of requests received so far. */
     int requests() const { return m_requests; }
+    /** Number of bytes sent so far that ScriptedReply::repeated asked for. */
+    std::size_t repeatedBytes() const { return m_repeatedBytes; }
     /** Number of connections accepted so far. */
     int connections() const { return m_connections; }
 
@@ -63,6 +66,7 @@
 
     void accept();
     void serve(Socket &socket);
+    void repeat(Socket &socket, const std::string &pattern);
 
     Script m_script;
     boost::asio::io_context m_context;
@@ -71,6 +75,7 @@
     std::atomic<bool> m_stopping = false;
     std::atomic<int> m_requests = 0;
     std::atomic<int> m_connections = 0;
+    std::atomic<std::size_t> m_repeatedBytes = 0;
     std::mutex m_mutex;
     std::list<Socket> m_sockets;      ///< guarded by m_mutex
     std::list<std::thread> m_threads; ///< guarded by m_mutex
