Read the answers to subcommands as the program reads all others

Cause: `exchange()` had its own use of libcurl, without the checks that `HttpTransfer` has got over time: the end of the head, the head itself, the bounds, the single attempt.

Change: `exchange()` uses HttpClient, as serve and gateway do; a body is at most 16 MiB. The subcommands print why there is no answer, for example "127.0.0.1:7500: malformed response (fieldName)"; exit codes are as before, and the outcome of such a write is unknown.

Evidence: app_test "a broken response is no*", "a response that ends within its head is no answer to a subcommand" and "a subcommand takes a bounded*" failed before (371 of 639 checks, among them those of the printed reason, which is new) and pass now. "a subcommand prints the answer*" guards the usual case.

--- a/src/app/Commands.cpp
+++ b/src/app/Commands.cpp
@@ -93,13 +93,20 @@
     HttpExchangeRequest request;
     request.server = command.host;
     request.path = "/state";
-    const auto reply = exchange(request);
-    if (!reply || reply->status != kHttpOk) {
-        std::cerr << toText(command.host) << " gave no state\n";
+    const auto fail = [&](const std::string &detail) {
+        std::cerr << detail << "\n" << toText(command.host) << " gave no state\n";
         return ExitCode::Failed;
-    }
-    std::cout << reply->body << "\n";
-    return ExitCode::Success;
+    };
+    return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<ExitCode> {
+                BOOST_LEAF_AUTO(reply, exchange(request));
+                if (reply.status != kHttpOk)
+                    return fail("status " + std::to_string(reply.status));
+                std::cout << reply.body << "\n";
+                return ExitCode::Success;
+            },
+            [&](const HttpExchangeFailed &failure) { return fail(failure.detail); },
+            [&] { return fail("unknown error"); });
 }
 
 static ExitCode run(const ExplainCommand &command)
--- a/src/app/GatewayCommands.cpp
+++ b/src/app/GatewayCommands.cpp
@@ -75,16 +75,25 @@
     HttpExchangeRequest request;
     request.server = command.gateway;
     request.path = explainTarget({ command.host, command.path, command.tenant });
-    const auto reply = exchange(request);
-    boost::json::error_code error;
-    const boost::json::value explanation =
-            reply ? boost::json::parse(reply->body, error) : boost::json::value();
-    if (!reply || reply->status != kHttpOk || error || !explanation.is_object()) {
-        std::cerr << toText(command.gateway) << " gave no explanation\n";
+    const auto fail = [&](const std::string &detail) {
+        std::cerr << detail << "\n" << toText(command.gateway) << " gave no explanation\n";
         return ExitCode::Failed;
-    }
-    std::cout << (command.isJson ? reply->body : explanationText(explanation.as_object()));
-    return ExitCode::Success;
+    };
+    return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<ExitCode> {
+                BOOST_LEAF_AUTO(reply, exchange(request));
+                if (reply.status != kHttpOk)
+                    return fail("status " + std::to_string(reply.status));
+                boost::json::error_code error;
+                const boost::json::value explanation = boost::json::parse(reply.body, error);
+                if (error || !explanation.is_object())
+                    return fail("expected a JSON object");
+                std::cout << (command.isJson ? reply.body
+                                             : explanationText(explanation.as_object()));
+                return ExitCode::Success;
+            },
+            [&](const HttpExchangeFailed &failure) { return fail(failure.detail); },
+            [&] { return fail("unknown error"); });
 }
 
 } // namespace greengagestair
--- a/src/app/HttpConfigurationStore.cpp
+++ b/src/app/HttpConfigurationStore.cpp
@@ -1,8 +1,10 @@
 #include "app/HttpConfigurationStore.h"
 
-#include "app/HttpExchange.h"
+#include <boost/leaf/handle_errors.hpp>
 
+#include <iostream>
 #include <thread>
+#include <utility>
 
 namespace greengagestair {
 
@@ -18,12 +20,28 @@
 {
 }
 
+std::optional<HttpExchangeReply> HttpConfigurationStore::call(const HttpExchangeRequest &request)
+{
+    return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::optional<HttpExchangeReply>> {
+                BOOST_LEAF_AUTO(reply, exchange(request));
+                return std::optional(std::move(reply));
+            },
+            [&](const HttpExchangeFailed &failure) {
+                // Calls are repeated for some time, mostly with the same failure.
+                if (std::exchange(m_printedFailure, failure.detail) != failure.detail)
+                    std::cerr << failure.detail << "\n";
+                return std::optional<HttpExchangeReply>();
+            },
+            [] { return std::optional<HttpExchangeReply>(); });
+}
+
 std::optional<PlatformDocument> HttpConfigurationStore::read()
 {
     HttpExchangeRequest request;
     request.server = m_platform;
     request.path = kPath;
-    const auto reply = exchange(request);
+    const auto reply = call(request);
     if (!reply)
         return std::nullopt;
     if (reply->status == kHttpNotFound)
@@ -40,7 +58,7 @@
     request.path = kPath;
     request.body = content;
     request.ifRevision = expected;
-    const auto reply = exchange(request);
+    const auto reply = call(request);
     if (!reply)
         return WriteUnknown {};
     if (reply->status == kHttpConflict)
--- a/src/app/HttpConfigurationStore.h
+++ b/src/app/HttpConfigurationStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/ConfigurationChange.h"
+#include "app/HttpExchange.h"
 
 namespace greengagestair {
 
@@ -16,7 +17,11 @@
     bool waitBeforeRetry() override;
 
 private:
+    /** Makes the request; prints why it failed, once, and returns nothing then. */
+    std::optional<HttpExchangeReply> call(const HttpExchangeRequest &request);
+
     Endpoint m_platform;
+    std::string m_printedFailure;
     std::chrono::steady_clock::time_point m_giveUpAt;
 };
 
--- a/src/app/HttpExchange.cpp
+++ b/src/app/HttpExchange.cpp
@@ -1,76 +1,76 @@
 #include "app/HttpExchange.h"
 
-#include "app/Settings.h"
+#include "net/EndpointText.h"
+#include "net/HttpClient.h"
 
 #include <boost/leaf/error.hpp>
-#include <curl/curl.h>
 
-#include <charconv>
-#include <memory>
-#include <string_view>
+#include <future>
 
 namespace greengagestair {
 
-using CurlHandle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
-using CurlHeaders = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
+/** Bound on the body of an answer: the state of a large host, or a value of the platform. */
+static constexpr std::size_t kMaxReplyBytes = 16'777'216;
 
-static std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
+static HttpRequest toHttpRequest(const HttpExchangeRequest &request)
 {
-    static_cast<std::string *>(target)->append(data, size * count);
-    return size * count;
+    HttpRequest http;
+    http.method = request.body ? "PUT" : "GET";
+    http.endpoint = request.server;
+    http.target = request.path;
+    http.body = request.body.value_or(std::string());
+    http.contentType = "application/json";
+    if (request.ifRevision)
+        http.headers.push_back("If-Revision: " + std::to_string(request.ifRevision->value));
+    http.deadline = steadyDeadline(request.timeout);
+    http.notAfter = http.deadline;
+    http.connectTimeout = request.timeout;
+    http.maxResponseBytes = kMaxReplyBytes;
+    return http;
 }
 
-static std::optional<Revision> readRevision(CURL *handle)
+static const char *toText(HttpCompletion end)
 {
-    curl_header *header = nullptr;
-    if (curl_easy_header(handle, "X-Revision", 0, CURLH_HEADER, -1, &header) != CURLHE_OK)
-        return std::nullopt;
-    const std::string_view text(header->value);
-    Revision revision;
-    const auto [end, error] =
-            std::from_chars(text.data(), text.data() + text.size(), revision.value);
-    if (error != std::errc {} || end != text.data() + text.size())
-        return std::nullopt;
-    return revision;
+    switch (end) {
+    case HttpCompletion::Answered:
+        return "answered";
+    case HttpCompletion::NotSent:
+        return "no connection";
+    case HttpCompletion::ConnectionLost:
+        return "connection lost";
+    case HttpCompletion::TimedOut:
+        return "no answer in time";
+    case HttpCompletion::Invalid:
+        return "malformed response";
+    }
+    return "unknown";
+}
+
+static HttpExchangeFailed failureOf(const HttpExchangeRequest &request,
+                                    const HttpResponse &response)
+{
+    HttpExchangeFailed failure;
+    failure.sent = response.end != HttpCompletion::NotSent;
+    failure.detail = toText(request.server) + ": " + toText(response.end);
+    if (response.defect)
+        failure.detail += std::string(" (") + toText(*response.defect) + ")";
+    return failure;
 }
 
 boost::leaf::result<HttpExchangeReply> exchange(const HttpExchangeRequest &request)
 {
-    const CurlHandle handle(curl_easy_init(), curl_easy_cleanup);
-    CurlHeaders headers(nullptr, curl_slist_free_all);
-    const std::string url = "http://" + toText(request.server) + request.path;
+    std::promise<HttpResponse> ended;
+    HttpClient client;
+    client.start(toHttpRequest(request),
+                 [&](HttpResponse response) { ended.set_value(std::move(response)); });
+    HttpResponse response = ended.get_future().get();
+    if (response.end != HttpCompletion::Answered)
+        return boost::leaf::new_error(failureOf(request, response));
     HttpExchangeReply reply;
-    curl_easy_setopt(handle.get(), CURLOPT_URL, url.c_str());
-    // Servers are addressed by IP number; a proxy of the environment does not apply to them.
-    curl_easy_setopt(handle.get(), CURLOPT_PROXY, "");
-    curl_easy_setopt(handle.get(), CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
-    curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, appendBody);
-    curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &reply.body);
-    if (request.body) {
-        curl_easy_setopt(handle.get(), CURLOPT_CUSTOMREQUEST, "PUT");
-        curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDS, request.body->data());
-        curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDSIZE_LARGE,
-                         static_cast<curl_off_t>(request.body->size()));
-        headers.reset(curl_slist_append(headers.release(), "Content-Type: application/json"));
-        // Waiting for 100 Continue would only add a round trip.
-        headers.reset(curl_slist_append(headers.release(), "Expect:"));
-    }
-    if (request.ifRevision) {
-        const std::string line = "If-Revision: " + std::to_string(request.ifRevision->value);
-        headers.reset(curl_slist_append(headers.release(), line.c_str()));
-    }
-    curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, headers.get());
-    const CURLcode code = curl_easy_perform(handle.get());
-    if (code != CURLE_OK) {
-        const bool isConnected =
-                code != CURLE_COULDNT_CONNECT && code != CURLE_COULDNT_RESOLVE_HOST;
-        return boost::leaf::new_error(HttpExchangeFailed { isConnected, curl_easy_strerror(code) });
-    }
-    long status = 0;
-    curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
-    reply.status = static_cast<int>(status);
-    reply.revision = readRevision(handle.get());
+    reply.status = response.status;
+    if (const auto revision = response.number("x-revision"))
+        reply.revision = Revision { *revision };
+    reply.body = std::move(response.body);
     return reply;
 }
 
--- a/src/app/HttpExchange.h
+++ b/src/app/HttpExchange.h
@@ -32,10 +32,13 @@
 struct HttpExchangeFailed
 {
     bool sent = true;
-    std::string detail;
+    std::string detail; ///< the server and what went wrong, as one line for the operator
 };
 
-/** Makes one request and waits for its answer. Fails with HttpExchangeFailed. */
+/**
+ * Makes one request and waits for its answer. Fails with HttpExchangeFailed, also if the response
+ * is malformed or too large.
+ */
 boost::leaf::result<HttpExchangeReply> exchange(const HttpExchangeRequest &request);
 
 } // namespace greengagestair
