Test what follows a broken response, and frames without end

No test showed it for `serve`, and docs/promises.md said that peers' frames are not tested.

Change: tests only. After a broken response the scheduler reports that the request may have run; a lookup goes to another replica within the budget; an order is `mayHaveRun` and not sent again. Bytes that are no frame close their connection within one frame's bound.

Evidence: core_test and net_test pass. These cases were handled before; the product is unchanged.

--- a/tests/core/BackendSchedulerTest.cpp
+++ b/tests/core/BackendSchedulerTest.cpp
@@ -303,6 +303,17 @@
     REQUIRE(fixture.lastReason() == PartReason::Mismatch);
 }
 
+// Guards against a broken response that proves a refusal, and against one that counts as a crash.
+TEST_CASE("after a broken response it is unknown whether the request ran", "[scheduler]")
+{
+    Fixture fixture;
+    fixture.submit(Priority::Routine, true);
+    fixture.finish(fixture.sends().back(), BackendStatus::Unexpected);
+    REQUIRE(fixture.lastOutcome() == PartOutcome::MayHaveRun);
+    REQUIRE(fixture.lastReason() == PartReason::Mismatch);
+    REQUIRE(fixture.sends().size() == 1);
+}
+
 TEST_CASE("a lost server is reported once, only with the signatures of canary and isolated parts",
           "[scheduler]")
 {
--- a/tests/core/QueryRetryTest.cpp
+++ b/tests/core/QueryRetryTest.cpp
@@ -105,6 +105,41 @@
         REQUIRE_FALSE(part.server.value.ends_with("shubra"));
 }
 
+// Guards against a broken response that ends a query although another replica could answer it, and
+// against repeats beyond the budget.
+TEST_CASE("after a broken response a part is sent to another replica within the budget", "[query]")
+{
+    EntryRoleFixture fixture;
+    fixture.makeSignatureKnownGood();
+    const auto breakFirst = [&](const std::vector<PartRequest> &parts) {
+        fixture.failPart(parts[0], PartOutcome::MayHaveRun, PartReason::Mismatch);
+        for (std::size_t i = 1; i < parts.size(); ++i)
+            fixture.completePart(parts[i]);
+    };
+    CallerId caller = fixture.sendRequest();
+    const auto parts = fixture.takeSentParts();
+    breakFirst(parts);
+    const auto repeats = fixture.takeSentParts();
+    REQUIRE(repeats.size() == 1);
+    REQUIRE(repeats[0].server != parts[0].server);
+    fixture.completePart(repeats[0]);
+    REQUIRE(fixture.answerTo(caller)->outcome == QueryOutcome::Complete);
+
+    std::size_t sentAgain = 0;
+    for (int query = 0; query < 40; ++query) {
+        caller = fixture.sendRequest();
+        breakFirst(fixture.takeSentParts());
+        for (const PartRequest &part : fixture.takeSentParts()) {
+            ++sentAgain;
+            fixture.completePart(part);
+        }
+    }
+    // The budget holds 10 repeats; every 20 first attempts add one.
+    REQUIRE(sentAgain >= 9);
+    REQUIRE(sentAgain <= 10 + 40 * parts.size() / 20 + 1);
+    REQUIRE(fixture.answerTo(caller)->outcome == QueryOutcome::Partial);
+}
+
 // Promise R6: the outcome is "not run" only if it is proved that no attempt was executed.
 TEST_CASE(
         "a query without answered parts ends as failed if an attempt may have run, else as not run",
@@ -226,6 +261,14 @@
         REQUIRE(fixture.answerTo(caller)->outcome
                 == (mechanisms.refusalProof ? QueryOutcome::MayHaveRun : QueryOutcome::NotRun));
     }
+    SECTION("may have run after a broken response, and is not sent again")
+    {
+        finishClaim({ ClaimResult::Verdict::Claimed, QueryReason::None, {}, "" });
+        fixture.failPart(fixture.takeSentParts()[0], PartOutcome::MayHaveRun, PartReason::Mismatch);
+        REQUIRE(fixture.takeSentParts().empty());
+        REQUIRE(fixture.answerTo(caller)->outcome
+                == (mechanisms.refusalProof ? QueryOutcome::MayHaveRun : QueryOutcome::NotRun));
+    }
     SECTION("has its claim released when every replica refused it")
     {
         finishClaim({ ClaimResult::Verdict::Claimed, QueryReason::None, {}, "" });
--- a/tests/net/TcpPeerTransportTest.cpp
+++ b/tests/net/TcpPeerTransportTest.cpp
@@ -113,6 +113,29 @@
     REQUIRE(a.queue.size() == 0);
 }
 
+// Guards against bytes without end on a connection of another host, which this process would keep.
+TEST_CASE("bytes that are no frame close their connection", "[peer][endless]")
+{
+    asio::io_context context;
+    TestHost a(context, "a", { "127.0.0.1", 0 });
+    const unsigned char byte = GENERATE(0xff, 'A', 0x01);
+    // A length prefix of these bytes is beyond the bound of a frame, or the frame is malformed.
+    const std::string block(65'536, static_cast<char>(byte));
+    asio::io_context other;
+    tcp::socket socket(other);
+    socket.connect(tcpEndpoint(a));
+    socket.non_blocking(true);
+    std::size_t written = 0;
+    boost::system::error_code error;
+    REQUIRE(runUntil(context, [&] {
+        written += socket.write_some(asio::buffer(block), error);
+        return a.transport.counters().malformedFrames == 1;
+    }));
+    // One frame and what the buffers of two sockets may hold.
+    REQUIRE(written < kMaxFrameBytes + 16'000'000);
+    REQUIRE(a.queue.size() == 0);
+}
+
 // Guards against frames that are dropped without a PeerLost, and against one PeerLost per frame.
 TEST_CASE("PeerLost is posted once per failed connection attempt", "[peer]")
 {
