Test responses without end against both programs as processes

Change: servers that send seven kinds of bytes without end, to 40 requests at once of a gateway, and as the platform of an entry host, each with 64 MB. The process lives, stays within its memory, counts the responses and answers an ordinary request.

--- a/tests/processes/programs.py
+++ b/tests/processes/programs.py
@@ -158,13 +158,15 @@
             "version": 1, "routes": [
                 {"name": "orders", "host": "h", "prefix": "/o/", "type": "idempotent",
                  "timeout_ms": 5000, "target_latency_ms": 200, "priority": 1, "service": "s",
+                 "max_attempts": 2},
+                {"name": "endless", "host": "h", "prefix": "/endless/", "type": "idempotent",
+                 "timeout_ms": 5000, "target_latency_ms": 200, "priority": 1, "service": "endless",
                  "max_attempts": 2}],
-            "services": [{"name": "s", "health_path": "/h", "max_conns": 60, "warmup_per_s": 0}],
+            "services": [{"name": name, "health_path": "/h", "max_conns": 60, "warmup_per_s": 0}
+                         for name in ("s", "endless")],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": max_body,
                        "header_timeout_ms": 3000, "idle_timeout_ms": idle_timeout_ms}})
-        self._put("servers/i-1", {
-            "service": "s", "address": f"{ADDRESS}:{backend}", "zone": "z", "slots": 50,
-            "state": "ready", "slow_start_ms": 0, "sequence": 1, "born": 5})
+        self.add_server("s", "i-1", backend)
         settings = {
             "host": "edge-1", "failureDomain": "z", "callerEndpoint": f"{ADDRESS}:{self.port}",
             "readinessEndpoint": f"{ADDRESS}:{ready}", "adminEndpoint": f"{ADDRESS}:{self.admin}",
@@ -182,6 +184,11 @@
         if not answered(self._control, "POST", target, json.dumps(value), seconds=START_SECONDS):
             raise RuntimeError("the store's stand-in does not answer")
 
+    def add_server(self, service, name, port):
+        self._put(f"servers/{name}", {
+            "service": service, "address": f"{ADDRESS}:{port}", "zone": "z", "slots": 50,
+            "state": "ready", "slow_start_ms": 0, "sequence": 1, "born": 5})
+
     def answers(self, seconds=30.0):
         return answered(self.port, "POST", "/o/1", b"hello",
                         {"Host": "h", "X-Request-Id": "ordinary"}, seconds)
@@ -195,16 +202,19 @@
 
 
 class Serve:
-    """An entry host process of `serve` with the platform's stand-in."""
+    """An entry host process of `serve` with the platform's stand-in, or with another one.
+
+    `make_platform` starts the other one on a port; it has a method `end`."""
 
     name = "serve"
 
-    def __init__(self, memory_mb, max_descriptors):
+    def __init__(self, memory_mb, max_descriptors, make_platform=None):
         self._folder = tempfile.TemporaryDirectory()
         folder = pathlib.Path(self._folder.name)
         self.port, peer, platform, control = free_ports(4)
-        self.platform = Process(folder, "platform", BUILD / "standins/platform-standin", "--listen",
-                                f"{ADDRESS}:{platform}", "--control", f"{ADDRESS}:{control}")
+        self.platform = make_platform(platform) if make_platform else Process(
+            folder, "platform", BUILD / "standins/platform-standin", "--listen",
+            f"{ADDRESS}:{platform}", "--control", f"{ADDRESS}:{control}")
         settings = {"host": "edge-1", "failureDomain": "z",
                     "callerEndpoint": f"{ADDRESS}:{self.port}",
                     "peerEndpoint": f"{ADDRESS}:{peer}", "platform": [f"{ADDRESS}:{platform}"],
