--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -261,6 +261,7 @@
             if (const auto *defect = std::get_if<ResponseDefect>(&head))
                 return reject(*defect);
             m_head = std::move(std::get<ResponseHead>(head));
+            // Until here the parser stops after the head, so that m_headText holds nothing else.
             m_parser->eager(true);
         }
         if (m_parser->is_done())
--- a/src/net/HttpTransfer.h
+++ b/src/net/HttpTransfer.h
@@ -58,9 +58,11 @@
     void setTimeouts(Duration remaining);
     /** Counts received bytes; returns false if the response exceeds the joint bound. */
     bool countReceived(std::size_t bytes);
+    /** Frees what was received and takes it off the account. */
     void releaseReceived();
     /** Takes one line of a head or of the trailer; returns false if it is not accepted. */
     bool acceptLine(std::string_view line);
+    /** Takes a whole head; interim heads are checked and dropped. */
     bool acceptHead(std::string_view text);
     bool acceptTrailerLine(std::string_view line);
     /** Notes why the response is not accepted; returns false. */
--- a/tests/net/CurlBackendClientTest.cpp
+++ b/tests/net/CurlBackendClientTest.cpp
@@ -237,6 +237,24 @@
     }
 }
 
+// Guards against bytes after a response that are taken for the response to the next request.
+TEST_CASE("bytes that follow a response belong to no request", "[backend][broken]")
+{
+    ScriptedHttpServer server([](const ScriptedRequest &request) {
+        ScriptedReply reply = echoReply(request);
+        if (requestId(request) == "1")
+            reply.bytes += httpResponse("200 OK", "X-Request-Id: 2\r\nX-Index-Version: 8\r\n",
+                                        "stale");
+        return reply;
+    });
+    RecordingEventQueue queue;
+    CurlBackendClient client(queue);
+    for (std::uint64_t send = 1; send <= 3; ++send) {
+        const auto finished = sendAndWait(client, queue, requestTo(server.endpoint(), send));
+        CHECK(finished.value().body == "re:body-" + std::to_string(send));
+    }
+}
+
 // Guards against a check that refuses correct responses.
 TEST_CASE("unusual but correct responses are answers", "[backend][broken]")
 {
