--- a/tests/net/CurlBackendClientTest.cpp
+++ b/tests/net/CurlBackendClientTest.cpp
@@ -243,8 +243,8 @@
     ScriptedHttpServer server([](const ScriptedRequest &request) {
         ScriptedReply reply = echoReply(request);
         if (requestId(request) == "1")
-            reply.bytes += httpResponse("200 OK", "X-Request-Id: 2\r\nX-Index-Version: 8\r\n",
-                                        "stale");
+            reply.bytes +=
+                    httpResponse("200 OK", "X-Request-Id: 2\r\nX-Index-Version: 8\r\n", "stale");
         return reply;
     });
     RecordingEventQueue queue;
