--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -154,7 +154,11 @@
     while (!m_events.empty()) {
         const GatewayEvent event = std::move(m_events.front());
         m_events.pop_front();
-        apply(m_gateway.handle(event, now()));
+        const LoopTimes::Clock::time_point begin = LoopTimes::Clock::now();
+        const GatewayEffects effects = m_gateway.handle(event, now());
+        const LoopTimes::Clock::time_point decided = LoopTimes::Clock::now();
+        apply(effects);
+        m_loopTimes.add(loopWorkOf(event), decided - begin, LoopTimes::Clock::now() - decided);
         if (std::holds_alternative<ConfigurationRead>(event))
             updateLimits();
         if (const auto *hosts = std::get_if<HostsRead>(&event)) {
@@ -291,7 +295,9 @@
 
 void GatewayServer::armTimer()
 {
+    const LoopTimes::Clock::time_point begin = LoopTimes::Clock::now();
     std::optional<MonotonicTime> next = m_gateway.nextWakeUp();
+    m_loopTimes.add(LoopWork::NextTimer, LoopTimes::Clock::now() - begin, {});
     const auto consider = [&next](const std::optional<MonotonicTime> &other) {
         if (other && (!next || *other < *next))
             next = other;
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -4,6 +4,7 @@
 #include "app/GatewaySettings.h"
 #include "app/JsonLineLog.h"
 #include "app/LatencyHistogram.h"
+#include "app/LoopTimes.h"
 #include "app/PageHandler.h"
 #include "app/ResponseMonitor.h"
 #include "app/SeedReader.h"
@@ -111,6 +112,7 @@
     bool m_isDraining = false;
     bool m_isStopping = false;
     std::map<std::string, LatencyHistogram> m_latencies; ///< by outcome
+    LoopTimes m_loopTimes;
     MonotonicTime m_stopAt;
     MonotonicTime m_stopSince;
 };
--- a/src/app/GatewayServerPages.cpp
+++ b/src/app/GatewayServerPages.cpp
@@ -49,8 +49,20 @@
     const BackendConnectionCounters &backends = m_backends.counters();
     const LogCounters &log = m_log.counters();
     counters.push_back({ "backend_connections_opened_total", backends.opened });
+    counters.push_back({ "backend_connections_opened_ahead_total", backends.openedAhead });
     counters.push_back({ "backend_connections_reused_total", backends.reused });
+    const auto closed = [&](const std::string &reason, std::uint64_t value) {
+        counters.push_back(
+                { "backend_connections_closed_total{reason=\"" + reason + "\"}", value });
+    };
+    closed("idleByServer", backends.closedIdleByServer);
+    closed("idleTimeout", backends.closedIdleTimeout);
+    closed("idleLimit", backends.closedIdleLimit);
+    closed("response", backends.closedAfterResponse);
+    closed("failure", backends.closedByFailure);
     counters.push_back({ "stray_responses_total", backends.strayResponses });
+    for (Counter &counter : m_loopTimes.counters())
+        counters.push_back(std::move(counter));
     for (Counter &counter : m_responses.counters())
         counters.push_back(std::move(counter));
     counters.push_back({ "bad_requests_total", m_frontEnd.badRequests() });
--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -281,6 +281,7 @@
 void BackendConnection::onEnd(StreamEnd end)
 {
     if (!m_attempt) {
+        ++m_pool.m_counters.closedIdleByServer;
         abort(AttemptFailure::Lost);
         return m_pool.onIdleLost(m_server);
     }
@@ -372,6 +373,7 @@
         }
         m_pool.keepIdle(self);
     } else {
+        ++m_pool.m_counters.closedAfterResponse;
         m_isClosed = true;
         m_stream->close();
     }
@@ -391,6 +393,7 @@
         m_stream->close();
     if (!m_attempt)
         return m_pool.finishOpening(self, false);
+    ++m_pool.m_counters.closedByFailure;
     const AttemptId attempt = m_attempt->attempt;
     m_attempt.reset();
     resetReceived();
--- a/src/http/BackendConnectionPool.cpp
+++ b/src/http/BackendConnectionPool.cpp
@@ -63,6 +63,7 @@
     const auto connection =
             std::make_shared<BackendConnection>(*this, wanted.server, wanted.endpoint);
     ++m_counters.opened;
+    ++m_counters.openedAhead;
     m_openingIdle.emplace_back(Clock::now() + kConnectTimeout, connection);
     connection->open();
     armTimer();
@@ -130,8 +131,10 @@
     if (!isCurrentEndpoint)
         return connection->abort(AttemptFailure::NotSent);
     auto &idle = found->second.idle;
-    if (idle.size() >= connection->idleLimits().idle)
+    if (idle.size() >= connection->idleLimits().idle) {
+        ++m_counters.closedIdleLimit;
         return connection->abort(AttemptFailure::NotSent);
+    }
     idle.push_back(connection);
     armTimer();
 }
@@ -213,6 +216,7 @@
                 expired.push_back(connection);
         }
     }
+    m_counters.closedIdleTimeout += expired.size();
     for (const auto &connection : expired)
         connection->abort(AttemptFailure::NotSent);
 }
--- a/src/http/BackendConnectionPool.h
+++ b/src/http/BackendConnectionPool.h
@@ -25,9 +25,15 @@
 /** Counters of a BackendConnectionPool since its creation, exported as metrics. */
 struct BackendConnectionCounters
 {
-    std::uint64_t opened = 0;         ///< connections that the pool began to open
-    std::uint64_t reused = 0;         ///< requests sent on an idle connection instead of a new one
-    std::uint64_t strayResponses = 0; ///< dropped: not the answer to the current request
+    std::uint64_t opened = 0;      ///< connections that the pool began to open
+    std::uint64_t reused = 0;      ///< requests sent on an idle connection instead of a new one
+    std::uint64_t openedAhead = 0; ///< those of `opened` that were opened without a request
+    std::uint64_t closedIdleByServer = 0;  ///< idle connections that the server closed
+    std::uint64_t closedIdleTimeout = 0;   ///< idle connections closed after their time
+    std::uint64_t closedIdleLimit = 0;     ///< not kept: as many are idle as may be
+    std::uint64_t closedAfterResponse = 0; ///< not reusable after a response
+    std::uint64_t closedByFailure = 0;     ///< with an attempt that failed or was given up
+    std::uint64_t strayResponses = 0;      ///< dropped: not the answer to the current request
 };
 
 /**
