Find due removals and shared addresses without a search through all servers

Callers of urgent lookups were answered after their objective on hosts with little processor time. After each event, thus after each response, the gateway searched the directory of all servers for the next scheduled removal, and at each timer for those that are due; at each registration it compared all addresses. The class is work for each event that grows with the fleet.

The directory now keeps the scheduled removals by time and the servers by address.

--- a/src/gateway/BackendDirectory.cpp
+++ b/src/gateway/BackendDirectory.cpp
@@ -22,7 +22,7 @@
         if (known.registration.isDraining && !registration.isDraining)
             known.needs.cancelLeaving();
         known.registration = registration;
-        known.removeAt.reset();
+        cancelRemoval(known);
         return;
     }
     auto backend = std::make_shared<Backend>();
@@ -33,15 +33,19 @@
     backend->coldUntil = now + registration.coldFor;
     m_servers[registration.server] = backend;
     m_byService[registration.service].push_back(backend);
+    m_byEndpoint[registration.endpoint].insert(registration.server);
 }
 
 std::vector<BackendRegistration>
 BackendDirectory::displaceOthers(const BackendRegistration &registered)
 {
     std::vector<BackendRegistration> displaced;
-    for (const auto &[server, backend] : m_servers) {
-        if (server != registered.server && backend->registration.endpoint == registered.endpoint)
-            displaced.push_back(backend->registration);
+    const auto sharing = m_byEndpoint.find(registered.endpoint);
+    if (sharing == m_byEndpoint.end())
+        return displaced;
+    for (const ServerId &server : sharing->second) {
+        if (server != registered.server)
+            displaced.push_back(m_servers.at(server)->registration);
     }
     for (const BackendRegistration &registration : displaced) {
         m_displaced[registration.server] = registration.startedAt;
@@ -58,6 +62,12 @@
 
 void BackendDirectory::detach(const Backend &backend)
 {
+    const auto endpoint = m_byEndpoint.find(backend.registration.endpoint);
+    if (endpoint != m_byEndpoint.end()) {
+        endpoint->second.erase(backend.registration.server);
+        if (endpoint->second.empty())
+            m_byEndpoint.erase(endpoint);
+    }
     const auto service = m_byService.find(backend.registration.service);
     if (service == m_byService.end())
         return;
@@ -72,14 +82,25 @@
     if (found == m_servers.end())
         return;
     detach(*found->second);
+    cancelRemoval(*found->second);
     m_servers.erase(found);
 }
 
+void BackendDirectory::cancelRemoval(Backend &backend)
+{
+    if (!backend.removeAt)
+        return;
+    m_removals.erase({ *backend.removeAt, backend.registration.server });
+    backend.removeAt.reset();
+}
+
 void BackendDirectory::removeLater(const ServerId &server, MonotonicTime at)
 {
     const auto found = m_servers.find(server);
-    if (found != m_servers.end() && !found->second->removeAt)
-        found->second->removeAt = at;
+    if (found == m_servers.end() || found->second->removeAt)
+        return;
+    found->second->removeAt = at;
+    m_removals.emplace(at, server);
 }
 
 std::vector<ServerId> BackendDirectory::absentFrom(const std::set<ServerId> &listed) const
@@ -95,23 +116,19 @@
 std::vector<BackendRegistration> BackendDirectory::removeDue(MonotonicTime now)
 {
     std::vector<BackendRegistration> due;
-    for (const auto &[server, backend] : m_servers) {
-        if (backend->removeAt && *backend->removeAt <= now)
-            due.push_back(backend->registration);
+    while (!m_removals.empty() && m_removals.begin()->first <= now) {
+        const ServerId server = m_removals.begin()->second;
+        due.push_back(m_servers.at(server)->registration);
+        remove(server);
     }
-    for (const BackendRegistration &registration : due)
-        remove(registration.server);
     return due;
 }
 
 std::optional<MonotonicTime> BackendDirectory::nextRemoval() const
 {
-    std::optional<MonotonicTime> next;
-    for (const auto &[server, backend] : m_servers) {
-        if (backend->removeAt && (!next || *backend->removeAt < *next))
-            next = backend->removeAt;
-    }
-    return next;
+    if (m_removals.empty())
+        return std::nullopt;
+    return m_removals.begin()->first;
 }
 
 void BackendDirectory::setEvacuated(std::set<FailureDomainId> failureDomains)
--- a/src/gateway/BackendDirectory.h
+++ b/src/gateway/BackendDirectory.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace greengagestair {
@@ -109,9 +110,12 @@
 
 private:
     void detach(const Backend &backend);
+    void cancelRemoval(Backend &backend);
 
     std::unordered_map<ServerId, std::shared_ptr<Backend>> m_servers;
     std::unordered_map<ServiceId, std::vector<std::shared_ptr<Backend>>> m_byService;
+    std::map<Endpoint, std::set<ServerId>> m_byEndpoint;
+    std::set<std::pair<MonotonicTime, ServerId>> m_removals; ///< the scheduled ones by time
     std::unordered_map<ServerId, std::uint64_t> m_displaced; ///< start of the removed process
     std::set<FailureDomainId> m_evacuated;
 };
