Work out the connection shares of a service once for each choice of a server

The shares of a service's servers were worked out anew for each candidate, up to three times, each with a set of names of failure domains and a hash of each server. Choosing the server of a part took longer than all other decisions on it, before its first byte was sent.

ConnectionPlan::sharesOf() passes over the servers once and gives all shares. The decay of a penalty of 0 is not computed.

--- a/src/gateway/BackendLoad.cpp
+++ b/src/gateway/BackendLoad.cpp
@@ -37,6 +37,8 @@
 
 static double decayed(double value, Duration age, std::chrono::duration<double> halfLife)
 {
+    if (value == 0)
+        return 0;
     const std::chrono::duration<double> seconds = age;
     return value * std::exp2(-seconds.count() / halfLife.count());
 }
--- a/src/gateway/BackendSelector.cpp
+++ b/src/gateway/BackendSelector.cpp
@@ -77,7 +77,7 @@
 IdleConnectionLimits BackendSelector::idleLimitsFor(const BackendService &service,
                                                     const Backend &backend) const
 {
-    const double share = m_connections.share(service, backend);
+    const double share = m_connections.sharesOf(service).of(backend);
     IdleConnectionLimits limits;
     limits.idle = std::max<std::size_t>(static_cast<std::size_t>(share), 1);
     if (share < 1) {
@@ -96,10 +96,11 @@
     return std::floor(allowed / static_cast<double>(m_hostCount));
 }
 
-bool BackendSelector::hasConnection(const BackendService &service, const Backend &backend) const
+bool BackendSelector::hasConnection(const ServiceShares &shares, const Backend &backend)
 {
-    const double share = m_connections.share(service, backend);
-    return static_cast<double>(backend.load.inFlight()) < std::max(std::floor(share), 1.0);
+    // One request is allowed whatever the share is.
+    return backend.load.inFlight() == 0
+            || static_cast<double>(backend.load.inFlight()) < std::floor(shares.of(backend));
 }
 
 bool BackendSelector::isWithinColdLimit(const BackendService &service, const Backend &backend,
@@ -111,20 +112,14 @@
     return static_cast<double>(backend.load.requestsInLastSecond(now)) < coldShare(service, now);
 }
 
-bool BackendSelector::hasCapacity(const BackendService &service, const Backend &backend,
-                                  MonotonicTime now) const
-{
-    return hasConnection(service, backend) && isWithinColdLimit(service, backend, now);
-}
-
-Duration BackendSelector::cost(const BackendService &service, const Backend &backend,
+Duration BackendSelector::cost(const ServiceShares &shares, const Backend &backend,
                                Duration typical, bool isRepeat, MonotonicTime now) const
 {
     const BackendRegistration &registration = backend.registration;
     Duration cost = backend.load.expectedTime(typical, registration.slots, now);
     if (registration.failureDomain != m_options.failureDomain)
         cost += kCrossDomainPenalty;
-    if (!m_connections.isAmple(service) && !m_connections.isPreferred(backend))
+    if (!shares.isAmple() && !shares.isPreferred(backend))
         cost += kNotPreferredPenalty;
     else if (!backend.load.isLikelyConnected(now))
         cost += kConnectPenalty;
@@ -139,7 +134,8 @@
     return cost;
 }
 
-std::shared_ptr<Backend> BackendSelector::cheapest(const BackendService &service, Duration typical,
+std::shared_ptr<Backend> BackendSelector::cheapest(const BackendService &service,
+                                                   const ServiceShares &shares, Duration typical,
                                                    const ServerFilter &filter,
                                                    const std::vector<const Backend *> &skipped,
                                                    MonotonicTime now)
@@ -153,13 +149,14 @@
                 && now >= backend->misdirectedUntil && now >= backend->needs.pausedUntil();
         const bool isSkipped =
                 std::find(skipped.begin(), skipped.end(), backend.get()) != skipped.end();
-        if (!isAllowed || isSkipped || !isUsable(*backend) || !hasCapacity(service, *backend, now))
+        if (!isAllowed || isSkipped || !isUsable(*backend) || !hasConnection(shares, *backend)
+            || !isWithinColdLimit(service, *backend, now))
             continue;
         if (filter.mayTry && m_observations.isTrialDue(*backend, typical, now)) {
             m_observations.takeTrial(*backend, now);
             return backend;
         }
-        const Duration expected = cost(service, *backend, typical, filter.isRepeat, now);
+        const Duration expected = cost(shares, *backend, typical, filter.isRepeat, now);
         if (expected < bestCost) {
             bestCost = expected;
             best = backend;
@@ -190,11 +187,12 @@
     bool isNewDemand = !filter.isWaiting;
     if (isNewDemand)
         addPacedDemand(service, now);
+    const ServiceShares shares = m_connections.sharesOf(service);
     std::vector<const Backend *> denied;  // by limits that the servers name
     std::vector<const Backend *> skipped; // those, and the servers beyond their pace
     bool isPaced = true;
     while (true) {
-        auto backend = cheapest(service, typical, filter, skipped, now);
+        auto backend = cheapest(service, shares, typical, filter, skipped, now);
         if (!backend && skipped.size() > denied.size()) {
             skipped = denied;
             isPaced = false;
--- a/src/gateway/BackendSelector.h
+++ b/src/gateway/BackendSelector.h
@@ -114,21 +114,20 @@
     /** Divides a new request for the service over its servers by their pace. */
     void addPacedDemand(const BackendService &service, MonotonicTime now);
     /** The server with the lowest cost, without regard to request limits; null if there is none. */
-    std::shared_ptr<Backend> cheapest(const BackendService &service, Duration typical,
-                                      const ServerFilter &filter,
+    std::shared_ptr<Backend> cheapest(const BackendService &service, const ServiceShares &shares,
+                                      Duration typical, const ServerFilter &filter,
                                       const std::vector<const Backend *> &skipped,
                                       MonotonicTime now);
     bool isUsable(const Backend &backend) const;
     /** This host's share of the requests that a cold server of the service bears in a second. */
     double coldShare(const BackendService &service, MonotonicTime now) const;
-    bool hasConnection(const BackendService &service, const Backend &backend) const;
+    static bool hasConnection(const ServiceShares &shares, const Backend &backend);
     bool isWithinColdLimit(const BackendService &service, const Backend &backend,
                            MonotonicTime now) const;
-    bool hasCapacity(const BackendService &service, const Backend &backend,
-                     MonotonicTime now) const;
-    std::vector<ServerExclusion> exclusionsOf(const BackendService &service, const Backend &backend,
+    std::vector<ServerExclusion> exclusionsOf(const BackendService &service,
+                                              const ServiceShares &shares, const Backend &backend,
                                               MonotonicTime now) const;
-    Duration cost(const BackendService &service, const Backend &backend, Duration typical,
+    Duration cost(const ServiceShares &shares, const Backend &backend, Duration typical,
                   bool isRepeat, MonotonicTime now) const;
 
     SelectorOptions m_options;
--- a/src/gateway/ConnectionPlan.cpp
+++ b/src/gateway/ConnectionPlan.cpp
@@ -3,7 +3,6 @@
 #include "core/Hashing.h"
 
 #include <algorithm>
-#include <set>
 
 namespace greengagestair {
 
@@ -14,79 +13,83 @@
 /** Otherwise, share of the usable connections for the hosts that prefer the server. */
 static constexpr double kPreferredShare = 0.75;
 
-static double usableConnections(const BackendService &service)
-{
-    return static_cast<double>(service.connectionLimit) * kUsedConnectionShare;
-}
-
 ConnectionPlan::ConnectionPlan(const SelectorOptions &options, const BackendDirectory &directory)
     : m_options(options)
     , m_directory(directory)
 {
 }
 
-double ConnectionPlan::equalShare(const BackendService &service) const
+static std::size_t hostsIn(const HostCount &hosts, const FailureDomainId &failureDomain)
 {
-    return usableConnections(service) / static_cast<double>(m_hosts.all);
+    const auto found = hosts.byDomain.find(failureDomain);
+    return found == hosts.byDomain.end() ? 0 : found->second;
 }
 
-bool ConnectionPlan::isAmple(const BackendService &service) const
+ServiceShares ConnectionPlan::sharesOf(const BackendService &service) const
 {
-    return equalShare(service) >= kAmpleShare;
+    ServiceShares shares;
+    shares.m_options = &m_options;
+    shares.m_hosts = &m_hosts;
+    shares.m_usableConnections =
+            static_cast<double>(service.connectionLimit) * kUsedConnectionShare;
+    shares.m_isAmple = shares.m_usableConnections / static_cast<double>(m_hosts.all) >= kAmpleShare;
+    if (shares.m_isAmple)
+        return shares;
+    const auto &servers = m_directory.serversOf(service.name);
+    shares.m_domains.reserve(servers.size());
+    shares.m_remoteHosts = m_hosts.all;
+    for (const auto &server : servers) {
+        if (!m_directory.isInService(*server))
+            continue;
+        ++shares.m_servers;
+        const ServiceShares::Rank rank = shares.rankOf(*server);
+        if (!shares.m_highestRank || rank > *shares.m_highestRank)
+            shares.m_highestRank = rank;
+        const FailureDomainId &domain = server->registration.failureDomain;
+        const bool isNewDomain =
+                std::none_of(shares.m_domains.begin(), shares.m_domains.end(),
+                             [&](const FailureDomainId *known) { return *known == domain; });
+        if (isNewDomain)
+            shares.m_remoteHosts -= std::min(shares.m_remoteHosts, hostsIn(m_hosts, domain));
+        shares.m_domains.push_back(&domain);
+    }
+    return shares;
 }
 
-std::size_t ConnectionPlan::hostsIn(const FailureDomainId &failureDomain) const
+ServiceShares::Rank ServiceShares::rankOf(const Backend &backend) const
 {
-    const auto found = m_hosts.byDomain.find(failureDomain);
-    return found == m_hosts.byDomain.end() ? 0 : found->second;
+    const BackendRegistration &registration = backend.registration;
+    return { registration.failureDomain == m_options->failureDomain,
+             rendezvousScore(m_options->host.value, registration.server.value) };
 }
 
-bool ConnectionPlan::isPreferred(const Backend &backend) const
+bool ServiceShares::isPreferred(const Backend &backend) const
 {
-    const BackendRegistration &registration = backend.registration;
-    const auto rank = [this](const Backend &server) {
-        return std::pair(server.registration.failureDomain == m_options.failureDomain,
-                         rendezvousScore(m_options.host.value, server.registration.server.value));
-    };
-    const auto own = rank(backend);
-    const auto &servers = m_directory.serversOf(registration.service);
-    return std::all_of(servers.begin(), servers.end(), [&](const auto &other) {
-        return !m_directory.isInService(*other) || rank(*other) <= own;
-    });
+    return !m_highestRank || rankOf(backend) >= *m_highestRank;
 }
 
-double ConnectionPlan::preferringHosts(const Backend &backend) const
+double ServiceShares::preferringHosts(const Backend &backend) const
 {
-    std::set<FailureDomainId> domains;
-    std::size_t serversInDomain = 0;
-    std::size_t servers = 0;
-    for (const auto &server : m_directory.serversOf(backend.registration.service)) {
-        if (!m_directory.isInService(*server))
-            continue;
-        const FailureDomainId &domain = server->registration.failureDomain;
-        domains.insert(domain);
-        ++servers;
-        serversInDomain += domain == backend.registration.failureDomain ? 1 : 0;
-    }
-    std::size_t remoteHosts = m_hosts.all;
-    for (const FailureDomainId &domain : domains)
-        remoteHosts -= std::min(remoteHosts, hostsIn(domain));
+    const FailureDomainId &domain = backend.registration.failureDomain;
+    const auto serversInDomain =
+            std::count_if(m_domains.begin(), m_domains.end(),
+                          [&](const FailureDomainId *other) { return *other == domain; });
     const auto perServer = [](std::size_t hosts, std::size_t count) {
         return static_cast<double>(hosts) / static_cast<double>(std::max<std::size_t>(count, 1));
     };
-    return perServer(hostsIn(backend.registration.failureDomain), serversInDomain)
-            + perServer(remoteHosts, servers);
+    return perServer(hostsIn(*m_hosts, domain), static_cast<std::size_t>(serversInDomain))
+            + perServer(m_remoteHosts, m_servers);
 }
 
-double ConnectionPlan::share(const BackendService &service, const Backend &backend) const
+double ServiceShares::of(const Backend &backend) const
 {
-    if (isAmple(service))
-        return equalShare(service);
+    const auto allHosts = static_cast<double>(m_hosts->all);
+    if (m_isAmple)
+        return m_usableConnections / allHosts;
     const double preferring = preferringHosts(backend);
-    const double others = static_cast<double>(m_hosts.all) - preferring;
     if (isPreferred(backend))
-        return usableConnections(service) * kPreferredShare / std::max(preferring, 1.0);
-    return usableConnections(service) * (1 - kPreferredShare) / std::max(others, 1.0);
+        return m_usableConnections * kPreferredShare / std::max(preferring, 1.0);
+    return m_usableConnections * (1 - kPreferredShare) / std::max(allHosts - preferring, 1.0);
 }
 
 } // namespace greengagestair
--- a/src/gateway/explain/ServerOutlook.cpp
+++ b/src/gateway/explain/ServerOutlook.cpp
@@ -6,6 +6,7 @@
 namespace greengagestair {
 
 std::vector<ServerExclusion> BackendSelector::exclusionsOf(const BackendService &service,
+                                                           const ServiceShares &shares,
                                                            const Backend &backend,
                                                            MonotonicTime now) const
 {
@@ -20,7 +21,7 @@
     addIf(!m_reachability.isReachable(domain), ServerExclusion::Unreachable);
     addIf(now < backend.misdirectedUntil, ServerExclusion::Misdirected);
     addIf(now < backend.needs.pausedUntil(), ServerExclusion::Paused);
-    addIf(!hasConnection(service, backend), ServerExclusion::NoCapacity);
+    addIf(!hasConnection(shares, backend), ServerExclusion::NoCapacity);
     addIf(!isWithinColdLimit(service, backend, now), ServerExclusion::ColdLimit);
     addIf(!m_pacing.admits(backend, now), ServerExclusion::Pace);
     return exclusions;
@@ -30,12 +31,13 @@
                                                     MonotonicTime now) const
 {
     std::vector<ServerOutlook> outlooks;
+    const ServiceShares shares = m_connections.sharesOf(service);
     const auto &servers = m_directory.serversOf(service.name);
     for (std::size_t offset = 0; offset < servers.size(); ++offset) {
         // The order of equal costs that choose() will use next.
         const auto &backend = servers[(offset + m_rotation + 1) % servers.size()];
-        outlooks.push_back({ backend, cost(service, *backend, typical, false, now),
-                             exclusionsOf(service, *backend, now) });
+        outlooks.push_back({ backend, cost(shares, *backend, typical, false, now),
+                             exclusionsOf(service, shares, *backend, now) });
     }
     // Servers that only the pace excludes are chosen if there is no other.
     const auto rank = [](const ServerOutlook &outlook) {
--- a/tests/gateway/ConnectionPlanTest.cpp
+++ b/tests/gateway/ConnectionPlanTest.cpp
@@ -33,12 +33,13 @@
         options.failureDomain = { domains[i % domains.size()] };
         ConnectionPlan plan(options, directory);
         plan.setHosts(hosts);
-        REQUIRE_FALSE(plan.isAmple(service));
+        const ServiceShares shares = plan.sharesOf(service);
+        REQUIRE_FALSE(shares.isAmple());
         std::size_t preferred = 0;
         for (const auto &backend : directory.serversOf(service.name)) {
-            const double share = plan.share(service, *backend);
+            const double share = shares.of(*backend);
             sums[backend->registration.server] += share;
-            if (!plan.isPreferred(*backend))
+            if (!shares.isPreferred(*backend))
                 continue;
             ++preferred;
             CHECK(share >= 1);
