Write the lines of the log together, after what callers wait for

The line on an answer also went before the answer itself, as did the release of the attempts that were still open.

The log collects lines for 100 ms or 16 KB; a process that is killed loses at most these. A line is put together without an object in between. A request logs its first hedge, and the number of them with its answer. The reply is the first effect of the step that ends a request.

app_test: lines are flushed where a test reads them; "a broken response reaches no caller" reads until the line has come, since it is written up to 100 ms later. New test: "lines are written together*".

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -18,6 +18,8 @@
 /** The platform needs two missed readiness checks, one a second, to send callers elsewhere. */
 static constexpr Duration kLeastStopTime = std::chrono::milliseconds(3200);
 static constexpr Duration kStopCheckInterval = std::chrono::milliseconds(100);
+/** Time for which lines of the log are collected. */
+static constexpr Duration kLogInterval = std::chrono::milliseconds(100);
 
 static MonotonicTime now()
 {
@@ -102,6 +104,7 @@
     , m_timer(context)
     , m_stopTimer(context)
     , m_countersTimer(context)
+    , m_logTimer(context)
 {
 }
 
@@ -296,6 +299,21 @@
 void GatewayServer::log(const LogRecord &decision)
 {
     m_log.write(decision, EventLoop::currentInstant());
+    flushLogLater();
+}
+
+void GatewayServer::flushLogLater()
+{
+    if (!m_log.hasKeptLines() || std::exchange(m_isLogTimerArmed, true))
+        return;
+    m_logTimer.expires_after(kLogInterval);
+    m_logTimer.async_wait([this](const boost::system::error_code &error) {
+        m_isLogTimerArmed = false;
+        if (error)
+            return;
+        m_log.flush();
+        flushLogLater();
+    });
 }
 
 void GatewayServer::armTimer()
@@ -343,7 +361,6 @@
     if (m_storeWatcher.needsSnapshot())
         m_seeds.ask(time);
     m_announcer.advance(time);
-    m_log.flush();
     enqueue(TimeAdvanced {});
 }
 
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -67,6 +67,8 @@
     void applyEffect(const WriteRolloutState &effect);
     void applyEffect(const LogRecord &effect);
     void log(const LogRecord &decision);
+    /** Writes the collected lines in a moment, after the work that the callers wait for. */
+    void flushLogLater();
     void updateLimits();
     void armTimer();
     void onTimer();
@@ -106,10 +108,12 @@
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_stopTimer;
     boost::asio::steady_timer m_countersTimer;
+    boost::asio::steady_timer m_logTimer;
     std::optional<MonotonicTime> m_timerAt;
     std::uint64_t m_loggedEndedCallers = 0; ///< of the last line on ended connections
     std::deque<GatewayEvent> m_events;
     bool m_isDraining = false;
+    bool m_isLogTimerArmed = false;
     bool m_isStopping = false;
     std::map<std::string, LatencyHistogram> m_latencies; ///< by outcome
     LoopTimes m_loopTimes;
--- a/src/app/JsonLineLog.cpp
+++ b/src/app/JsonLineLog.cpp
@@ -1,7 +1,7 @@
 #include "app/JsonLineLog.h"
 
-#include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/string_view.hpp>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -17,6 +17,8 @@
 static constexpr double kBurstSeconds = 4;
 /** Bound on lines that wait for the descriptor, in bytes. */
 static constexpr std::size_t kMaxKeptBytes = 262'144;
+/** Lines are written without a flush() once there are so many, in bytes. */
+static constexpr std::size_t kWriteBytes = 16'384;
 
 JsonLineLog::JsonLineLog(int descriptor, std::string host)
     : m_descriptor(descriptor)
@@ -44,26 +46,38 @@
     return true;
 }
 
+/** Appends a member to a JSON object that has others. */
+static void appendField(std::string_view name, std::string_view value, std::string &text)
+{
+    const auto quoted = [](std::string_view string) {
+        return boost::json::serialize(boost::json::string_view(string.data(), string.size()));
+    };
+    text += ',';
+    text += quoted(name);
+    text += ':';
+    text += quoted(value);
+}
+
 void JsonLineLog::write(const LogRecord &decision, Instant at)
 {
     if (!takeAllowance(decision.priority, at.now)) {
         ++m_counters.overRate;
         return;
     }
-    boost::json::object line;
-    line["timeMicros"] = at.wall.time_since_epoch().count();
-    line["host"] = m_host;
-    line["event"] = boost::json::string_view(decision.event.data(), decision.event.size());
+    std::string text = "{\"timeMicros\":" + std::to_string(at.wall.time_since_epoch().count());
+    appendField("host", m_host, text);
+    appendField("event", decision.event, text);
     for (const auto &[name, value] : decision.fields)
-        line[boost::json::string_view(name.data(), name.size())] = value;
-    const std::string text = boost::json::serialize(line) + "\n";
+        appendField(name, value, text);
+    text += "}\n";
     if (m_kept.size() + text.size() > kMaxKeptBytes) {
         ++m_counters.overflow;
         return;
     }
     ++m_counters.written;
     m_kept += text;
-    flush();
+    if (m_kept.size() >= kWriteBytes)
+        flush();
 }
 
 void JsonLineLog::flush()
--- a/src/app/JsonLineLog.h
+++ b/src/app/JsonLineLog.h
@@ -19,9 +19,10 @@
 };
 
 /**
- * Writes decisions as JSON objects, one a line, to a descriptor. Never blocks: what the descriptor
- * does not take is kept in a bounded buffer, and dropped and counted beyond it. Each weight has a
- * rate of its own, so details about served requests never crowd out failures.
+ * Writes decisions as JSON objects, one a line, to a descriptor. Lines are collected until flush(),
+ * or until there are enough for one write. Never blocks: what the descriptor does not take is kept
+ * in a bounded buffer, and dropped and counted beyond it. Each weight has a rate of its own, so
+ * details about served requests never crowd out failures.
  */
 class JsonLineLog
 {
@@ -30,6 +31,8 @@
     JsonLineLog(int descriptor, std::string host);
 
     void write(const LogRecord &decision, Instant at);
+    /** True if there are lines that flush() would write. */
+    bool hasKeptLines() const { return !m_kept.empty(); }
     /** Writes what the descriptor takes of the kept lines. */
     void flush();
     const LogCounters &counters() const { return m_counters; }
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -56,6 +56,7 @@
     MonotonicTime deadlineAt;       ///< latest time of the reply
     MonotonicTime partialAnswerAt;  ///< earliest time of a partial answer with minimum coverage
     std::vector<Part> parts;
+    std::size_t hedges = 0; ///< hedges sent for any part
     std::shared_ptr<RequestLosses> losses;
 };
 
--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -277,6 +277,9 @@
     const AttemptRecord late = m_attempts.at(part.openAttempts.front());
     send(exchange, index, backend);
     m_counters.add("hedges_total");
+    // One line for a request; its number of hedges is logged with the answer.
+    if (++exchange.hedges > 1)
+        return;
     m_effects->push_back(LogRecord { LogPriority::Detail,
                                      "hedged",
                                      { { "requestId", exchange.request->requestId },
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -238,7 +238,9 @@
     void replyFailed(Exchange &exchange);
     void refuse(ExchangeId exchange, const GatewayRequest &request, RefusalReason reason);
     void finish(Exchange &exchange, Reply reply);
-    void logReply(const Exchange &exchange, const Reply &reply, const std::string &outcome);
+    /** The log line on a reply. */
+    LogRecord describeReply(const Exchange &exchange, const Reply &reply,
+                            const std::string &outcome);
 
     Exchange *find(ExchangeId exchange);
     RepeatBudget &budgetOf(const ServiceId &service);
--- a/src/gateway/RequestReplies.cpp
+++ b/src/gateway/RequestReplies.cpp
@@ -113,15 +113,17 @@
 void RequestDispatcher::finish(Exchange &exchange, Reply reply)
 {
     m_quotas.forget(exchange.id);
+    const std::string outcome = outcomeOf(reply);
+    LogRecord line = describeReply(exchange, reply, outcome);
+    // The caller waits for the reply only, so all else comes after it.
+    m_effects->push_back(
+            ReplyToCaller { exchange.id, std::move(reply), outcome, m_now - exchange.arrivedAt });
     for (Part &part : exchange.parts) {
         stopWaiting(part);
         releaseAttempts(part, kFinishLinger);
     }
     endRequest(*exchange.losses);
-    const std::string outcome = outcomeOf(reply);
-    logReply(exchange, reply, outcome);
-    m_effects->push_back(
-            ReplyToCaller { exchange.id, std::move(reply), outcome, m_now - exchange.arrivedAt });
+    m_effects->push_back(std::move(line));
     m_exchanges.erase(exchange.id);
 }
 
@@ -140,8 +142,8 @@
     return text;
 }
 
-void RequestDispatcher::logReply(const Exchange &exchange, const Reply &reply,
-                                 const std::string &outcome)
+LogRecord RequestDispatcher::describeReply(const Exchange &exchange, const Reply &reply,
+                                           const std::string &outcome)
 {
     LogRecord line;
     m_counters.add("answers_total{outcome=\"" + outcome + "\"}");
@@ -160,7 +162,9 @@
         line.fields.emplace_back("status", std::to_string(forwarded->answer.status));
     if (!isServed)
         line.fields.emplace_back("missing", describeMissingParts(exchange));
-    m_effects->push_back(std::move(line));
+    if (exchange.hedges > 0)
+        line.fields.emplace_back("hedges", std::to_string(exchange.hedges));
+    return line;
 }
 
 } // namespace greengagestair
--- a/tests/app/GatewayServerTest.cpp
+++ b/tests/app/GatewayServerTest.cpp
@@ -336,10 +336,16 @@
                   "greengagestair_malformed_responses_total"
                   "{source=\"backendServer\",reason=\"status\"} 1\n");
     fixture.await(*metrics, "greengagestair_attempts_failed_total{failure=\"corrupt\"} 1\n");
-    std::string log(65'536, '\0');
-    log.resize(static_cast<std::size_t>(read(pipeEnds[0], log.data(), log.size())));
-    const std::size_t line = log.find("\"malformedResponse\"");
-    REQUIRE(line != std::string::npos);
+    fcntl(pipeEnds[0], F_SETFL, O_NONBLOCK);
+    std::string log;
+    std::size_t line = std::string::npos;
+    runUntil(fixture.context, [&] {
+        std::array<char, 4096> buffer {};
+        const ssize_t bytes = read(pipeEnds[0], buffer.data(), buffer.size());
+        log.append(buffer.data(), static_cast<std::size_t>(std::max<ssize_t>(bytes, 0)));
+        line = log.find("\"malformedResponse\"");
+        return line != std::string::npos && log.find('\n', line) != std::string::npos;
+    });
     CHECK(log.find("\"sender\":\"i-1\"", line) != std::string::npos);
     CHECK(log.find("\"reason\":\"status\"", line) != std::string::npos);
     close(pipeEnds[0]);
--- a/tests/app/JsonLineLogTest.cpp
+++ b/tests/app/JsonLineLogTest.cpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <string>
@@ -55,6 +56,7 @@
     Pipe pipe;
     JsonLineLog log(pipe.writer(), "edge-1");
     log.write({ LogPriority::Failure, "refused", { { "requestId", "a\"b\n" } } }, at(1s));
+    log.flush();
     const std::string text = pipe.readAll();
     REQUIRE(text.ends_with("\n"));
     const auto line = boost::json::parse(text.substr(0, text.size() - 1)).as_object();
@@ -63,6 +65,25 @@
     CHECK(line.at("requestId") == "a\"b\n");
 }
 
+// Guards against a write for each line while a request is in progress.
+TEST_CASE("lines are written together, at a flush or once there are many", "[app]")
+{
+    Pipe pipe;
+    JsonLineLog log(pipe.writer(), "edge-1");
+    for (int i = 0; i < 3; ++i)
+        log.write({ LogPriority::State, "event", {} }, at(1s));
+    CHECK(pipe.readAll().empty());
+    CHECK(log.hasKeptLines());
+    log.flush();
+    CHECK_FALSE(log.hasKeptLines());
+    const std::string lines = pipe.readAll();
+    CHECK(std::count(lines.begin(), lines.end(), '\n') == 3);
+
+    for (int i = 0; i < 40; ++i)
+        log.write({ LogPriority::State, "event", { { "text", std::string(1000, 'x') } } }, at(2s));
+    CHECK(pipe.readAll().size() > 32'000);
+}
+
 // Guards against an event loop that waits for the reader of its log.
 TEST_CASE("a full pipe drops lines, counts them and never blocks", "[app]")
 {
@@ -97,5 +118,6 @@
     CHECK(dropped > 4500);
     log.write({ LogPriority::Failure, "failure", {} }, at(6s));
     CHECK(log.counters().overRate == dropped);
+    log.flush();
     CHECK(pipe.readAll().find("failure") != std::string::npos);
 }
