Move answers and count settled parts instead of copying and searching

Each response of a gathering request was copied twice with its fields, and two passes over all parts of the request counted the answers: work for each response that grows with the parts. A request now keeps the numbers of its answered and failed parts, and the answer is moved from the event to its part.

--- a/src/app/GatewayFrontEnd.cpp
+++ b/src/app/GatewayFrontEnd.cpp
@@ -32,7 +32,7 @@
     passed->deadline = parseMilliseconds(request.header(m_names.deadline));
     passed->method = std::move(request.method);
     passed->target = std::move(request.target);
-    passed->headers = endToEndFields(request.headers);
+    passed->headers = endToEndFields(std::move(request.headers));
     std::erase_if(passed->headers, [this](const HeaderField &field) {
         return equalsIgnoringCase(field.name, m_names.deadline)
                 || equalsIgnoringCase(field.name, m_names.expectedServer);
--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -162,14 +162,18 @@
             m_events.pop_front();
             work = loopWorkOf(event);
         }
+        const bool isConfiguration = std::holds_alternative<ConfigurationRead>(event);
+        std::optional<HostsRead> hosts;
+        if (const auto *read = std::get_if<HostsRead>(&event))
+            hosts = *read;
         const LoopTimes::Clock::time_point begin = LoopTimes::Clock::now();
-        const GatewayEffects effects = m_gateway.handle(event, now());
+        const GatewayEffects effects = m_gateway.handle(std::move(event), now());
         const LoopTimes::Clock::time_point decided = LoopTimes::Clock::now();
         apply(effects);
         m_loopTimes.add(work, decided - begin, LoopTimes::Clock::now() - decided);
-        if (std::holds_alternative<ConfigurationRead>(event))
+        if (isConfiguration)
             updateLimits();
-        if (const auto *hosts = std::get_if<HostsRead>(&event)) {
+        if (hosts) {
             m_announcer.onHostsRead(*hosts, now());
             m_roleElection.update(hosts->hosts);
             m_storeWatcher.setRole(m_roleElection.role(), now());
--- a/src/gateway/Exchange.cpp
+++ b/src/gateway/Exchange.cpp
@@ -2,36 +2,30 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace greengagestair {
 
 /** Tolerance for rounding errors of fractions such as 8/9. */
 static constexpr double kCoverageTolerance = 1e-9;
 
-std::size_t answeredParts(const Exchange &exchange)
+void settlePart(Exchange &exchange, std::size_t index)
 {
-    return static_cast<std::size_t>(
-            std::count_if(exchange.parts.begin(), exchange.parts.end(),
-                          [](const Part &part) { return part.answer.has_value(); }));
-}
-
-std::size_t failedParts(const Exchange &exchange)
-{
-    return static_cast<std::size_t>(
-            std::count_if(exchange.parts.begin(), exchange.parts.end(),
-                          [](const Part &part) { return part.isSettled && !part.answer; }));
+    Part &part = exchange.parts[index];
+    if (std::exchange(part.isSettled, true))
+        return;
+    ++(part.answer ? exchange.answered : exchange.failed);
 }
 
 std::size_t lackingParts(const Exchange &exchange)
 {
-    const std::size_t answered = answeredParts(exchange);
     if (!exchange.route->gather)
-        return exchange.parts.size() - answered;
+        return exchange.parts.size() - exchange.answered;
     const double needed =
             exchange.route->gather->minCoverage * static_cast<double>(exchange.parts.size())
             - kCoverageTolerance;
     const auto least = static_cast<std::size_t>(std::max(std::ceil(needed), 1.0));
-    return least - std::min(least, answered);
+    return least - std::min(least, exchange.answered);
 }
 
 bool hasReachedServer(const Exchange &exchange)
--- a/src/gateway/Exchange.h
+++ b/src/gateway/Exchange.h
@@ -56,14 +56,14 @@
     MonotonicTime deadlineAt;       ///< latest time of the reply
     MonotonicTime partialAnswerAt;  ///< earliest time of a partial answer with minimum coverage
     std::vector<Part> parts;
-    std::size_t hedges = 0; ///< hedges sent for any part
+    std::size_t answered = 0; ///< parts with an answer
+    std::size_t failed = 0;   ///< parts that were settled without an answer
+    std::size_t hedges = 0;   ///< hedges sent for any part
     std::shared_ptr<RequestLosses> losses;
 };
 
-/** Number of parts with an answer. */
-std::size_t answeredParts(const Exchange &exchange);
-/** Number of parts that were settled without an answer. */
-std::size_t failedParts(const Exchange &exchange);
+/** Ends the part, with its answer if it has one. Does nothing if it has ended. */
+void settlePart(Exchange &exchange, std::size_t index);
 /** Number of further answers that the request needs for its minimum coverage. */
 std::size_t lackingParts(const Exchange &exchange);
 /** True if an attempt of any part may have reached a server. */
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -36,7 +36,7 @@
     return share;
 }
 
-GatewayEffects Gateway::handle(const GatewayEvent &event, MonotonicTime now)
+GatewayEffects Gateway::handle(GatewayEvent event, MonotonicTime now)
 {
     if (!m_startedAt) {
         m_startedAt = now;
@@ -50,7 +50,7 @@
     m_observations.beginStep(m_now, m_effects);
     m_rollouts.beginStep(m_now, m_effects);
     m_dispatcher.beginStep(m_now, m_effects);
-    std::visit([&](const auto &typed) { on(typed); }, event);
+    std::visit([&](auto &typed) { on(typed); }, event);
     m_dispatcher.applyQuotaDecisions();
     updateCutOff();
     m_selector.pacing().takeLogRecords(m_effects);
@@ -80,7 +80,7 @@
     m_dispatcher.onCallerDisconnected(event.exchange);
 }
 
-void Gateway::on(const AttemptEnded &event)
+void Gateway::on(AttemptEnded &event)
 {
     m_dispatcher.endAttempt(event);
 }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -34,7 +34,7 @@
     explicit Gateway(const GatewayOptions &options);
 
     /** Applies an event and returns the effects that are to be carried out in this order. */
-    GatewayEffects handle(const GatewayEvent &event, MonotonicTime now);
+    GatewayEffects handle(GatewayEvent event, MonotonicTime now);
     /** Time at which the next TimeAdvanced event is due; nullopt if no timer is pending. */
     std::optional<MonotonicTime> nextWakeUp() const;
     /**
@@ -71,7 +71,7 @@
 private:
     void on(const RequestReceived &event);
     void on(const CallerDisconnected &event);
-    void on(const AttemptEnded &event);
+    void on(AttemptEnded &event);
     void on(const ConfigurationRead &event);
     void on(const EvacuationsRead &event);
     void on(const RegistrationsRead &event);
--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -221,7 +221,7 @@
     if (exchange) {
         exchange->parts[waiting.part].waiting.reset();
         if (result == SendResult::Hopeless) {
-            exchange->parts[waiting.part].isSettled = true;
+            settlePart(*exchange, waiting.part);
             m_givenUpParts.push_back(waiting.exchange);
         }
     }
@@ -299,9 +299,8 @@
 
 void RequestDispatcher::settle(Exchange &exchange, std::size_t index)
 {
-    Part &part = exchange.parts[index];
-    part.isSettled = true;
-    stopWaiting(part);
+    settlePart(exchange, index);
+    stopWaiting(exchange.parts[index]);
 }
 
 void RequestDispatcher::releaseAttempts(Part &part, Duration linger)
@@ -326,18 +325,18 @@
     return !answer.notExecuted && !isUnsignedSuccess && answer.status < 500;
 }
 
-void RequestDispatcher::endAttempt(const AttemptEnded &event)
+void RequestDispatcher::endAttempt(AttemptEnded &event)
 {
     const auto found = m_attempts.find(event.attempt);
     if (found == m_attempts.end())
         return;
-    const AttemptRecord record = found->second;
+    const AttemptRecord record = std::move(found->second);
     m_attempts.erase(found);
     recordLoad(record, event.attempt, event.result);
     recordObservation(record, event.result);
     recordVersionResult(record, event.result);
     // What the result shows about the request counts even if the request has ended.
-    const auto *answer = std::get_if<BackendAnswer>(&event.result);
+    auto *answer = std::get_if<BackendAnswer>(&event.result);
     const auto *failure = std::get_if<AttemptFailure>(&event.result);
     if (answer && showsSurvival(*answer))
         addSuccess(*record.losses);
@@ -349,7 +348,7 @@
         const bool isWanted = std::erase(part.openAttempts, event.attempt) > 0;
         if (isWanted && !part.isSettled) {
             if (answer)
-                onAnswer(*exchange, record.part, record, *answer);
+                onAnswer(*exchange, record.part, record, std::move(*answer));
             else
                 onFailure(*exchange, record.part, record, *failure);
             replyIfDone(*exchange);
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -361,7 +361,7 @@
     Part &part = exchange.parts.emplace_back();
     const auto found = exchange.configuration->services.find(service);
     if (found == exchange.configuration->services.end()) {
-        part.isSettled = true;
+        settlePart(exchange, exchange.parts.size() - 1);
         return false;
     }
     part.service = &found->second;
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -54,8 +54,11 @@
     void applyQuotaDecisions();
     /** Drops a request without a reply and releases its attempts. */
     void onCallerDisconnected(ExchangeId exchange);
-    /** Handles the result of an attempt. After a release, the result only updates the load. */
-    void endAttempt(const AttemptEnded &event);
+    /**
+     * Handles the result of an attempt and takes its answer. After a release, the result only
+     * updates the load.
+     */
+    void endAttempt(AttemptEnded &event);
     /** Handles all timers that are due. */
     void advance();
     /** Records that another host lost a server while it ran a request with this signature. */
--- a/src/gateway/RequestReplies.cpp
+++ b/src/gateway/RequestReplies.cpp
@@ -33,13 +33,11 @@
 void RequestDispatcher::replyToGatherIfDone(Exchange &exchange)
 {
     const std::size_t total = exchange.parts.size();
-    const std::size_t answered = answeredParts(exchange);
-    const std::size_t failed = failedParts(exchange);
-    if (!meetsMinCoverage(exchange, total - failed))
+    if (!meetsMinCoverage(exchange, total - exchange.failed))
         return replyFailed(exchange);
-    const bool isComplete = answered + failed == total;
+    const bool isComplete = exchange.answered + exchange.failed == total;
     const bool isLate = m_now >= exchange.partialAnswerAt;
-    if (meetsMinCoverage(exchange, answered) && (isComplete || isLate))
+    if (meetsMinCoverage(exchange, exchange.answered) && (isComplete || isLate))
         replyMerged(exchange);
 }
 
@@ -76,7 +74,7 @@
 
 void RequestDispatcher::onDeadline(Exchange &exchange)
 {
-    if (exchange.route->gather && meetsMinCoverage(exchange, answeredParts(exchange)))
+    if (exchange.route->gather && meetsMinCoverage(exchange, exchange.answered))
         return replyMerged(exchange);
     if (!mayHaveRun(exchange))
         return replyFailed(exchange);
