Write what the parts of a request share once

The head of a request was put together anew for each of its parts, and the fields of each response were copied. The pool keeps the request line and the fields that all attempts of the last request begin with; the fields of a response are moved. Characters of field names are looked up in a table.

--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -35,6 +35,7 @@
 static constexpr std::chrono::seconds kUnusedConnectionTimeout(5);
 /** Share of the idle timeout in the Keep-Alive field after which a connection is closed. */
 static constexpr double kServerIdleTimeoutShare = 0.8;
+static constexpr std::string_view kLineEnd = "\r\n";
 
 BackendConnection::BackendConnection(BackendConnectionPool &pool, ServerId server,
                                      Endpoint endpoint)
@@ -130,23 +131,45 @@
     return request.body.size() > kSharedBodyBytes;
 }
 
-std::string BackendConnection::serialize(const StartAttempt &attempt) const
+/** The request line and the fields that are the same for all attempts of a request. */
+static std::string serializeSharedHead(const StartAttempt &attempt, const HeaderNames &names)
 {
     const GatewayRequest &request = *attempt.request;
-    const HeaderNames &names = m_pool.m_names;
-    const auto remainingMs =
-            std::chrono::floor<std::chrono::milliseconds>(attempt.remaining).count();
-    std::string text;
-    text.reserve(512 + (sharesBody(request) ? 0 : request.body.size()));
-    text += request.method + " " + request.target + " HTTP/1.1\r\n";
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
     for (const HeaderField &field : request.headers) {
         if (!attempt.caller || !isIdentityField(field.name, names))
             text += field.name + ": " + field.value + "\r\n";
     }
     if (attempt.caller && attempt.caller->tenant)
         text += names.tenant + ": " + attempt.caller->tenant->value + "\r\n";
-    text += names.deadline + ": " + std::to_string(std::max<long long>(remainingMs, 1)) + "\r\n";
-    text += names.expectedServer + ": " + m_server.value + "\r\n";
+    return text;
+}
+
+const std::string &BackendConnectionPool::sharedHead(const StartAttempt &attempt)
+{
+    // The caller of a request does not change between its attempts.
+    if (m_sharedHead.request.lock() != attempt.request)
+        m_sharedHead = { attempt.request, serializeSharedHead(attempt, m_names) };
+    return m_sharedHead.text;
+}
+
+std::string BackendConnection::serialize(const StartAttempt &attempt)
+{
+    const GatewayRequest &request = *attempt.request;
+    const HeaderNames &names = m_pool.m_names;
+    const std::string &sharedHead = m_pool.sharedHead(attempt);
+    const auto remainingMs =
+            std::chrono::floor<std::chrono::milliseconds>(attempt.remaining).count();
+    std::string text;
+    constexpr std::size_t kOwnFieldBytes = 192;
+    text.reserve(sharedHead.size() + kOwnFieldBytes
+                 + (sharesBody(request) ? 0 : request.body.size()));
+    const std::string deadline = std::to_string(std::max<long long>(remainingMs, 1));
+    for (const std::string_view piece :
+         { std::string_view(sharedHead), std::string_view(names.deadline), std::string_view(": "),
+           std::string_view(deadline), kLineEnd, std::string_view(names.expectedServer),
+           std::string_view(": "), std::string_view(m_server.value), kLineEnd })
+        text += piece;
     const bool mayOmitContentLength = request.method == "GET" || request.method == "HEAD"
             || request.method == "DELETE" || request.method == "OPTIONS";
     if (!request.body.empty() || !mayOmitContentLength)
@@ -352,7 +375,7 @@
             });
     answer.notExecuted = statesNotExecuted || answer.status == kMisdirectedRequest;
     answer.statement = readServerStatement(answer.status, fields, names);
-    answer.headers = endToEndFields(fields);
+    answer.headers = endToEndFields(std::move(m_head.fields));
     answer.body = std::move(m_parser->get().body());
     return answer;
 }
--- a/src/http/BackendConnection.h
+++ b/src/http/BackendConnection.h
@@ -54,7 +54,7 @@
     void onConnected(TcpStream::Socket socket);
     void startStream(TcpStream::Socket socket);
     void resetParser();
-    std::string serialize(const StartAttempt &attempt) const;
+    std::string serialize(const StartAttempt &attempt);
     void onBytes(std::string_view bytes);
     void onEnd(StreamEnd end);
     void parse();
--- a/src/http/BackendConnectionPool.h
+++ b/src/http/BackendConnectionPool.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -116,6 +117,14 @@
         bool isReleased = false;
     };
 
+    /** What the attempts of a request begin with; kept for the last request. */
+    struct SharedHead
+    {
+        std::weak_ptr<const GatewayRequest> request;
+        std::string text;
+    };
+
+    const std::string &sharedHead(const StartAttempt &attempt);
     void endAttempt(AttemptId attempt, AttemptResult result);
     /** Handles the end of openIdleConnection(), and the close of an idle connection. */
     void finishOpening(const std::shared_ptr<BackendConnection> &connection, bool isConnected);
@@ -146,6 +155,7 @@
     std::size_t m_bufferedBytes = 0;
     std::size_t m_maxBufferedBytes = kMaxBufferedBytes;
     BackendConnectionCounters m_counters;
+    SharedHead m_sharedHead;
 };
 
 } // namespace greengagestair
--- a/src/http/HttpFields.cpp
+++ b/src/http/HttpFields.cpp
@@ -42,15 +42,13 @@
     return {};
 }
 
-Headers endToEndFields(const Headers &headers)
+Headers endToEndFields(Headers headers)
 {
-    const std::string_view connection = fieldValue(headers, "Connection");
-    Headers kept;
-    for (const HeaderField &field : headers) {
-        if (!isHopByHop(field.name) && !hasToken(connection, field.name))
-            kept.push_back(field);
-    }
-    return kept;
+    const std::string connection(fieldValue(headers, "Connection"));
+    std::erase_if(headers, [&](const HeaderField &field) {
+        return isHopByHop(field.name) || hasToken(connection, field.name);
+    });
+    return headers;
 }
 
 } // namespace greengagestair
--- a/src/http/HttpFields.h
+++ b/src/http/HttpFields.h
@@ -22,6 +22,6 @@
  * Returns the fields that a proxy forwards: those that are neither hop-by-hop (see isHopByHop())
  * nor listed in the first Connection field.
  */
-Headers endToEndFields(const Headers &headers);
+Headers endToEndFields(Headers headers);
 
 } // namespace greengagestair
--- a/src/http/ResponseHead.cpp
+++ b/src/http/ResponseHead.cpp
@@ -1,6 +1,7 @@
 #include "http/ResponseHead.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cstdint>
 #include <optional>
@@ -41,12 +42,22 @@
     return c >= '0' && c <= '9';
 }
 
-/** True for the characters of a token (RFC 9110, section 5.6.2). */
+/** Which bytes are characters of a token (RFC 9110, section 5.6.2). */
+static constexpr std::array<bool, 256> kTokenCharacters = [] {
+    std::array<bool, 256> table {};
+    for (const std::string_view characters :
+         { std::string_view("abcdefghijklmnopqrstuvwxyz"),
+           std::string_view("ABCDEFGHIJKLMNOPQRSTUVWXYZ"), std::string_view("0123456789"),
+           std::string_view("!#$%&'*+-.^_`|~") }) {
+        for (const char c : characters)
+            table[static_cast<unsigned char>(c)] = true;
+    }
+    return table;
+}();
+
 static bool isTokenCharacter(char c)
 {
-    constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
-    return isDigit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
-            || kPunctuation.find(c) != std::string_view::npos;
+    return kTokenCharacters[static_cast<unsigned char>(c)];
 }
 
 /** True if the text may stand in a field value or a reason phrase (RFC 9110, section 5.5). */
