--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -1,6 +1,5 @@
 #include "http/BackendConnection.h"
 
-#include "gateway/CallerAuthentication.h"
 #include "http/HttpFields.h"
 #include "http/ServerStatementReader.h"
 
@@ -120,39 +119,11 @@
         m_parser->skip(true);
 }
 
-/** True if the field tells who the caller is, which only this host may tell a server. */
-static bool isIdentityField(std::string_view name, const HeaderNames &names)
-{
-    return equalsIgnoringCase(name, kAuthorizationField) || equalsIgnoringCase(name, names.tenant);
-}
-
 static bool sharesBody(const GatewayRequest &request)
 {
     return request.body.size() > kSharedBodyBytes;
 }
 
-/** The request line and the fields that are the same for all attempts of a request. */
-static std::string serializeSharedHead(const StartAttempt &attempt, const HeaderNames &names)
-{
-    const GatewayRequest &request = *attempt.request;
-    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
-    for (const HeaderField &field : request.headers) {
-        if (!attempt.caller || !isIdentityField(field.name, names))
-            text += field.name + ": " + field.value + "\r\n";
-    }
-    if (attempt.caller && attempt.caller->tenant)
-        text += names.tenant + ": " + attempt.caller->tenant->value + "\r\n";
-    return text;
-}
-
-const std::string &BackendConnectionPool::sharedHead(const StartAttempt &attempt)
-{
-    // The caller of a request does not change between its attempts.
-    if (m_sharedHead.request.lock() != attempt.request)
-        m_sharedHead = { attempt.request, serializeSharedHead(attempt, m_names) };
-    return m_sharedHead.text;
-}
-
 std::string BackendConnection::serialize(const StartAttempt &attempt)
 {
     const GatewayRequest &request = *attempt.request;
