--- a/bench/GatewayCost.cpp
+++ b/bench/GatewayCost.cpp
@@ -95,7 +95,7 @@
     GatewayOptions options;
     options.selector.host = { "host-0" };
     options.selector.failureDomain = domainName(0);
-    options.repeats.slack = 630;
+    options.repeats.slack = 600;
     options.randomSeed = 1;
     return options;
 }
@@ -112,17 +112,17 @@
     route.host = "lookup.example";
     route.prefix = "/find/";
     route.repeatable = true;
-    route.timeout = 600ms;
-    route.latencyTarget = 60ms;
+    route.timeout = 500ms;
+    route.latencyTarget = 50ms;
     route.maxAttempts = 2;
     GatherPolicy gather;
     gather.topRecords = 5;
-    gather.minCoverage = 0.85;
+    gather.minCoverage = 0.8;
     RegistrationsRead servers;
     for (std::size_t index = 0; index < services; ++index) {
         BackendService service;
         service.name = { "shard-" + std::to_string(index) };
-        service.connectionLimit = 195;
+        service.connectionLimit = 200;
         configuration.services.emplace(service.name, service);
         if (index < parts)
             gather.services.push_back(service.name);
@@ -136,7 +136,7 @@
                 "10.1." + std::to_string(index) + "." + std::to_string(server), 8000
             };
             registration.failureDomain = domainName(server);
-            registration.slots = 7;
+            registration.slots = 4;
             registration.startedAt = 1;
             servers.registrations.push_back(registration);
         }
@@ -190,7 +190,7 @@
         m_now = m_open.front().answerAt;
         BackendAnswer answer;
         answer.status = 200;
-        answer.signature = "3e1b.07.5a2.600.0.c9f2a4d1";
+        answer.signature = "signature of the server";
         answer.body = m_records;
         const AttemptId attempt = m_open.front().attempt;
         m_open.pop_front();
@@ -207,7 +207,7 @@
     request->target = "/find/elbow";
     request->host = "lookup.example";
     request->requestId = "id-" + std::to_string(++m_requests);
-    request->deadline = 600ms;
+    request->deadline = 500ms;
     const GatewayEvent event = RequestReceived { { m_requests }, request };
     handle(event, m_choosing);
     while (m_gateway.hasUnsentParts())
@@ -297,7 +297,7 @@
     }
 
     const std::string m_response = "HTTP/1.1 200 OK\r\n"
-                                   "X-Backend-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
+                                   "Signature: signature-of-the-server\r\n"
                                    "Content-Type: application/octet-stream\r\n"
                                    "Keep-Alive: timeout=10\r\n"
                                    "Content-Length: 96\r\n\r\n"
@@ -316,11 +316,11 @@
 HeaderNames headerNames()
 {
     HeaderNames names;
-    names.requestId = "X-Request-Id";
-    names.deadline = "X-Deadline-Ms";
-    names.expectedServer = "X-Target-Instance";
-    names.signature = "X-Backend-Signature";
-    names.notExecuted = "X-Not-Executed";
+    names.requestId = "Request-Id";
+    names.deadline = "Deadline";
+    names.expectedServer = "Expected-Server";
+    names.signature = "Signature";
+    names.notExecuted = "Not-Executed";
     return names;
 }
 
@@ -349,7 +349,7 @@
         request->host = "lookup.example";
         request->requestId = "id-" + std::to_string(round);
         request->headers = { { "Host", "lookup.example" },
-                             { "X-Request-Id", request->requestId },
+                             { "Request-Id", request->requestId },
                              { "Accept", "*/*" } };
         const bool isWarmUp = round == 0;
         const auto begin = threadTime();
--- a/tests/gateway/SlowHostTest.cpp
+++ b/tests/gateway/SlowHostTest.cpp
@@ -13,7 +13,7 @@
 class SlowHost
 {
 public:
-    static constexpr std::size_t kParts = 90;
+    static constexpr std::size_t kParts = 80;
     static constexpr Duration kSendTime = 200us;
     static constexpr Duration kReadTime = 150us;
     static constexpr Duration kServerTime = 6ms;
@@ -24,8 +24,8 @@
         RoutingConfiguration configuration;
         configuration.version = 1;
         GatewayRoute route = GatewayFixture::lookupRoute();
-        route.latencyTarget = 60ms;
-        route.timeout = 600ms;
+        route.latencyTarget = 50ms;
+        route.timeout = 500ms;
         route.gather->services.clear();
         RegistrationsRead servers;
         for (std::size_t shard = 0; shard < kParts; ++shard) {
