Show that two hosts issue the quota of one tenant after hosts have joined

The store turns away the hosts of one failure domain, among them the issuer of a tenant's permits. Two hosts join elsewhere and rank before it. The new issuer starts 2 s after it was listed, while the former one, which cannot read the new list, issues in full until its last contact is 5 s old.

--- a/review/common-2/store.py
+++ b/review/common-2/store.py
@@ -17,13 +17,19 @@
         self.leases = {}
         self.last_lease = 100
         self.changed = asyncio.Event()
-        self.server = None
+        self.servers = []
         self.address = None
-        self.era_calls = {}
+        self.turned_away = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.address = await self.open_door("")
+
+    async def open_door(self, name):
+        """Opens an address for one machine, which the store can turn away by this name."""
+        server = await asyncio.start_server(
+            lambda reader, writer: self._serve(reader, writer, name), "127.0.0.1", 0)
+        self.servers.append(server)
+        return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
 
     def put(self, key, value, lease=0):
         """Writes a value and returns the time of the acknowledgement."""
@@ -60,7 +66,7 @@
         for key in [key for key, item in self.items.items() if item["lease"] == lease]:
             self.remove(key)
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, reader, writer, door):
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -71,7 +77,7 @@
                     name, _, value = line.partition(":")
                     fields[name.strip().lower()] = value.strip()
                 body = await reader.readexactly(int(fields.get("content-length", "0")))
-                status, answer = await self._answer(method, target, body)
+                status, answer = await self._answer(method, target, body, door)
                 text = json.dumps(answer).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
                              % (status, len(text), text))
@@ -81,7 +87,9 @@
         finally:
             writer.close()
 
-    async def _answer(self, method, target, body):
+    async def _answer(self, method, target, body, door):
+        if door in self.turned_away:
+            return 503, {}
         parts = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
         self._end_leases()
@@ -94,7 +102,7 @@
             return 200, {"items": [self.items[key] for key in keys[:500]], "truncated": len(keys) > 500,
                          "current_rev": self.revision}
         if parts.path == "/kv-watch":
-            return await self._watch(query)
+            return await self._watch(query, door)
         if parts.path == "/kv-txn":
             return self._transaction(json.loads(body))
         if parts.path == "/kv-lease":
@@ -112,10 +120,12 @@
         self._drop_lease(lease)
         return 200, {}
 
-    async def _watch(self, query):
+    async def _watch(self, query, door):
         after = int(query["after"])
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
+            if door in self.turned_away:
+                return 503, {}
             self._end_leases()
             events = [event for event in self.history
                       if event["rev"] > after and event["key"].startswith(query.get("prefix", ""))]
