--- a/review/6/case.py
+++ b/review/6/case.py
@@ -112,23 +112,29 @@
             "timeout_ms": 5000, "target_latency_ms": 1000, "priority": 1, "service": name, "max_attempts": 2})
         services.append({"name": name, "max_conns": 110, "health_path": "/healthz"})
     store.put("op/config", {"version": 3, "limits": LIMITS, "routes": routes, "services": services})
-    gateway = Gateway("edge-shubra-1", "127.0.0.1", store.address, "shubra", folder)
+    gateways = [Gateway("edge-%s-1" % zone, "127.0.0.1", store.address, zone, folder)
+                for zone in ("shubra", "bulaq", "helwan")]
     broken = []
     answered = 0
     try:
-        gateway.start()
-        await gateway.wait_until_ready()
+        for gateway in gateways:
+            gateway.start()
+        for gateway in gateways:
+            await gateway.wait_until_ready()
         await asyncio.sleep(1)
-        for number in range(2 * BACKENDS):
-            request, status, body = await ask(gateway, number, number // 2)
-            record.add("client: %s -> %s, %d bytes" % (request, status, len(body)))
+        # The first 20 requests go to the machine whose connections are reset, two to each backend.
+        doors = [gateways[0]] * (2 * BACKENDS) + [gateways[1], gateways[2]] * 3
+        for number, gateway in enumerate(doors):
+            request, status, body = await ask(gateway, number, number // 2 % BACKENDS)
+            record.add("client: %s at %s -> %s, %d bytes" % (request, gateway.name, status, len(body)))
             if status == 200 and body == ANSWER:
                 answered += 1
             elif status == 200:
                 broken.append("%s: success with %d bytes, the backend's whole body has %d"
                               % (request, len(body), len(ANSWER)))
     finally:
-        gateway.end()
+        for gateway in gateways:
+            gateway.end()
     if answered < BACKENDS // 2:
         raise RuntimeError("only %d requests were answered in full" % answered)
     return broken
