--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 files=(common-2/*.py)
-for number in 6 7 8 9 quota-join-2; do
+for number in 6 7 8 9 10 quota-join-2; do
     for file in "$number"/*.py; do
         [ -e "$file" ] && files+=("$file")
     done
