Close a connection at once when its request cannot be written

A request of which no byte was written could get a response that was left on the connection, or end as lost, so that an order which provably had not run got 502 instead of a second server.

Cause: BackendConnection::send() ended the attempt in a posted function and left the stream open. Events of the connection that the loop had found together with the one that started the request came first.

The stream is closed when the write fails; no handler is called afterwards. The new test failed before in both of its cases.

--- a/src/http/BackendConnection.cpp
+++ b/src/http/BackendConnection.cpp
@@ -163,6 +163,8 @@
         body = { attempt.request, &attempt.request->body };
     if (m_stream->write(serialize(attempt), std::move(body)))
         return;
+    // What may still arrive belongs to no request.
+    m_stream->close();
     const std::weak_ptr<BackendConnection> self = weak_from_this();
     asio::post(m_pool.m_context, [self] {
         if (const auto connection = self.lock())
--- a/tests/http/ResetResponseTest.cpp
+++ b/tests/http/ResetResponseTest.cpp
@@ -1,5 +1,8 @@
 #include "PoolFixture.h"
 
+#include <boost/asio/local/connect_pair.hpp>
+#include <boost/asio/local/stream_protocol.hpp>
+
 using namespace greengagestair;
 
 /** Larger than the send and receive buffers of the kernel together. */
@@ -61,3 +64,28 @@
     fixture.peer().reset();
     CHECK(fixture.answer(1).body == "abc");
 }
+
+// Guards against bytes of an idle connection that are taken for the response to a request of which
+// nothing was sent, and against an outcome that looks unknown.
+TEST_CASE("a request that could not be written at all gets no response", "[http][broken]")
+{
+    const bool hasStrayResponse = GENERATE(false, true);
+    CAPTURE(hasStrayResponse);
+    PoolFixture fixture;
+    fixture.start(1);
+    fixture.respond(1, response(1, "a"));
+    fixture.answer(1);
+    // The event that starts the request is handled before those of the connection, all of which
+    // the event loop finds at once.
+    using Pair = boost::asio::local::stream_protocol;
+    Pair::socket trigger(fixture.context);
+    Pair::socket waiting(fixture.context);
+    boost::asio::local::connect_pair(trigger, waiting);
+    waiting.async_wait(Pair::socket::wait_read, [&](auto) { fixture.start(2); });
+    fixture.context.poll();
+    boost::asio::write(trigger, boost::asio::buffer("x", 1));
+    if (hasStrayResponse)
+        fixture.peer().write("HTTP/1.1 200 OK\r\nSignature: sig\r\nContent-Length: 3\r\n\r\nabc");
+    fixture.peer().reset();
+    CHECK(fixture.failure(2) == AttemptFailure::NotSent);
+}
