Require keys when the list of tenants is empty

Cause: the decoded configuration held only the list of tenants, so an empty list and a missing field looked the same. The check of keys, the fields passed on to servers and the page explain each asked whether the list is empty.

Evidence: requests with keys that no version ever held ran, too, so no older version was in force; hosts hand on entries of the store unchanged.

The configuration now says whether it requires keys, and each decision asks that. A version without the field serves all callers, public routes need no key, and requests in progress keep their tenant.

--- a/src/gateway/CallerAuthentication.cpp
+++ b/src/gateway/CallerAuthentication.cpp
@@ -49,7 +49,7 @@
 Authentication authenticate(const RoutingConfiguration &configuration, const GatewayRoute &route,
                             const GatewayRequest &request)
 {
-    if (configuration.tenants.empty())
+    if (!configuration.requiresKeys)
         return { true, nullptr };
     const Tenant *tenant = tenantOf(configuration, request);
     return { tenant || route.isPublic, tenant };
--- a/src/gateway/CallerAuthentication.h
+++ b/src/gateway/CallerAuthentication.h
@@ -18,8 +18,8 @@
 };
 
 /**
- * Checks the key of a request: one Authorization field with the scheme Bearer. Without tenants in
- * the configuration every request is allowed. On a public route a request without a valid key is
+ * Checks the key of a request: one Authorization field with the scheme Bearer. If the configuration
+ * requires no keys, every request is allowed. On a public route a request without a valid key is
  * allowed, too, and has no tenant.
  */
 Authentication authenticate(const RoutingConfiguration &configuration, const GatewayRoute &route,
--- a/src/gateway/GatewayEffect.h
+++ b/src/gateway/GatewayEffect.h
@@ -32,8 +32,8 @@
     Duration remaining {}; ///< time left for the response
     IdleConnectionLimits idleLimits;
     /**
-     * Set if the configuration has tenants: the server then gets the tenant's name and neither the
-     * caller's key nor a tenant that the caller names.
+     * Set if the configuration requires keys: the server then gets the tenant's name and neither
+     * the caller's key nor a tenant that the caller names.
      */
     std::optional<VerifiedCaller> caller {};
 };
--- a/src/gateway/RequestAttempts.cpp
+++ b/src/gateway/RequestAttempts.cpp
@@ -114,10 +114,10 @@
     return SendResult::Sent;
 }
 
-/** Whom the servers are told that a request is sent for; nullopt without tenants. */
+/** Whom the servers are told that a request is sent for; nullopt if requests need no keys. */
 static std::optional<VerifiedCaller> verifiedCaller(const Exchange &exchange)
 {
-    if (exchange.configuration->tenants.empty())
+    if (!exchange.configuration->requiresKeys)
         return std::nullopt;
     if (!exchange.tenant)
         return VerifiedCaller {};
--- a/src/gateway/RoutingConfiguration.cpp
+++ b/src/gateway/RoutingConfiguration.cpp
@@ -18,6 +18,7 @@
     for (const std::string &key : tenant.keys)
         configuration.tenantByKey.emplace(key, index);
     configuration.tenants.push_back(std::move(tenant));
+    configuration.requiresKeys = true;
 }
 
 const GatewayRoute *findRoute(const RoutingConfiguration &configuration, std::string_view host,
--- a/src/gateway/RoutingConfiguration.h
+++ b/src/gateway/RoutingConfiguration.h
@@ -41,7 +41,7 @@
     int urgencyRank = 0;                  ///< 0 is the most urgent
     std::vector<WeightedService> targets; ///< empty for a gathering route
     std::optional<GatherPolicy> gather;   ///< set for a gathering route
-    bool isPublic = false;                ///< requests need no key even if there are tenants
+    bool isPublic = false;                ///< requests need no key even if the others do
 };
 
 /** Properties that hold for each backend server of a service. */
@@ -81,12 +81,17 @@
     std::vector<GatewayRoute> routes;
     std::map<ServiceId, BackendService> services;
     CallerLimits limits;
-    std::vector<Tenant> tenants; ///< empty: requests need no key
+    /** Requests need a tenant's key, except on public routes. Can be true without any tenant. */
+    bool requiresKeys = false;
+    std::vector<Tenant> tenants;
     /** Index of the tenant that holds a key. */
     std::unordered_map<std::string, std::size_t> tenantByKey;
 };
 
-/** Adds a tenant and its keys. A key that an earlier tenant holds stays with that tenant. */
+/**
+ * Adds a tenant and its keys, and requires keys from now on. A key that an earlier tenant holds
+ * stays with that tenant.
+ */
 void addTenant(RoutingConfiguration &configuration, Tenant tenant);
 
 /**
--- a/src/gateway/explain/Explainer.cpp
+++ b/src/gateway/explain/Explainer.cpp
@@ -102,9 +102,9 @@
 void Explainer::addTenant(const GatewayRoute &route, const std::string &name,
                           json::object &result) const
 {
-    const std::vector<Tenant> &tenants = m_configuration->tenants;
-    if (tenants.empty())
+    if (!m_configuration->requiresKeys)
         return;
+    const std::vector<Tenant> &tenants = m_configuration->tenants;
     const auto found = std::find_if(tenants.begin(), tenants.end(), [&name](const Tenant &tenant) {
         return tenant.name.value == name;
     });
--- a/tests/gateway/TenantTest.cpp
+++ b/tests/gateway/TenantTest.cpp
@@ -120,6 +120,60 @@
     CHECK(fixture.refusal() == RefusalReason::Unauthorized);
 }
 
+// Guards against dropped keys that work again, and that servers get, once no tenant is left.
+TEST_CASE("without any tenant requests need a key if the configuration requires keys",
+          "[gateway][tenants]")
+{
+    TenantFixture fixture;
+    RoutingConfiguration next = fixture.configuration;
+    next.version = 2;
+    next.tenants.clear();
+    next.tenantByKey.clear();
+    REQUIRE(next.requiresKeys);
+    fixture.send(ConfigurationRead { std::make_shared<const RoutingConfiguration>(next) });
+    for (const std::string credentials : { "Bearer key-1", "Bearer other", "" }) {
+        fixture.replies.clear();
+        fixture.sendWith({ { "Authorization", credentials } });
+        CHECK(fixture.refusal() == RefusalReason::Unauthorized);
+    }
+    const auto refusals =
+            fixture.gateway()
+                    .explain({ "orders.example", "/order/7", "builders" }, fixture.now)
+                    .at("refusals")
+                    .as_array();
+    REQUIRE(refusals.size() == 1);
+    CHECK(refusals[0].at("reason").as_string() == toText(RefusalReason::Unauthorized));
+    fixture.sendWith({ { "Authorization", "Bearer key-1" } }, "/open/x");
+    CHECK(fixture.tenantOfAttempt().empty());
+    // A version that requires no keys serves all callers again.
+    next.version = 3;
+    next.requiresKeys = false;
+    fixture.send(ConfigurationRead { std::make_shared<const RoutingConfiguration>(next) });
+    fixture.sendWith({});
+    const auto sent = fixture.takeAttempts();
+    REQUIRE(sent.size() == 1);
+    CHECK_FALSE(sent.front().caller);
+}
+
+// Guards against an accepted request that is repeated without its tenant, or refused midway, when
+// its key is removed.
+TEST_CASE("a request in progress keeps its tenant when the last tenant is removed",
+          "[gateway][tenants]")
+{
+    TenantFixture fixture;
+    RoutingConfiguration next = fixture.configuration;
+    next.version = 2;
+    next.tenants.clear();
+    next.tenantByKey.clear();
+    fixture.sendWith({ { "Authorization", "Bearer key-1" } });
+    fixture.send(ConfigurationRead { std::make_shared<const RoutingConfiguration>(next) });
+    fixture.shed(fixture.takeAttempts().front());
+    fixture.wait(50ms);
+    CHECK_FALSE(fixture.attempts.empty());
+    for (const StartAttempt &attempt : fixture.attempts)
+        CHECK(attempt.caller->tenant == TenantId { "builders" });
+}
+
 TEST_CASE("without tenants no key is looked at and all fields are passed on", "[gateway][tenants]")
 {
     GatewayFixture fixture;
--- a/tests/platform/EntryDecoderTest.cpp
+++ b/tests/platform/EntryDecoderTest.cpp
@@ -1,4 +1,6 @@
 #include "platform/EntryDecoder.h"
+
+#include "gateway/CallerAuthentication.h"
 #include "platform/RolloutEntries.h"
 
 #include <boost/json/parse.hpp>
@@ -112,6 +114,35 @@
     CHECK(configuration.tenantByKey.at("c") == 1);
 }
 
+// Guards against requests that need no key once the last tenant is removed, and against a field
+// that cannot be read and is taken for a missing one.
+TEST_CASE("an empty list of tenants requires keys and a missing one does not", "[platform]")
+{
+    const std::string configuration = R"({"version":8,"routes":[
+        {"name":"b","host":"h","prefix":"/b/","type":"idempotent","timeout_ms":2500,
+         "target_latency_ms":250,"priority":1,"service":"s1","max_attempts":1},
+        {"name":"c","host":"h","prefix":"/c/","type":"idempotent","timeout_ms":2500,
+         "target_latency_ms":250,"priority":1,"service":"s1","max_attempts":1,"public":true}],
+        "services":[])";
+    const auto isAllowed = [&](const std::string &tenants, std::size_t route,
+                               const Headers &headers) {
+        const StoreEntry entry = decode("op/config", configuration + tenants + "}");
+        const auto &decoded = *std::get<ConfigurationEntry>(entry.value).configuration;
+        GatewayRequest request;
+        request.headers = headers;
+        return authenticate(decoded, decoded.routes[route], request).isAllowed;
+    };
+    const Headers headers = GENERATE(Headers {}, Headers { { "Authorization", "Bearer key" } });
+    CHECK(isAllowed("", 0, headers));
+    CHECK_FALSE(isAllowed(R"(,"tenants":[])", 0, headers));
+    CHECK(isAllowed(R"(,"tenants":[])", 1, headers));
+    CHECK_FALSE(isAllowed(R"(,"tenants":[{"name":"t","api_keys":[]}])", 0, headers));
+    const std::string unreadable = GENERATE(as<std::string> {}, "null", "{}", "false", R"("")");
+    const StoreEntry entry =
+            decode("op/config", configuration + R"(,"tenants":)" + unreadable + "}");
+    CHECK(std::holds_alternative<AbsentEntry>(entry.value));
+}
+
 // Guards against a tenant's name that adds fields to requests, and against a key that is empty.
 TEST_CASE("a configuration with an unusable tenant is unreadable", "[platform]")
 {
