Refuse an answer of the store that lacks its list

An answer with a valid revision but without `items` or `events`, or with something else in their place, counted as an empty list: a host that reads the store in full would believe that there are no servers, and a watch would go on after changes that it never saw. Whether the users' store can send such an answer is not known.

--- a/tests/platform/OddAnswerTest.cpp
+++ b/tests/platform/OddAnswerTest.cpp
@@ -134,6 +134,24 @@
     }
 }
 
+// Guards against an answer without its list that is taken for an empty store, or for no changes.
+TEST_CASE("an answer of the store without its list is unreadable", "[platform][odd]")
+{
+    OddStoreFixture fixture;
+    const std::string list = GENERATE(as<std::string> {}, "", "null", "{}", R"("")");
+    CAPTURE(list);
+    const auto body = [&](const std::string &name) {
+        return R"({"current_rev":5)" + (list.empty() ? "" : ",\"" + name + "\":" + list) + "}";
+    };
+    fixture.bodies = { body("items") };
+    CHECK(std::get<StoreFailure>(fixture.readAll()) == StoreFailure::Unreadable);
+    fixture.bodies = { body("events") };
+    CHECK(std::get<StoreFailure>(fixture.awaitChanges()) == StoreFailure::HistoryDropped);
+    fixture.bodies = { R"({"current_rev":5,"items":[],"events":[]})" };
+    CHECK(std::get<StoreEntries>(fixture.readAll()).entries.empty());
+    CHECK(std::get<StoreEntries>(fixture.awaitChanges()).entries.empty());
+}
+
 // Guards against hosts that follow the store no more because of one unreadable key.
 TEST_CASE("a page with one odd item is read but for that item", "[platform][odd]")
 {
