Apply changed limits of callers to open connections

A lowered timeout cut off connections and requests whose callers kept to the one before.

Cause: the parser of the next request got its sizes when the request before it was passed on, or when the connection was accepted. Timeouts were read at each check.

A connection now holds the limits of the request that is being received, or of its idle time: the newest ones at the beginning, raised but never lowered while it lasts. Boost.Beast counts its body limit down in a chunked body, so chunks are checked against the bytes received instead.

--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -80,8 +80,9 @@
     /** Starts to accept connections. Port 0 selects a free port. Error: HttpListenFailed. */
     boost::leaf::result<void> listen(const Endpoint &endpoint);
     /**
-     * Sets the limits for callers. Timeouts apply at once. Size limits apply to new connections,
-     * and to open ones only after their next request.
+     * Sets the limits for callers. They apply to all requests that begin from now on, also on open
+     * connections. Higher limits apply at once; lower ones do not apply to a request that is being
+     * received, nor to a connection that is idle until its next request.
      */
     void setLimits(const CallerLimits &limits) { m_limits = limits; }
     /**
--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -36,6 +36,9 @@
     : m_id(id)
     , m_server(server)
     , m_stream(std::make_shared<TcpStream>(std::move(socket)))
+    , m_limits(server.limits())
+    , m_onChunkHeader([this](std::uint64_t bytes, std::string_view,
+                             boost::system::error_code &error) { checkChunk(bytes, error); })
     , m_stateSince(steady_clock::now())
 {
     m_share.emplace(server.m_account, static_cast<AccountedCaller &>(*this), m_stateSince);
@@ -64,13 +67,30 @@
 {
     m_parser.emplace();
     m_parser->eager(true);
-    m_parser->header_limit(static_cast<std::uint32_t>(m_server.limits().maxHeaderBytes));
-    m_parser->body_limit(m_server.limits().maxBodyBytes);
+    m_parser->on_chunk_header(m_onChunkHeader);
+    m_hasBegunRequest = false;
     m_continueSent = false;
     m_headerBytes = 0;
     m_bodyBytes = 0;
 }
 
+void HttpServerConnection::raiseLimits()
+{
+    const CallerLimits &newest = m_server.limits();
+    m_limits.maxHeaderBytes = std::max(m_limits.maxHeaderBytes, newest.maxHeaderBytes);
+    m_limits.maxBodyBytes = std::max(m_limits.maxBodyBytes, newest.maxBodyBytes);
+    m_limits.headerTimeout = std::max(m_limits.headerTimeout, newest.headerTimeout);
+    m_limits.idleTimeout = std::max(m_limits.idleTimeout, newest.idleTimeout);
+}
+
+/** Limits a chunked body. The parser's own limit cannot be raised within such a body. */
+void HttpServerConnection::checkChunk(std::uint64_t bytes, boost::system::error_code &error) const
+{
+    const std::size_t received = m_parser->get().body().size();
+    if (bytes > m_limits.maxBodyBytes - std::min(received, m_limits.maxBodyBytes))
+        error = http::error::body_limit;
+}
+
 void HttpServerConnection::onBytes(std::string_view bytes)
 {
     // Drops bytes after the last response. If they stayed unread, closing the socket would reset
@@ -132,6 +152,14 @@
  */
 int HttpServerConnection::feed(std::string_view &bytes)
 {
+    if (!bytes.empty() && !std::exchange(m_hasBegunRequest, true))
+        m_limits = m_server.limits();
+    raiseLimits();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
+    if (m_parser->is_header_done())
+        m_parser->body_limit(boost::none);
+    else
+        m_parser->body_limit(m_limits.maxBodyBytes);
     while (!bytes.empty() && !m_parser->is_done()) {
         boost::system::error_code error;
         const bool isHeader = !m_parser->is_header_done();
@@ -147,7 +175,7 @@
         if (error == http::error::need_more) {
             // What the parser does not consume is a line without its end: of the header, of a chunk
             // or of the trailer.
-            if (bytes.size() > m_server.limits().maxHeaderBytes)
+            if (bytes.size() > m_limits.maxHeaderBytes)
                 return m_parser->is_header_done() ? 400 : 431;
             break;
         }
@@ -229,6 +257,7 @@
     m_exchange.reset();
     m_requestBytes = 0;
     m_stateSince = steady_clock::now();
+    m_limits = m_server.limits();
     const bool closesConnection = !m_keepAlive || m_server.closesAfterResponse();
     std::string text = "HTTP/1.1 " + std::to_string(response.status) + " ";
     if (response.reason.empty())
@@ -373,9 +402,10 @@
     }
     m_unsentBytes = unsentBytes;
     m_share->hold(HeldKind::Unsent, m_stream->bufferedBytes(), now);
+    raiseLimits();
     const auto age = now - m_stateSince;
     if (unsentBytes > 0) {
-        if (age > m_server.limits().idleTimeout)
+        if (age > m_limits.idleTimeout)
             close();
         return;
     }
@@ -383,11 +413,11 @@
         if (age > kLingerTimeout)
             close();
     } else if (isReceiving()) {
-        const Duration limit = m_parser->is_header_done() ? m_server.limits().idleTimeout
-                                                          : m_server.limits().headerTimeout;
+        const Duration limit =
+                m_parser->is_header_done() ? m_limits.idleTimeout : m_limits.headerTimeout;
         if (age > limit)
             rejectRequest(408);
-    } else if (age > m_server.limits().idleTimeout) {
+    } else if (age > m_limits.idleTimeout) {
         close();
     }
 }
--- a/src/http/HttpServerConnection.h
+++ b/src/http/HttpServerConnection.h
@@ -8,9 +8,11 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace greengagestair {
 
@@ -48,10 +50,15 @@
 private:
     using Parser = boost::beast::http::request_parser<GrowingBody>;
     using Time = CallerAccount::Time;
+    using OnChunkHeader = std::function<void(std::uint64_t bytes, std::string_view extensions,
+                                             boost::system::error_code &error)>;
 
     void endForShortage(ShortageReason reason) override;
     void resumeReading() override;
     void resetParser();
+    /** Takes over limits of the server that are higher than those of the connection. */
+    void raiseLimits();
+    void checkChunk(std::uint64_t bytes, boost::system::error_code &error) const;
     void onBytes(std::string_view bytes);
     void onEnd();
     void onDrained();
@@ -74,6 +81,14 @@
     HttpServer &m_server;
     std::shared_ptr<TcpStream> m_stream;
     std::optional<CallerShare> m_share; ///< none once the connection is closed
+    /**
+     * Limits of the request that is being received, or of the idle connection: the server's at its
+     * beginning, or higher ones that came into force since. A caller that keeps to the limits it
+     * knew when it began is not cut off by lower ones.
+     */
+    CallerLimits m_limits;
+    bool m_hasBegunRequest = false; ///< the parser was given bytes of the request
+    OnChunkHeader m_onChunkHeader;  ///< the parser refers to it
     std::optional<Parser> m_parser;
     std::string m_unparsed;
     std::size_t m_headerBytes = 0;  ///< of the request that is being received, once parsed
