Apply reloaded memory settings to responses in progress

After a SIGHUP with less memory, responses of servers could together take as much as before, and the process could end for lack of memory.

Cause: the start and the reload applied the settings each on their own, and the reload set only the account of the callers, which changes as it should.

Both now call one function; two metrics show the bound and the bytes held. app_test "reloaded memory settings*" failed with the reload as before, and passes.

--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -50,7 +50,6 @@
     , m_frontEnd(
               names, [this](GatewayEvent event) { enqueue(std::move(event)); },
               [this] { return lateness(); })
-    , m_callerAccount(callerMemoryLimitsWithin(m_settings.memoryBytes, m_settings.maxDescriptors))
     , m_callers(context, m_frontEnd, &m_callerAccount)
     , m_readinessPages([this](std::string_view) { return readinessPage(); },
                        [this](ExchangeId exchange, const HttpServerResponse &response) {
@@ -111,8 +110,7 @@
 boost::leaf::result<void> GatewayServer::start()
 {
     std::signal(SIGPIPE, SIG_IGN);
-    // Half of the callers' share: 20 % of the memory, which is the default with 160 MB.
-    m_backends.setMaxBufferedBytes(m_callerAccount.limits().bytes / 2);
+    updateMemoryLimits();
     m_readiness.setOperatorLimits();
     m_admin.setOperatorLimits();
     BOOST_LEAF_CHECK(m_readiness.listen(m_settings.readinessEndpoint));
@@ -260,6 +258,14 @@
             });
 }
 
+void GatewayServer::updateMemoryLimits()
+{
+    m_callerAccount.setLimits(
+            callerMemoryLimitsWithin(m_settings.memoryBytes, m_settings.maxDescriptors));
+    // Half of the callers' share: 20 % of the memory, which is the default with 160 MB.
+    m_backends.setMaxBufferedBytes(m_callerAccount.limits().bytes / 2);
+}
+
 void GatewayServer::updateLimits()
 {
     if (const RoutingConfiguration *configuration = m_gateway.configuration())
@@ -390,8 +396,7 @@
                 m_settings.options = settings.options;
                 m_settings.memoryBytes = settings.memoryBytes;
                 m_settings.maxDescriptors = settings.maxDescriptors;
-                m_callerAccount.setLimits(
-                        callerMemoryLimitsWithin(settings.memoryBytes, settings.maxDescriptors));
+                updateMemoryLimits();
                 enqueue(OptionsChanged { settings.options });
                 log({ LogPriority::State, "reloaded", { { "file", m_settingsFile } } });
                 return {};
--- a/src/app/GatewayServer.h
+++ b/src/app/GatewayServer.h
@@ -70,6 +70,8 @@
     /** Writes the collected lines in a moment, after the work that the callers wait for. */
     void flushLogLater();
     void updateLimits();
+    /** Applies the memory and the descriptors of the settings to all bounds that depend on them. */
+    void updateMemoryLimits();
     void armTimer();
     void onTimer();
     Duration lateness() const;
--- a/src/app/GatewayServerPages.cpp
+++ b/src/app/GatewayServerPages.cpp
@@ -61,6 +61,8 @@
     closed("response", backends.closedAfterResponse);
     closed("failure", backends.closedByFailure);
     counters.push_back({ "stray_responses_total", backends.strayResponses });
+    counters.push_back({ "response_held_bytes", m_backends.bufferedBytes() });
+    counters.push_back({ "response_held_bytes_limit", m_backends.maxBufferedBytes() });
     for (Counter &counter : m_loopTimes.counters())
         counters.push_back(std::move(counter));
     for (Counter &counter : m_responses.counters())
--- a/src/http/BackendConnectionPool.h
+++ b/src/http/BackendConnectionPool.h
@@ -92,6 +92,8 @@
     {
         m_maxBufferedBytes = std::min(bytes, kMaxBufferedBytes);
     }
+    /** The bound that setMaxBufferedBytes() set last, or the default. */
+    std::size_t maxBufferedBytes() const { return m_maxBufferedBytes; }
     /** Bytes received so far of all responses in progress. */
     std::size_t bufferedBytes() const { return m_bufferedBytes; }
     /** Number of idle connections to all servers. */
--- a/tests/app/GatewayServerTest.cpp
+++ b/tests/app/GatewayServerTest.cpp
@@ -10,6 +10,9 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include <array>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <thread>
 #include <utility>
 
@@ -68,8 +71,8 @@
             settings.peerEndpoint.port = freePort();
         settings.stopTimeout = stopTimeout;
         settings.seeds = std::move(seeds);
-        server = std::make_unique<GatewayServer>(context, settings, "", platform::headerNames(),
-                                                 store, log);
+        server = std::make_unique<GatewayServer>(context, settings, settingsFile,
+                                                 platform::headerNames(), store, log);
         boost::leaf::try_handle_all([&] { return server->start(); }, [] { FAIL("cannot start"); });
         runUntil(context, [&] { return server->isReady(); });
     }
@@ -119,6 +122,7 @@
     }
 
     std::optional<RolloutOptions> rollout;
+    std::string settingsFile;
     int log; ///< descriptor that the process writes its log to
     boost::asio::io_context context { 1 };
     standins::RegistryStandIn standIn;
@@ -280,6 +284,36 @@
     fixture.await(*explanation, "\"next\":\"i-1\"");
 }
 
+// Guards against responses that may take more memory than the process has since its settings were
+// loaded again.
+TEST_CASE("reloaded memory settings bound the responses in progress", "[app]")
+{
+    const auto path = std::filesystem::temp_directory_path()
+            / ("greengagestair-reload-" + std::to_string(getpid()) + ".json");
+    std::ofstream(path) << R"({"host": "edge-1", "failureDomain": "z", "memoryMb": 20,
+        "callerEndpoint": "127.0.0.1:1", "readinessEndpoint": "127.0.0.1:1",
+        "adminEndpoint": "127.0.0.1:1", "peerEndpoint": "127.0.0.1:1", "store": "127.0.0.1:1",
+        "linkMbps": 1000, "seeds": [],
+        "stopTimeoutMs": 6000, "repeatRatio": 0.2, "repeatWindowMs": 10000, "repeatSlack": 58,
+        "coldFactor": 1.5, "coldSlack": 5})";
+    ServerFixture fixture;
+    fixture.settingsFile = path.string();
+    fixture.start();
+    std::raise(SIGHUP);
+    const auto limit = [&] {
+        const auto metrics = fixture.connect(fixture.server->adminEndpoint());
+        metrics->write("GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        runUntil(fixture.context, [&] { return metrics->isClosed; });
+        const std::string name = "\ngreengagestair_response_held_bytes_limit ";
+        const std::size_t at = metrics->received.find(name);
+        REQUIRE(at != std::string::npos);
+        return std::stoul(metrics->received.substr(at + name.size()));
+    };
+    constexpr std::size_t kMemoryBytes = 20 * 1'048'576;
+    runUntil(fixture.context, [&] { return limit() <= kMemoryBytes / 5; });
+    std::filesystem::remove(path);
+}
+
 // Guards against a process that decides on roll-outs, but does not pass orders, writes and their
 // results between the store and the gateway.
 TEST_CASE("a process carries out an order of a roll-out", "[app]")
