Ask other hosts for the lost servers of requests after a start

Cause: hosts tell each other of each loss once, to the hosts that are listed then, and keep what they know in memory. A blocked request causes no losses, so a process that starts later never hears of it.

A process that has started now asks two hosts of its failure domain and one of another, three times, 1 s apart, and takes over what they have recorded. Nothing waits for the answers, and the number of questions does not grow with the hosts. Ages go over the wire and count from the question, so a block ends when it would have ended. Hosts state requests by the host that lost the servers, so that one request never counts as several.

--- a/include/greengagestair/Messages.h
+++ b/include/greengagestair/Messages.h
@@ -321,12 +321,39 @@
     bool operator==(const ServerObservations &) const = default;
 };
 
+/** Asks for the losses of backend servers that the receiver has recorded; see RecordedLosses. */
+struct LossesRequest
+{
+    bool operator==(const LossesRequest &) const = default;
+};
+
+/** What a host has recorded of the servers that were lost while they ran requests of a signature.
+ */
+struct RecordedLoss
+{
+    Signature signature;
+    std::vector<ServerId> servers; ///< lost servers, each once
+    std::vector<HostId> hosts;     ///< hosts, the sender among them, that lost servers to a request
+    bool hasSeveralRequests = false; ///< one host alone has lost servers to several requests
+    Duration age {};                 ///< time since the last loss
+
+    bool operator==(const RecordedLoss &) const = default;
+};
+
+/** Answer to a LossesRequest: the recent losses, the last ones first. */
+struct RecordedLosses
+{
+    std::vector<RecordedLoss> losses;
+
+    bool operator==(const RecordedLosses &) const = default;
+};
+
 /** Any message between two entry hosts or two gateways. */
-using PeerMessage =
-        std::variant<Heartbeat, HeartbeatAck, JoinRequest, DocumentRequest, DocumentPush,
-                     PartRequest, PartCancel, PartAnswer, SignatureLoss, StoreChanges,
-                     UnreachableDomain, PermitRequest, PermitGrant, QuotaRequest, QuotaGrant,
-                     RolloutReport, RolloutNotice, ServerObservations>;
+using PeerMessage = std::variant<Heartbeat, HeartbeatAck, JoinRequest, DocumentRequest,
+                                 DocumentPush, PartRequest, PartCancel, PartAnswer, SignatureLoss,
+                                 StoreChanges, UnreachableDomain, PermitRequest, PermitGrant,
+                                 QuotaRequest, QuotaGrant, RolloutReport, RolloutNotice,
+                                 ServerObservations, LossesRequest, RecordedLosses>;
 
 /** A message between processes together with its sender. */
 struct PeerEnvelope
--- a/src/codec/PayloadReader.cpp
+++ b/src/codec/PayloadReader.cpp
@@ -199,6 +199,30 @@
     return message;
 }
 
+static PeerMessage readPayload(FieldReader &, const wire::LossesRequest &)
+{
+    return LossesRequest {};
+}
+
+/** Converts a list of names. */
+template <typename NameType, typename Vector>
+static std::vector<NameType> readNames(FieldReader &reader, const Vector *names)
+{
+    return reader.list<NameType>(
+            names, [&](const flatbuffers::String *text) { return reader.name<NameType>(text); });
+}
+
+static PeerMessage readPayload(FieldReader &reader, const wire::RecordedLosses &wire)
+{
+    return RecordedLosses { reader.list<RecordedLoss>(
+            wire.losses(), [&](const wire::RecordedLoss *loss) {
+                return RecordedLoss { Signature { loss->signature() },
+                                      readNames<ServerId>(reader, loss->servers()),
+                                      readNames<HostId>(reader, loss->hosts()),
+                                      loss->several_requests(), reader.duration(loss->age()) };
+            }) };
+}
+
 template <typename Payload>
 static std::optional<PeerMessage> readIfPresent(FieldReader &reader, const Payload *payload)
 {
@@ -246,6 +270,10 @@
         return readIfPresent(reader, envelope.payload_as_RolloutNotice());
     case wire::Payload::ServerObservations:
         return readIfPresent(reader, envelope.payload_as_ServerObservations());
+    case wire::Payload::LossesRequest:
+        return readIfPresent(reader, envelope.payload_as_LossesRequest());
+    case wire::Payload::RecordedLosses:
+        return readIfPresent(reader, envelope.payload_as_RecordedLosses());
     case wire::Payload::NONE:
         break;
     }
--- a/src/codec/PayloadWriter.cpp
+++ b/src/codec/PayloadWriter.cpp
@@ -218,4 +218,32 @@
             .Union();
 }
 
+Offset<void> writePayload(FlatBufferBuilder &builder, const LossesRequest & /*message*/)
+{
+    return wire::CreateLossesRequest(builder).Union();
+}
+
+template <typename Tag>
+static auto writeNames(FlatBufferBuilder &builder, const std::vector<Name<Tag>> &names)
+{
+    std::vector<Offset<flatbuffers::String>> offsets;
+    offsets.reserve(names.size());
+    for (const Name<Tag> &name : names)
+        offsets.push_back(writeString(builder, name));
+    return builder.CreateVector(offsets);
+}
+
+Offset<void> writePayload(FlatBufferBuilder &builder, const RecordedLosses &message)
+{
+    std::vector<Offset<wire::RecordedLoss>> offsets;
+    offsets.reserve(message.losses.size());
+    for (const RecordedLoss &loss : message.losses) {
+        const auto servers = writeNames(builder, loss.servers);
+        const auto hosts = writeNames(builder, loss.hosts);
+        offsets.push_back(wire::CreateRecordedLoss(builder, loss.signature.value, servers, hosts,
+                                                   loss.hasSeveralRequests, loss.age.count()));
+    }
+    return wire::CreateRecordedLosses(builder, builder.CreateVector(offsets)).Union();
+}
+
 } // namespace greengagestair
--- a/src/codec/PayloadWriter.h
+++ b/src/codec/PayloadWriter.h
@@ -42,5 +42,9 @@
                                        const RolloutNotice &message);
 flatbuffers::Offset<void> writePayload(flatbuffers::FlatBufferBuilder &builder,
                                        const ServerObservations &message);
+flatbuffers::Offset<void> writePayload(flatbuffers::FlatBufferBuilder &builder,
+                                       const LossesRequest &message);
+flatbuffers::Offset<void> writePayload(flatbuffers::FlatBufferBuilder &builder,
+                                       const RecordedLosses &message);
 
 } // namespace greengagestair
--- a/src/codec/Peer_generated.h
+++ b/src/codec/Peer_generated.h
@@ -85,6 +85,15 @@
 struct ServerObservations;
 struct ServerObservationsBuilder;
 
+struct LossesRequest;
+struct LossesRequestBuilder;
+
+struct RecordedLoss;
+struct RecordedLossBuilder;
+
+struct RecordedLosses;
+struct RecordedLossesBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -318,11 +327,13 @@
   RolloutReport = 16,
   RolloutNotice = 17,
   ServerObservations = 18,
+  LossesRequest = 19,
+  RecordedLosses = 20,
   MIN = NONE,
-  MAX = ServerObservations
+  MAX = RecordedLosses
 };
 
-inline const Payload (&EnumValuesPayload())[19] {
+inline const Payload (&EnumValuesPayload())[21] {
   static const Payload values[] = {
     Payload::NONE,
     Payload::Heartbeat,
@@ -342,13 +353,15 @@
     Payload::QuotaGrant,
     Payload::RolloutReport,
     Payload::RolloutNotice,
-    Payload::ServerObservations
+    Payload::ServerObservations,
+    Payload::LossesRequest,
+    Payload::RecordedLosses
   };
   return values;
 }
 
 inline const char * const *EnumNamesPayload() {
-  static const char * const names[20] = {
+  static const char * const names[22] = {
     "NONE",
     "Heartbeat",
     "HeartbeatAck",
@@ -368,13 +381,15 @@
     "RolloutReport",
     "RolloutNotice",
     "ServerObservations",
+    "LossesRequest",
+    "RecordedLosses",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePayload(Payload e) {
-  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::ServerObservations)) return "";
+  if (flatbuffers::IsOutRange(e, Payload::NONE, Payload::RecordedLosses)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPayload()[index];
 }
@@ -455,6 +470,14 @@
   static const Payload enum_value = Payload::ServerObservations;
 };
 
+template<> struct PayloadTraits<greengagestair::wire::LossesRequest> {
+  static const Payload enum_value = Payload::LossesRequest;
+};
+
+template<> struct PayloadTraits<greengagestair::wire::RecordedLosses> {
+  static const Payload enum_value = Payload::RecordedLosses;
+};
+
 bool VerifyPayload(flatbuffers::Verifier &verifier, const void *obj, Payload type);
 bool VerifyPayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Payload> *types);
 
@@ -2561,6 +2584,190 @@
       observations__);
 }
 
+struct LossesRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LossesRequestBuilder Builder;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           verifier.EndTable();
+  }
+};
+
+struct LossesRequestBuilder {
+  typedef LossesRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  explicit LossesRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LossesRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LossesRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LossesRequest> CreateLossesRequest(
+    flatbuffers::FlatBufferBuilder &_fbb) {
+  LossesRequestBuilder builder_(_fbb);
+  return builder_.Finish();
+}
+
+struct RecordedLoss FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RecordedLossBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SIGNATURE = 4,
+    VT_SERVERS = 6,
+    VT_HOSTS = 8,
+    VT_SEVERAL_REQUESTS = 10,
+    VT_AGE = 12
+  };
+  uint64_t signature() const {
+    return GetField<uint64_t>(VT_SIGNATURE, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SERVERS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *hosts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_HOSTS);
+  }
+  bool several_requests() const {
+    return GetField<uint8_t>(VT_SEVERAL_REQUESTS, 0) != 0;
+  }
+  int64_t age() const {
+    return GetField<int64_t>(VT_AGE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SIGNATURE, 8) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           verifier.VerifyVectorOfStrings(servers()) &&
+           VerifyOffset(verifier, VT_HOSTS) &&
+           verifier.VerifyVector(hosts()) &&
+           verifier.VerifyVectorOfStrings(hosts()) &&
+           VerifyField<uint8_t>(verifier, VT_SEVERAL_REQUESTS, 1) &&
+           VerifyField<int64_t>(verifier, VT_AGE, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct RecordedLossBuilder {
+  typedef RecordedLoss Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_signature(uint64_t signature) {
+    fbb_.AddElement<uint64_t>(RecordedLoss::VT_SIGNATURE, signature, 0);
+  }
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers) {
+    fbb_.AddOffset(RecordedLoss::VT_SERVERS, servers);
+  }
+  void add_hosts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> hosts) {
+    fbb_.AddOffset(RecordedLoss::VT_HOSTS, hosts);
+  }
+  void add_several_requests(bool several_requests) {
+    fbb_.AddElement<uint8_t>(RecordedLoss::VT_SEVERAL_REQUESTS, static_cast<uint8_t>(several_requests), 0);
+  }
+  void add_age(int64_t age) {
+    fbb_.AddElement<int64_t>(RecordedLoss::VT_AGE, age, 0);
+  }
+  explicit RecordedLossBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RecordedLoss> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RecordedLoss>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RecordedLoss> CreateRecordedLoss(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t signature = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> hosts = 0,
+    bool several_requests = false,
+    int64_t age = 0) {
+  RecordedLossBuilder builder_(_fbb);
+  builder_.add_age(age);
+  builder_.add_signature(signature);
+  builder_.add_hosts(hosts);
+  builder_.add_servers(servers);
+  builder_.add_several_requests(several_requests);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RecordedLoss> CreateRecordedLossDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t signature = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *servers = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *hosts = nullptr,
+    bool several_requests = false,
+    int64_t age = 0) {
+  auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*servers) : 0;
+  auto hosts__ = hosts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*hosts) : 0;
+  return greengagestair::wire::CreateRecordedLoss(
+      _fbb,
+      signature,
+      servers__,
+      hosts__,
+      several_requests,
+      age);
+}
+
+struct RecordedLosses FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RecordedLossesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LOSSES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::RecordedLoss>> *losses() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::RecordedLoss>> *>(VT_LOSSES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_LOSSES) &&
+           verifier.VerifyVector(losses()) &&
+           verifier.VerifyVectorOfTables(losses()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RecordedLossesBuilder {
+  typedef RecordedLosses Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_losses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::RecordedLoss>>> losses) {
+    fbb_.AddOffset(RecordedLosses::VT_LOSSES, losses);
+  }
+  explicit RecordedLossesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RecordedLosses> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RecordedLosses>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RecordedLosses> CreateRecordedLosses(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::RecordedLoss>>> losses = 0) {
+  RecordedLossesBuilder builder_(_fbb);
+  builder_.add_losses(losses);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RecordedLosses> CreateRecordedLossesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<greengagestair::wire::RecordedLoss>> *losses = nullptr) {
+  auto losses__ = losses ? _fbb.CreateVector<flatbuffers::Offset<greengagestair::wire::RecordedLoss>>(*losses) : 0;
+  return greengagestair::wire::CreateRecordedLosses(
+      _fbb,
+      losses__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2648,6 +2855,12 @@
   const greengagestair::wire::ServerObservations *payload_as_ServerObservations() const {
     return payload_type() == greengagestair::wire::Payload::ServerObservations ? static_cast<const greengagestair::wire::ServerObservations *>(payload()) : nullptr;
   }
+  const greengagestair::wire::LossesRequest *payload_as_LossesRequest() const {
+    return payload_type() == greengagestair::wire::Payload::LossesRequest ? static_cast<const greengagestair::wire::LossesRequest *>(payload()) : nullptr;
+  }
+  const greengagestair::wire::RecordedLosses *payload_as_RecordedLosses() const {
+    return payload_type() == greengagestair::wire::Payload::RecordedLosses ? static_cast<const greengagestair::wire::RecordedLosses *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL_VERSION, 4) &&
@@ -2736,6 +2949,14 @@
   return payload_as_ServerObservations();
 }
 
+template<> inline const greengagestair::wire::LossesRequest *Envelope::payload_as<greengagestair::wire::LossesRequest>() const {
+  return payload_as_LossesRequest();
+}
+
+template<> inline const greengagestair::wire::RecordedLosses *Envelope::payload_as<greengagestair::wire::RecordedLosses>() const {
+  return payload_as_RecordedLosses();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2891,6 +3112,14 @@
       auto ptr = reinterpret_cast<const greengagestair::wire::ServerObservations *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Payload::LossesRequest: {
+      auto ptr = reinterpret_cast<const greengagestair::wire::LossesRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Payload::RecordedLosses: {
+      auto ptr = reinterpret_cast<const greengagestair::wire::RecordedLosses *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/core/Reducer.cpp
+++ b/src/core/Reducer.cpp
@@ -99,10 +99,13 @@
                  const PermitGrant & /*message*/)
     {
     }
-    /** Ignored: only gateways have tenants, roll-outs and shared observations. */
+    /**
+     * Ignored: only gateways have tenants, roll-outs and shared observations, and entry hosts keep
+     * the signatures of lost servers in a document of the platform.
+     */
     template <typename Message>
     requires IsOneOf<Message, QuotaRequest, QuotaGrant, RolloutReport, RolloutNotice,
-                     ServerObservations>
+                     ServerObservations, LossesRequest, RecordedLosses>
     void receive(StepContext & /*context*/, const PeerEnvelope & /*envelope*/,
                  const Message & /*message*/)
     {
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -20,6 +20,8 @@
     , m_jointRepeatLimits(options.repeats)
     , m_dispatcher(m_selector, m_reachability, m_serverLimits, m_quotas, m_restarts, m_observations,
                    m_rollouts, repeatShare())
+    , m_quarantineExchange(options.selector.host, options.selector.failureDomain,
+                           m_dispatcher.quarantine(), options.randomSeed)
     , m_ownDomain(options.selector.failureDomain)
 {
     m_observations.setEnabled(options.sharesObservations);
@@ -50,6 +52,7 @@
     m_observations.beginStep(m_now, m_effects);
     m_rollouts.beginStep(m_now, m_effects);
     m_dispatcher.beginStep(m_now, m_effects);
+    m_quarantineExchange.beginStep(m_now, m_effects);
     std::visit([&](auto &typed) { on(typed); }, event);
     m_dispatcher.applyQuotaDecisions();
     updateCutOff();
@@ -63,7 +66,8 @@
     for (const auto &other :
          { m_directory.nextRemoval(), m_reachability.nextWakeUp(), m_warmer.nextWakeUp(),
            m_restarts.nextWakeUp(), m_quotas.nextWakeUp(), m_retention.nextExpiry(),
-           m_observations.nextWakeUp(), m_rollouts.nextWakeUp(), m_lowerCountValidAt }) {
+           m_observations.nextWakeUp(), m_rollouts.nextWakeUp(), m_quarantineExchange.nextWakeUp(),
+           m_lowerCountValidAt }) {
         if (other && (!next || *other < *next))
             next = other;
     }
@@ -139,6 +143,7 @@
     const std::size_t ownDomainHosts = m_lastHostCount.byDomain[m_ownDomain];
     m_lastHostCount.ownDomain = std::max<std::size_t>(ownDomainHosts, 1);
     m_observations.setHosts(*hosts);
+    m_quarantineExchange.setHosts(*hosts);
     if (!std::exchange(m_areHostsKnown, true))
         m_dispatcher.setRepeatLimits(repeatShare());
     const bool isHigher = m_lastHostCount.all >= m_hostCount.all
@@ -172,6 +177,16 @@
     m_dispatcher.addReportedLoss(event.reporter, event.loss);
 }
 
+void Gateway::on(const LossesRequested &event)
+{
+    m_quarantineExchange.onRequest(event.sender, event.endpoint);
+}
+
+void Gateway::on(const LossesReceived &event)
+{
+    m_quarantineExchange.onAnswer(event.sender, event.recorded);
+}
+
 void Gateway::on(const UnreachableDomainReported &event)
 {
     m_reachability.addUnreachableReport(event.failureDomain);
@@ -297,6 +312,7 @@
     m_quotas.advance();
     m_observations.advance();
     m_rollouts.advance();
+    m_quarantineExchange.advance();
     m_dispatcher.advance();
 }
 
@@ -324,6 +340,8 @@
         counters.push_back(std::move(counter));
     counters.push_back({ "configuration_version", m_configuration ? m_configuration->version : 0 });
     counters.push_back({ "registered_servers", m_directory.size() });
+    counters.push_back({ "loss_signatures", m_dispatcher.quarantine().size() });
+    counters.push_back({ "loss_signatures_learnt_total", m_quarantineExchange.learntSignatures() });
     counters.push_back({ "requests_in_progress", m_dispatcher.exchanges() });
     counters.push_back({ "attempts_in_progress", m_dispatcher.attempts() });
     counters.push_back({ "entry_hosts", m_hostCount.all });
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/GatewayEffect.h"
 #include "gateway/GatewayEvent.h"
 #include "gateway/LostEntryRetention.h"
+#include "gateway/QuarantineExchange.h"
 #include "gateway/RequestDispatcher.h"
 #include "gateway/RestartDetector.h"
 #include "gateway/explain/Explainer.h"
@@ -80,6 +81,8 @@
     void on(const StoreCaughtUp &event);
     void on(const HostsRead &event);
     void on(const ServerLossReported &event);
+    void on(const LossesRequested &event);
+    void on(const LossesReceived &event);
     void on(const UnreachableDomainReported &event);
     void on(const PermitsRequested &event);
     void on(const PermitsGranted &event);
@@ -130,6 +133,7 @@
     bool m_areServersKnown = false; ///< a list of registrations has been read
     bool m_areHostsKnown = false;   ///< a host list has been read
     RequestDispatcher m_dispatcher;
+    QuarantineExchange m_quarantineExchange;
     std::shared_ptr<const RoutingConfiguration> m_configuration;
     FailureDomainId m_ownDomain;
     std::optional<MonotonicTime> m_lowerCountValidAt; ///< when m_lastHostCount takes effect
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -86,6 +86,20 @@
     SignatureLoss loss;
 };
 
+/** Another entry host, which has just started, asks for the losses that this host has recorded. */
+struct LossesRequested
+{
+    HostId sender;
+    Endpoint endpoint; ///< of the sender, which may not be listed yet
+};
+
+/** Another entry host has answered a LossesRequest. */
+struct LossesReceived
+{
+    HostId sender;
+    RecordedLosses recorded;
+};
+
 /** Another entry host of this host's own failure domain cannot reach `failureDomain`. */
 struct UnreachableDomainReported
 {
@@ -196,10 +210,10 @@
 using GatewayEvent =
         std::variant<RequestReceived, CallerDisconnected, AttemptEnded, ConfigurationRead,
                      EvacuationsRead, RegistrationsRead, RegistrationWritten, RegistrationRemoved,
-                     StoreCaughtUp, HostsRead, ServerLossReported, UnreachableDomainReported,
-                     PermitsRequested, PermitsGranted, QuotaRequested, QuotaGranted, HostLost,
-                     ObservationsReceived, RolloutsRead, RolloutReported, RolloutNoticed,
-                     RolloutWriteEnded, ConnectionAttemptEnded, LastConnectionLost, OptionsChanged,
-                     GatewayStopRequested, TimeAdvanced>;
+                     StoreCaughtUp, HostsRead, ServerLossReported, LossesRequested, LossesReceived,
+                     UnreachableDomainReported, PermitsRequested, PermitsGranted, QuotaRequested,
+                     QuotaGranted, HostLost, ObservationsReceived, RolloutsRead, RolloutReported,
+                     RolloutNoticed, RolloutWriteEnded, ConnectionAttemptEnded, LastConnectionLost,
+                     OptionsChanged, GatewayStopRequested, TimeAdvanced>;
 
 } // namespace greengagestair
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -97,13 +97,13 @@
 
 void RequestDispatcher::addSuccess(RequestLosses &losses)
 {
-    m_quarantine.addSuccess(losses.signature);
+    m_quarantine.addSuccess(losses.signature, m_now);
     losses.wasAnswered = true;
 }
 
 void RequestDispatcher::addReportedLoss(const HostId &reporter, const SignatureLoss &loss)
 {
-    m_quarantine.addLoss(loss.signature, reporter.value, loss.server, m_now);
+    m_quarantine.addReportedLoss(reporter, loss, m_now);
 }
 
 void RequestDispatcher::beginStep(MonotonicTime now, GatewayEffects &effects)
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -63,6 +63,9 @@
     void advance();
     /** Records that another host lost a server while it ran a request with this signature. */
     void addReportedLoss(const HostId &reporter, const SignatureLoss &loss);
+    /** The requests that crash servers, as far as this host knows. */
+    RequestQuarantine &quarantine() { return m_quarantine; }
+    const RequestQuarantine &quarantine() const { return m_quarantine; }
     /**
      * Gives the last reply at `time`, for the end of the process: requests in progress are replied
      * to by then, and new ones that would take longer are refused.
--- a/src/gateway/RequestQuarantine.h
+++ b/src/gateway/RequestQuarantine.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "greengagestair/Messages.h"
 #include "greengagestair/Types.h"
 
 #include <cstddef>
 #include <deque>
+#include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -18,16 +21,23 @@
 class RequestQuarantine
 {
 public:
-    /**
-     * Records that a server was lost while it ran a request with this signature. For a loss that
-     * another host reported, `requestId` is the identifier of that host.
-     */
+    /** Records that a server was lost while it ran a request of this host with this signature. */
     void addLoss(Signature signature, const std::string &requestId, const ServerId &server,
                  MonotonicTime now);
+    /** Records a loss that another host reported. */
+    void addReportedLoss(const HostId &reporter, const SignatureLoss &loss, MonotonicTime now);
     /** Clears the losses of a signature, since a server has answered such a request. */
-    void addSuccess(Signature signature);
+    void addSuccess(Signature signature, MonotonicTime now);
     /** True if requests with this signature must not be sent to backend servers. */
     bool isBlocked(Signature signature, MonotonicTime now) const;
+
+    /** The recent losses as `self` states them to another host; the last ones if there are many. */
+    RecordedLosses recentLosses(const HostId &self, MonotonicTime now) const;
+    /**
+     * Adds what another host had recorded at `statedAt` or later. Returns the number of signatures
+     * that are new to this host. A block ends when it ends at the other host, or earlier.
+     */
+    std::size_t merge(const RecordedLosses &recorded, MonotonicTime statedAt, MonotonicTime now);
     /** Number of recorded signatures. */
     std::size_t size() const { return m_losses.size(); }
 
@@ -35,10 +45,15 @@
     struct Losses
     {
         std::vector<ServerId> servers;
-        std::vector<std::string> requests;
+        std::vector<std::string> ownRequests;
+        std::vector<HostId> reporters;
+        bool hasSeveralRequests = false; ///< as another host has stated
         MonotonicTime lastLossAt;
+        std::optional<MonotonicTime> lastSuccessAt;
     };
 
+    Losses &lossesOf(Signature signature);
+
     std::unordered_map<Signature, Losses> m_losses;
     std::deque<Signature> m_insertionOrder;
 };
--- a/tests/codec/FrameCodecTest.cpp
+++ b/tests/codec/FrameCodecTest.cpp
@@ -74,6 +74,10 @@
                                  0.5,
                                  milliseconds(90),
                                  milliseconds(250) } } },
+        LossesRequest {},
+        RecordedLosses {
+                { { { 77 }, { { "s1" }, { "s2" } }, { { "h1" } }, true, milliseconds(1500) },
+                  { { 78 }, {}, {}, false, milliseconds(0) } } },
     };
 }
 
--- a/tests/codec/ObservationSizeTest.cpp
+++ b/tests/codec/ObservationSizeTest.cpp
@@ -41,3 +41,31 @@
     CHECK(bytesPerEntry <= 100);
     CHECK(2 * (frameSize(32) + frameSize(20)) <= 10'000);
 }
+
+// Guards against answers to starting hosts that grow beyond the bound on control traffic.
+TEST_CASE("a statement of losses has a bounded size", "[codec]")
+{
+    constexpr std::size_t kMaxSignatures = 64;
+    const auto sizeOf = [](std::size_t signatures) {
+        PeerEnvelope envelope { { "gateway-104" }, { 1 }, { "10.20.30.40", 7000 }, {} };
+        RecordedLosses message;
+        for (std::size_t index = 0; index < signatures; ++index) {
+            RecordedLoss loss { { index }, {}, {}, true, std::chrono::seconds(30) };
+            for (std::size_t other = 0; other < 3; ++other)
+                loss.servers.push_back(
+                        { "lookup-12-b-" + std::to_string(1000 + 3 * index + other) });
+            loss.hosts = { { "gateway-1041" }, { "gateway-1042" } };
+            message.losses.push_back(loss);
+        }
+        envelope.message = message;
+        return boost::leaf::try_handle_all(
+                [&]() -> boost::leaf::result<std::size_t> {
+                    BOOST_LEAF_AUTO(frame, FrameCodec::encode(envelope));
+                    return frame.size();
+                },
+                [] { return std::size_t(0); });
+    };
+    INFO("empty: " << sizeOf(0) << ", one: " << sizeOf(1) << ", full: " << sizeOf(kMaxSignatures));
+    CHECK(sizeOf(0) > 0);
+    CHECK(sizeOf(kMaxSignatures) < 15'000);
+}
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -137,6 +137,8 @@
                 unreachableReports.push_back(report->failureDomain);
             else if (auto *loss = std::get_if<ReportServerLoss>(&effect))
                 lossReports.push_back(loss->loss);
+            else if (auto *message = std::get_if<SendToHost>(&effect))
+                messages.push_back(*message);
             else if (auto *line = std::get_if<LogRecord>(&effect))
                 log.push_back(*line);
         }
@@ -217,6 +219,7 @@
     std::vector<OpenConnection> connections;
     std::vector<FailureDomainId> unreachableReports;
     std::vector<SignatureLoss> lossReports;
+    std::vector<SendToHost> messages;
     std::vector<LogRecord> log;
 
 private:
--- a/tests/gateway/PolicyTest.cpp
+++ b/tests/gateway/PolicyTest.cpp
@@ -143,7 +143,7 @@
     CHECK(quarantine.isBlocked(signature, now));
     CHECK(quarantine.isBlocked(signature, now + 59s));
     CHECK_FALSE(quarantine.isBlocked(signature, now + 61s));
-    quarantine.addSuccess(signature);
+    quarantine.addSuccess(signature, now);
     CHECK_FALSE(quarantine.isBlocked(signature, now));
 }
 
