Number the questions of a host that starts

With few hosts all of them were asked in the first round, so the later rounds, which learn of losses reported before this host was listed, asked nobody; and an answer was matched by its sender only, so one to the process before the restart would have counted. Questions now carry a number that the answer returns, and a round falls back to hosts that were asked before.

--- a/include/greengagestair/Messages.h
+++ b/include/greengagestair/Messages.h
@@ -324,16 +324,17 @@
 /** Asks for the losses of backend servers that the receiver has recorded; see RecordedLosses. */
 struct LossesRequest
 {
+    std::uint64_t id = 0; ///< returned in the answer
+
     bool operator==(const LossesRequest &) const = default;
 };
 
-/** What a host has recorded of the servers that were lost while they ran requests of a signature.
- */
+/** What a host has recorded of servers that were lost while they ran requests of a signature. */
 struct RecordedLoss
 {
     Signature signature;
-    std::vector<ServerId> servers; ///< lost servers, each once
-    std::vector<HostId> hosts;     ///< hosts, the sender among them, that lost servers to a request
+    std::vector<ServerId> servers;   ///< lost servers, each once
+    std::vector<HostId> hosts;       ///< hosts whose requests lost servers; may include the sender
     bool hasSeveralRequests = false; ///< one host alone has lost servers to several requests
     Duration age {};                 ///< time since the last loss
 
@@ -343,6 +344,7 @@
 /** Answer to a LossesRequest: the recent losses, the last ones first. */
 struct RecordedLosses
 {
+    std::uint64_t id = 0; ///< of the request
     std::vector<RecordedLoss> losses;
 
     bool operator==(const RecordedLosses &) const = default;
--- a/src/app/GatewayServer.cpp
+++ b/src/app/GatewayServer.cpp
@@ -193,8 +193,8 @@
         m_storeWatcher.applySharedChanges(*changes, now());
     else if (const auto *loss = std::get_if<SignatureLoss>(&envelope.message))
         enqueue(ServerLossReported { envelope.sender, *loss });
-    else if (std::holds_alternative<LossesRequest>(envelope.message))
-        enqueue(LossesRequested { envelope.sender, envelope.endpoint });
+    else if (const auto *unknown = std::get_if<LossesRequest>(&envelope.message))
+        enqueue(LossesRequested { envelope.sender, envelope.endpoint, *unknown });
     else if (const auto *recorded = std::get_if<RecordedLosses>(&envelope.message))
         enqueue(LossesReceived { envelope.sender, *recorded });
     else if (const auto *doubt = std::get_if<UnreachableDomain>(&envelope.message))
--- a/src/codec/PayloadReader.cpp
+++ b/src/codec/PayloadReader.cpp
@@ -199,9 +199,9 @@
     return message;
 }
 
-static PeerMessage readPayload(FieldReader &, const wire::LossesRequest &)
+static PeerMessage readPayload(FieldReader &, const wire::LossesRequest &wire)
 {
-    return LossesRequest {};
+    return LossesRequest { wire.id() };
 }
 
 /** Converts a list of names. */
@@ -214,13 +214,16 @@
 
 static PeerMessage readPayload(FieldReader &reader, const wire::RecordedLosses &wire)
 {
-    return RecordedLosses { reader.list<RecordedLoss>(
-            wire.losses(), [&](const wire::RecordedLoss *loss) {
-                return RecordedLoss { Signature { loss->signature() },
-                                      readNames<ServerId>(reader, loss->servers()),
-                                      readNames<HostId>(reader, loss->hosts()),
-                                      loss->several_requests(), reader.duration(loss->age()) };
-            }) };
+    return RecordedLosses { wire.id(),
+                            reader.list<RecordedLoss>(
+                                    wire.losses(), [&](const wire::RecordedLoss *loss) {
+                                        return RecordedLoss {
+                                            Signature { loss->signature() },
+                                            readNames<ServerId>(reader, loss->servers()),
+                                            readNames<HostId>(reader, loss->hosts()),
+                                            loss->several_requests(), reader.duration(loss->age())
+                                        };
+                                    }) };
 }
 
 template <typename Payload>
--- a/src/codec/PayloadWriter.cpp
+++ b/src/codec/PayloadWriter.cpp
@@ -218,9 +218,9 @@
             .Union();
 }
 
-Offset<void> writePayload(FlatBufferBuilder &builder, const LossesRequest & /*message*/)
+Offset<void> writePayload(FlatBufferBuilder &builder, const LossesRequest &message)
 {
-    return wire::CreateLossesRequest(builder).Union();
+    return wire::CreateLossesRequest(builder, message.id).Union();
 }
 
 template <typename Tag>
@@ -243,7 +243,7 @@
         offsets.push_back(wire::CreateRecordedLoss(builder, loss.signature.value, servers, hosts,
                                                    loss.hasSeveralRequests, loss.age.count()));
     }
-    return wire::CreateRecordedLosses(builder, builder.CreateVector(offsets)).Union();
+    return wire::CreateRecordedLosses(builder, message.id, builder.CreateVector(offsets)).Union();
 }
 
 } // namespace greengagestair
--- a/src/codec/Peer_generated.h
+++ b/src/codec/Peer_generated.h
@@ -2586,8 +2586,15 @@
 
 struct LossesRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LossesRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            verifier.EndTable();
   }
 };
@@ -2596,6 +2603,9 @@
   typedef LossesRequest Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(LossesRequest::VT_ID, id, 0);
+  }
   explicit LossesRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2608,8 +2618,10 @@
 };
 
 inline flatbuffers::Offset<LossesRequest> CreateLossesRequest(
-    flatbuffers::FlatBufferBuilder &_fbb) {
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0) {
   LossesRequestBuilder builder_(_fbb);
+  builder_.add_id(id);
   return builder_.Finish();
 }
 
@@ -2719,13 +2731,18 @@
 struct RecordedLosses FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RecordedLossesBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_LOSSES = 4
+    VT_ID = 4,
+    VT_LOSSES = 6
   };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::RecordedLoss>> *losses() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::RecordedLoss>> *>(VT_LOSSES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            VerifyOffset(verifier, VT_LOSSES) &&
            verifier.VerifyVector(losses()) &&
            verifier.VerifyVectorOfTables(losses()) &&
@@ -2737,6 +2754,9 @@
   typedef RecordedLosses Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(RecordedLosses::VT_ID, id, 0);
+  }
   void add_losses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::RecordedLoss>>> losses) {
     fbb_.AddOffset(RecordedLosses::VT_LOSSES, losses);
   }
@@ -2753,18 +2773,22 @@
 
 inline flatbuffers::Offset<RecordedLosses> CreateRecordedLosses(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<greengagestair::wire::RecordedLoss>>> losses = 0) {
   RecordedLossesBuilder builder_(_fbb);
+  builder_.add_id(id);
   builder_.add_losses(losses);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<RecordedLosses> CreateRecordedLossesDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
     const std::vector<flatbuffers::Offset<greengagestair::wire::RecordedLoss>> *losses = nullptr) {
   auto losses__ = losses ? _fbb.CreateVector<flatbuffers::Offset<greengagestair::wire::RecordedLoss>>(*losses) : 0;
   return greengagestair::wire::CreateRecordedLosses(
       _fbb,
+      id,
       losses__);
 }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -179,7 +179,7 @@
 
 void Gateway::on(const LossesRequested &event)
 {
-    m_quarantineExchange.onRequest(event.sender, event.endpoint);
+    m_quarantineExchange.onRequest(event.sender, event.endpoint, event.request);
 }
 
 void Gateway::on(const LossesReceived &event)
--- a/src/gateway/GatewayEvent.h
+++ b/src/gateway/GatewayEvent.h
@@ -91,6 +91,7 @@
 {
     HostId sender;
     Endpoint endpoint; ///< of the sender, which may not be listed yet
+    LossesRequest request;
 };
 
 /** Another entry host has answered a LossesRequest. */
--- a/src/gateway/QuarantineExchange.cpp
+++ b/src/gateway/QuarantineExchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/QuarantineExchange.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -18,6 +19,7 @@
     , m_ownDomain(std::move(ownDomain))
     , m_quarantine(quarantine)
     , m_random(randomSeed)
+    , m_lastId(m_random())
 {
 }
 
@@ -43,11 +45,18 @@
 {
     if (candidates.empty())
         return false;
-    const std::size_t index = m_random() % candidates.size();
-    const HostEntry &host = *candidates[index];
-    m_askedAt[host.host] = m_now;
-    m_effects->push_back(SendToHost { host.host, host.peer, LossesRequest {} });
-    candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(index));
+    const auto firstAsked =
+            std::partition(candidates.begin(), candidates.end(), [this](const HostEntry *host) {
+                return !m_askedHosts.contains(host->host);
+            });
+    const auto choices = firstAsked != candidates.begin() ? firstAsked : candidates.end();
+    const auto count = static_cast<std::uint64_t>(choices - candidates.begin());
+    const auto chosen = candidates.begin() + static_cast<std::ptrdiff_t>(m_random() % count);
+    const HostEntry &host = **chosen;
+    m_askedHosts.insert(host.host);
+    m_askedAt.emplace(++m_lastId, m_now);
+    m_effects->push_back(SendToHost { host.host, host.peer, LossesRequest { m_lastId } });
+    candidates.erase(chosen);
     return true;
 }
 
@@ -57,10 +66,8 @@
         return;
     std::vector<const HostEntry *> ownDomain;
     std::vector<const HostEntry *> others;
-    for (const HostEntry &host : m_hosts) {
-        if (!m_askedAt.contains(host.host))
-            (host.failureDomain == m_ownDomain ? ownDomain : others).push_back(&host);
-    }
+    for (const HostEntry &host : m_hosts)
+        (host.failureDomain == m_ownDomain ? ownDomain : others).push_back(&host);
     int missing = 0;
     for (int i = 0; i < kOwnDomainHostsPerRound; ++i)
         missing += askOneOf(ownDomain) ? 0 : 1;
@@ -74,17 +81,19 @@
     m_hosts = {};
 }
 
-void QuarantineExchange::onRequest(const HostId &sender, const Endpoint &endpoint)
+void QuarantineExchange::onRequest(const HostId &sender, const Endpoint &endpoint,
+                                   const LossesRequest &request)
 {
-    m_effects->push_back(SendToHost { sender, endpoint, m_quarantine.recentLosses(m_self, m_now) });
+    RecordedLosses answer { request.id, m_quarantine.recentLosses(m_self, m_now) };
+    m_effects->push_back(SendToHost { sender, endpoint, std::move(answer) });
 }
 
 void QuarantineExchange::onAnswer(const HostId &sender, const RecordedLosses &recorded)
 {
-    const auto asked = m_askedAt.find(sender);
+    const auto asked = m_askedAt.find(recorded.id);
     if (asked == m_askedAt.end())
         return;
-    const std::size_t added = m_quarantine.merge(recorded, asked->second, m_now);
+    const std::size_t added = m_quarantine.merge(recorded.losses, asked->second, m_now);
     m_learntSignatures += added;
     if (added > 0)
         m_effects->push_back(LogRecord {
--- a/src/gateway/QuarantineExchange.h
+++ b/src/gateway/QuarantineExchange.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <random>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace greengagestair {
@@ -17,8 +18,9 @@
  * new process would send requests again that the other hosts block.
  *
  * The process asks a few hosts at a time, in several rounds: a host may not answer or may itself be
- * new, and reports of the first seconds go to hosts only that are listed. The number of questions
- * does not depend on the number of hosts. Nothing waits for the answers.
+ * new, and hosts report losses only to hosts that they have listed. A round prefers hosts that were
+ * not asked before. The number of questions does not depend on the number of hosts. Nothing waits
+ * for the answers.
  *
  * Gateway passes the time and the list of effects with beginStep().
  */
@@ -34,8 +36,8 @@
     /** Replaces the list of live hosts; the first round begins once it has another host. */
     void setHosts(const std::vector<HostEntry> &hosts);
     /** Answers a host, which may not be listed yet. */
-    void onRequest(const HostId &sender, const Endpoint &endpoint);
-    /** Takes over the answer of a host that was asked; ignores any other one. */
+    void onRequest(const HostId &sender, const Endpoint &endpoint, const LossesRequest &request);
+    /** Takes over the answer to a question of this process; ignores any other one. */
     void onAnswer(const HostId &sender, const RecordedLosses &recorded);
 
     /** Asks the next hosts if a round is due. */
@@ -46,7 +48,10 @@
     std::uint64_t learntSignatures() const { return m_learntSignatures; }
 
 private:
-    /** Asks a random host that was not asked before; false if `candidates` has none. */
+    /**
+     * Asks a random one of the candidates and removes it; prefers those that were not asked before.
+     * Returns false if there are none.
+     */
     bool askOneOf(std::vector<const HostEntry *> &candidates);
 
     HostId m_self;
@@ -56,7 +61,9 @@
     std::vector<HostEntry> m_hosts; ///< the others, while rounds are left
     int m_rounds = 0;               ///< begun so far
     std::optional<MonotonicTime> m_nextRoundAt;
-    std::unordered_map<HostId, MonotonicTime> m_askedAt;
+    std::unordered_set<HostId> m_askedHosts;
+    std::uint64_t m_lastId; ///< begins at random, so that no answer to an earlier process matches
+    std::unordered_map<std::uint64_t, MonotonicTime> m_askedAt; ///< by the id of the question
     std::uint64_t m_learntSignatures = 0;
     MonotonicTime m_now;
     GatewayEffects *m_effects = nullptr;
--- a/src/gateway/RequestQuarantine.cpp
+++ b/src/gateway/RequestQuarantine.cpp
@@ -80,7 +80,8 @@
             && now - losses.lastLossAt < kBlockDuration;
 }
 
-RecordedLosses RequestQuarantine::recentLosses(const HostId &self, MonotonicTime now) const
+std::vector<RecordedLoss> RequestQuarantine::recentLosses(const HostId &self,
+                                                          MonotonicTime now) const
 {
     using Entry = std::pair<const Signature, Losses>;
     std::vector<const Entry *> recent;
@@ -93,7 +94,7 @@
                       [](const Entry *left, const Entry *right) {
                           return left->second.lastLossAt > right->second.lastLossAt;
                       });
-    RecordedLosses recorded;
+    std::vector<RecordedLoss> recorded;
     for (auto entry = recent.begin(); entry != recent.begin() + count; ++entry) {
         const auto &[signature, losses] = **entry;
         RecordedLoss loss;
@@ -106,16 +107,16 @@
         loss.hasSeveralRequests =
                 losses.hasSeveralRequests || losses.ownRequests.size() >= kRequestsToBlock;
         loss.age = now - losses.lastLossAt;
-        recorded.losses.push_back(std::move(loss));
+        recorded.push_back(std::move(loss));
     }
     return recorded;
 }
 
-std::size_t RequestQuarantine::merge(const RecordedLosses &recorded, MonotonicTime statedAt,
-                                     MonotonicTime now)
+std::size_t RequestQuarantine::merge(const std::vector<RecordedLoss> &recorded,
+                                     MonotonicTime statedAt, MonotonicTime now)
 {
     std::size_t added = 0;
-    for (const RecordedLoss &loss : recorded.losses) {
+    for (const RecordedLoss &loss : recorded) {
         if (added == kMaxStatedSignatures)
             break;
         const MonotonicTime lossAt = statedAt - std::max(loss.age, Duration(0));
--- a/src/gateway/RequestQuarantine.h
+++ b/src/gateway/RequestQuarantine.h
@@ -32,12 +32,13 @@
     bool isBlocked(Signature signature, MonotonicTime now) const;
 
     /** The recent losses as `self` states them to another host; the last ones if there are many. */
-    RecordedLosses recentLosses(const HostId &self, MonotonicTime now) const;
+    std::vector<RecordedLoss> recentLosses(const HostId &self, MonotonicTime now) const;
     /**
      * Adds what another host had recorded at `statedAt` or later. Returns the number of signatures
      * that are new to this host. A block ends when it ends at the other host, or earlier.
      */
-    std::size_t merge(const RecordedLosses &recorded, MonotonicTime statedAt, MonotonicTime now);
+    std::size_t merge(const std::vector<RecordedLoss> &recorded, MonotonicTime statedAt,
+                      MonotonicTime now);
     /** Number of recorded signatures. */
     std::size_t size() const { return m_losses.size(); }
 
--- a/src/net/Description.h
+++ b/src/net/Description.h
@@ -62,9 +62,9 @@
 BOOST_DESCRIBE_STRUCT(ServerObservation, (),
                       (server, startedAt, answers, refusals, failures, totalTime, age))
 BOOST_DESCRIBE_STRUCT(ServerObservations, (), (isSummary, observations))
-BOOST_DESCRIBE_STRUCT(LossesRequest, (), ())
+BOOST_DESCRIBE_STRUCT(LossesRequest, (), (id))
 BOOST_DESCRIBE_STRUCT(RecordedLoss, (), (signature, servers, hosts, hasSeveralRequests, age))
-BOOST_DESCRIBE_STRUCT(RecordedLosses, (), (losses))
+BOOST_DESCRIBE_STRUCT(RecordedLosses, (), (id, losses))
 BOOST_DESCRIBE_STRUCT(PartAnswer, (),
                       (part, outcome, reason, version, heldVersions, expectedWait, body))
 BOOST_DESCRIBE_STRUCT(PeerEnvelope, (), (sender, incarnation, endpoint, message))
