--- a/src/http/HttpServerConnection.cpp
+++ b/src/http/HttpServerConnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/status.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace greengagestair {
 
