--- a/tests/gateway/TenantTest.cpp
+++ b/tests/gateway/TenantTest.cpp
@@ -34,6 +34,16 @@
         send(RequestReceived { { 1000 + m_requests }, request });
     }
 
+    /** The next version of the configuration, whose list of tenants is empty. */
+    RoutingConfiguration withoutTenants() const
+    {
+        RoutingConfiguration next = configuration;
+        next.version = 2;
+        next.tenants.clear();
+        next.tenantByKey.clear();
+        return next;
+    }
+
     /** The tenant that the only attempt so far is sent for; empty if it has none. */
     std::string tenantOfAttempt()
     {
@@ -125,10 +135,7 @@
           "[gateway][tenants]")
 {
     TenantFixture fixture;
-    RoutingConfiguration next = fixture.configuration;
-    next.version = 2;
-    next.tenants.clear();
-    next.tenantByKey.clear();
+    RoutingConfiguration next = fixture.withoutTenants();
     REQUIRE(next.requiresKeys);
     fixture.send(ConfigurationRead { std::make_shared<const RoutingConfiguration>(next) });
     for (const std::string credentials : { "Bearer key-1", "Bearer other", "" }) {
@@ -161,10 +168,7 @@
           "[gateway][tenants]")
 {
     TenantFixture fixture;
-    RoutingConfiguration next = fixture.configuration;
-    next.version = 2;
-    next.tenants.clear();
-    next.tenantByKey.clear();
+    RoutingConfiguration next = fixture.withoutTenants();
     fixture.sendWith({ { "Authorization", "Bearer key-1" } });
     fixture.send(ConfigurationRead { std::make_shared<const RoutingConfiguration>(next) });
     fixture.shed(fixture.takeAttempts().front());
