Accept all waiting connections in one pass of the event loop

New callers of a busy gateway waited to be accepted while it answered others.

Cause: Boost.Asio accepts a waiting connection at once, but puts its completion behind all events that are ready. So one connection was accepted for each pass over all others.

Evidence: 5 s after the crowd had sent everything, 76 of 500 connections were open, and caller_accepts_delayed_total was 0, so memory was not the reason.

After an accepted connection, up to 64 that wait are accepted without another pass, if the account of callers has room.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/leaf/error.hpp>
 
+#include <limits>
 #include <vector>
 
 namespace greengagestair {
@@ -23,6 +24,8 @@
 /** Delay after a failed accept, or when there is no room for a connection; callers wait in the
  * kernel's backlog meanwhile. */
 static constexpr std::chrono::milliseconds kAcceptRetryDelay(50);
+/** Connections accepted before the event loop turns to other events again. */
+static constexpr std::size_t kMaxAcceptsAtOnce = 64;
 /** Of a server of pages. Other gateways, a scraper and the platform's checks use one connection
  * each; the smallest reserve of descriptors (CallerAccount.cpp) holds the connections of two such
  * servers. */
@@ -91,7 +94,12 @@
         if (error)
             return acceptLater();
         addConnection(std::move(socket));
-        acceptWithRoom();
+        // Otherwise one connection is accepted each time that the loop has handled all other
+        // events, however many wait.
+        if (acceptPending(kMaxAcceptsAtOnce))
+            accept();
+        else
+            acceptLater();
     });
 }
 
@@ -140,16 +148,20 @@
     connection->start();
 }
 
-void HttpServer::acceptPending()
+bool HttpServer::acceptPending(std::size_t maxConnections)
 {
     error_code error;
     m_acceptor.non_blocking(true, error);
-    while (!error && m_account.makeRoomForConnection(std::chrono::steady_clock::now())) {
+    for (std::size_t accepted = 0;
+         m_account.makeRoomForConnection(std::chrono::steady_clock::now()); ++accepted) {
+        if (error || accepted == maxConnections)
+            return true;
         tcp::socket socket(m_context);
         m_acceptor.accept(socket, error);
         if (!error)
             addConnection(std::move(socket));
     }
+    return false;
 }
 
 void HttpServer::scheduleTimeoutCheck()
@@ -192,8 +204,9 @@
 void HttpServer::closeListenerAndIdleConnections()
 {
     error_code ignored; // Nothing can be done about a failed close.
+    // Closing the listener would reset connections that wait in the kernel.
     if (m_acceptor.is_open())
-        acceptPending();
+        acceptPending(std::numeric_limits<std::size_t>::max());
     m_acceptor.close(ignored);
     // Reads that have completed are handled before a posted function; their connections are not
     // idle.
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -120,11 +120,14 @@
     friend class HttpServerConnection;
 
     void accept();
-    /** Accepts the next connection, as soon as the account has room for it. */
+    /** Accepts the next connections, as soon as the account has room for one. */
     void acceptWithRoom();
     void acceptLater();
-    /** Accepts the connections that wait in the kernel; closing the listener would reset them. */
-    void acceptPending();
+    /**
+     * Accepts connections that wait in the kernel, `maxConnections` at most. Returns false if the
+     * account has no room for a further one.
+     */
+    bool acceptPending(std::size_t maxConnections);
     void addConnection(boost::asio::ip::tcp::socket socket);
     void closeIdleConnections();
     void scheduleTimeoutCheck();
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -2,6 +2,8 @@
 
 #include "http/CallerAccount.h"
 
+#include <boost/asio/post.hpp>
+
 using namespace greengagestair;
 using namespace std::chrono_literals;
 
@@ -160,6 +162,27 @@
     fixture.awaitRequests(1);
 }
 
+// Guards against callers that wait to be accepted, one for each pass of a loop that open
+// connections keep busy.
+TEST_CASE("connections that wait are accepted in one pass of a busy loop", "[http]")
+{
+    constexpr std::size_t kWaiting = 32;
+    constexpr int kPasses = 8;
+    ServerFixture fixture;
+    std::vector<std::shared_ptr<RawPeer>> waiting;
+    for (std::size_t index = 0; index < kWaiting; ++index)
+        waiting.push_back(fixture.connect());
+    int passes = 0;
+    std::function<void()> pass = [&] {
+        if (fixture.server.connections() < kWaiting)
+            ++passes;
+        boost::asio::post(fixture.context, pass);
+    };
+    pass();
+    runUntil(fixture.context, [&] { return fixture.server.connections() == kWaiting; });
+    CHECK(passes <= kPasses);
+}
+
 // Guards against requests that are cut off because they arrive in the same instant as the stop: on
 // a connection that the process has not accepted yet, or on one whose bytes it has not read yet.
 TEST_CASE("requests that the kernel holds when the listener closes are answered", "[http]")
