Accept all waiting hosts in one pass of the event loop

Hosts that connect to a busy entry host, for example after it has restarted, waited to be accepted one for each pass of the event loop.

After an accepted connection, up to 64 that wait are accepted without another pass.

--- a/src/net/TcpPeerTransport.cpp
+++ b/src/net/TcpPeerTransport.cpp
@@ -27,6 +27,9 @@
 /** Delay before accepting again after an error, which is usually a lack of file descriptors. */
 static constexpr std::chrono::milliseconds kAcceptRetryDelay(100);
 
+/** Connections accepted before the event loop turns to other events again. */
+static constexpr std::size_t kMaxAcceptsAtOnce = 64;
+
 /** Time for sending the queued frames after stop(). */
 static constexpr std::chrono::milliseconds kStopTimeout(500);
 
@@ -65,10 +68,24 @@
                         return;
                     }
                     self->addIncoming(std::move(socket));
+                    self->acceptPending();
                     self->accept();
                 });
     }
 
+    /** Accepts connections that wait in the kernel. */
+    void acceptPending()
+    {
+        error_code error;
+        m_acceptor.non_blocking(true, error);
+        for (std::size_t accepted = 0; !error && accepted < kMaxAcceptsAtOnce; ++accepted) {
+            tcp::socket socket(m_context);
+            m_acceptor.accept(socket, error);
+            if (!error)
+                addIncoming(std::move(socket));
+        }
+    }
+
     void send(const HostId &host, const Endpoint &endpoint, const PeerMessage &message)
     {
         FrameBytes *buffer = nullptr;
--- a/tests/net/TcpPeerTransportTest.cpp
+++ b/tests/net/TcpPeerTransportTest.cpp
@@ -5,12 +5,14 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <functional>
 #include <iostream>
+#include <vector>
 
 using namespace greengagestair;
 namespace asio = boost::asio;
@@ -91,6 +93,31 @@
     REQUIRE(a.transport.counters().droppedFrames == 0);
 }
 
+// Guards against hosts that wait to be accepted, one for each pass of a busy loop.
+TEST_CASE("hosts that connect at the same time are accepted in one pass", "[peer]")
+{
+    constexpr std::size_t kHosts = 32;
+    constexpr int kPasses = 8;
+    asio::io_context context;
+    TestHost a(context, "a", { "127.0.0.1", 0 });
+    FrameBytes frame;
+    REQUIRE(FrameCodec::append({ "x" }, { 1 }, {}, makeCancel(1), frame));
+    asio::io_context other;
+    std::vector<tcp::socket> sockets;
+    for (std::size_t index = 0; index < kHosts; ++index) {
+        sockets.emplace_back(other).connect(tcpEndpoint(a));
+        asio::write(sockets.back(), asio::buffer(frame));
+    }
+    int passes = 0;
+    std::function<void()> pass = [&] {
+        ++passes;
+        asio::post(context, pass);
+    };
+    pass();
+    REQUIRE(runUntil(context, [&] { return a.queue.size() == kHosts; }));
+    CHECK(passes <= kPasses);
+}
+
 // Guards against reading on in a damaged stream, and against effects of it on other peers.
 TEST_CASE("a malformed frame closes its connection", "[peer]")
 {
